--- /dev/null
+++ b/internal/assembler/controller.go
@@ -0,0 +1,63 @@
+package assembler
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/controller"
+	"github.com/mulberryhaven/mulberryhaven/internal/faker"
+	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/maintainer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/placer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/rebalancer"
+)
+
+func (p *Process) buildController() (*controller.Service, error) {
+	cfg := p.Settings.Controller
+	store := &storer.Single{
+		Address: cfg.Address,
+		Journal: &journaler.Journal{Folder: filepath.Join(cfg.DataFolder, "log")},
+	}
+	if err := store.Open(); err != nil {
+		return nil, fmt.Errorf("open store: %w", err)
+	}
+	demand := &controller.DemandTable{}
+	c := &controller.Service{
+		Settings:   p.Settings,
+		Clock:      p.Clock,
+		Store:      store,
+		Maintainer: maintainer.OneByOne{},
+		Demand:     demand,
+	}
+	p.addPlatform(c, demand)
+	return c, nil
+}
+
+// addPlatform adds the loops that act on VMs and workers.
+func (p *Process) addPlatform(c *controller.Service, demand *controller.DemandTable) {
+	platform, worker := p.Platform, p.Worker
+	if platform == nil && p.Settings.Controller.Platform.Kind == configurer.PlatformFake {
+		platform, worker = p.fakePlatform()
+	}
+	if platform != nil {
+		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
+			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Fixed{}, Demand: demand,
+		})
+	}
+	if worker != nil {
+		c.Loops = append(c.Loops, &controller.PlacementLoop{Worker: worker, Placer: &placer.FirstFit{}})
+	}
+}
+
+func (p *Process) fakePlatform() (manager.Platform, manager.Worker) {
+	const rebootTime = 2 * manager.Second
+	platform := &faker.Platform{Clock: p.Clock, RebootTime: rebootTime}
+	for _, v := range p.Settings.Controller.Fleet.VMs {
+		platform.Add(v)
+	}
+	worker := &faker.Worker{Clock: p.Clock, RunTime: func(j manager.Job) manager.Duration { return j.DeclaredMs }}
+	return platform, worker
+}
--- /dev/null
+++ b/internal/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer reads and checks the JSON settings of a process.
+package configurer
--- /dev/null
+++ b/internal/controller/loops.go
@@ -0,0 +1,47 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// loopPeriod is the pause between two steps of the leader's loops; urgent work waits at least this long.
+const loopPeriod = 100 * manager.Millisecond
+
+func sleep(ctx context.Context, d manager.Duration) {
+	t := time.NewTimer(d.Std())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// proposeAll proposes commands one by one; one that is refused does not stop the others.
+func proposeAll(ctx context.Context, s storer.Store, commands []manager.Command) error {
+	for _, c := range commands {
+		result, err := s.Propose(ctx, c)
+		if err != nil {
+			return fmt.Errorf("propose: %w", err)
+		}
+		if result.Failure != nil {
+			klog.V(2).InfoS("Command refused", "Reason", result.Failure.Err().Error())
+		}
+	}
+	return nil
+}
+
+func readFleet(ctx context.Context, s storer.Store) (manager.Fleet, error) {
+	var f manager.Fleet
+	if err := s.Read(ctx, func(a manager.Applier) { f = a.Fleet() }); err != nil {
+		return f, fmt.Errorf("read fleet: %w", err)
+	}
+	return f, nil
+}
+
--- /dev/null
+++ b/internal/demonstrator/processes.go
@@ -0,0 +1,111 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/assembler"
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/faker"
+	"github.com/mulberryhaven/mulberryhaven/internal/timekeeper"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	operatorToken = "demo-operator"
+	peerToken     = "demo-peer"
+	gatewayCount  = 2
+	rebootTime    = 300 * manager.Millisecond
+	stopDelay     = 50 * manager.Millisecond
+	stopGrace     = 10 * manager.Second
+)
+
+// freeAddresses returns loopback addresses that no one listens on now.
+func freeAddresses(n int) ([]manager.Address, error) {
+	list := make([]manager.Address, 0, n)
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find free address: %w", err)
+		}
+		defer l.Close()
+		list = append(list, manager.Address(l.Addr().String()))
+	}
+	return list, nil
+}
+
+// startProcesses starts the controller and then the gateways, each as a process would.
+func (d *Demo) startProcesses(folder string, f manager.LoadFleet) error {
+	addresses, err := freeAddresses(gatewayCount + 1)
+	if err != nil {
+		return err
+	}
+	controller, gateways := addresses[0], addresses[1:]
+	clock := timekeeper.New()
+	platform := &faker.Platform{Clock: clock, RebootTime: rebootTime, Tenant: d.tenant}
+	for _, v := range f.VMs {
+		platform.Add(v)
+	}
+	worker := &faker.Worker{Clock: clock, RunTime: func(j manager.Job) manager.Duration { return j.DeclaredMs }}
+	settings := []configurer.Settings{controllerSettings(controller, folder, f)}
+	for i := range gateways {
+		settings = append(settings, gatewaySettings(controller, gateways, i))
+	}
+	for i, s := range settings {
+		p := assembler.Process{Settings: s, Clock: clock, Seed: uint64(i), Platform: platform, Worker: worker}
+		if err := d.startProcess(&p); err != nil {
+			return fmt.Errorf("start %s: %w", s.Node, err)
+		}
+	}
+	d.gateways = gateways
+	return nil
+}
+
+func (d *Demo) startProcess(p *assembler.Process) error {
+	if err := p.Settings.Validate(); err != nil {
+		return err
+	}
+	s, err := p.Build()
+	if err != nil {
+		return err
+	}
+	d.processes = append(d.processes, s)
+	return s.Start()
+}
+
+func commonSettings(node string, controller manager.Address) configurer.Settings {
+	return configurer.Settings{
+		Node: node, AvailabilityZone: zones[0],
+		Tokens:      configurer.Tokens{Operator: operatorToken, Peer: peerToken},
+		Controllers: []manager.Address{controller},
+		Trace:       configurer.Trace{Exporter: configurer.TraceNone},
+		Stop:        configurer.Stop{ReadyDelayMs: stopDelay, GraceMs: stopGrace},
+	}
+}
+
+func controllerSettings(a manager.Address, folder string, f manager.LoadFleet) configurer.Settings {
+	s := commonSettings("controller-1", a)
+	s.Services = []string{configurer.ServiceController}
+	s.Controller = &configurer.Controller{
+		Address: a, Replica: 1, Replicas: []configurer.Replica{{Replica: 1, Address: a, AvailabilityZone: zones[0]}},
+		DataFolder: folder, Fleet: f, Platform: configurer.Platform{Kind: configurer.PlatformFake},
+	}
+	return s
+}
+
+func gatewaySettings(controller manager.Address, gateways []manager.Address, i int) configurer.Settings {
+	s := commonSettings(fmt.Sprintf("gateway-%d", i+1), controller)
+	s.Services = []string{configurer.ServiceGateway}
+	var peers []manager.Address
+	for j, a := range gateways {
+		if j != i {
+			peers = append(peers, a)
+		}
+	}
+	s.Gateway = &configurer.Gateway{
+		Address: gateways[i], Peers: peers,
+		DefaultDeadlineMs: configurer.DefaultDeadline, MaxBodyBytes: configurer.DefaultMaxBody,
+	}
+	return s
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/forwarder"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+	"github.com/mulberryhaven/mulberryhaven/internal/operator"
+	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
+	"github.com/mulberryhaven/mulberryhaven/internal/supervisor"
+	"github.com/mulberryhaven/mulberryhaven/internal/timekeeper"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	// gossipPeriod is the pause between two messages to a peer; it adds to the time in which all know.
+	gossipPeriod = 500 * manager.Millisecond
+	// tickPeriod is the pause between two looks at waiting requests.
+	tickPeriod = 10 * manager.Millisecond
+	// reportPeriod is the pause between two reports to the controllers.
+	reportPeriod = 1 * manager.Second
+)
+
+// Service is the gateway.
+type Service struct {
+	Settings  configurer.Settings
+	Clock     manager.Clock
+	Registrar manager.Registrar
+	Limiter   manager.Limiter
+	Retrier   manager.Retrier
+	Client    *proposer.Client
+	// Peers is the HTTP client for the other gateways.
+	Peers *http.Client
+
+	server        *listener.Server
+	dispatcher    *forwarder.Dispatcher
+	configuration *configurationKeeper
+	membership    sync.Mutex
+	stopping      chan struct{}
+	preparing     sync.Once
+	cancel        context.CancelFunc
+	loops         sync.WaitGroup
+}
+
+var (
+	_ supervisor.Service      = (*Service)(nil)
+	_ supervisor.StopPreparer = (*Service)(nil)
+)
+
+// Name returns the service's name.
+func (s *Service) Name() string { return configurer.ServiceGateway }
+
+// Needs returns no services: the controllers may run elsewhere.
+func (s *Service) Needs() []string { return nil }
+
+// Start serves callers, operators, upstreams and peers.
+func (s *Service) Start(*supervisor.Registry) error {
+	s.stopping = make(chan struct{})
+	shared := &lockedRegistrar{inner: s.Registrar, mu: &s.membership}
+	s.dispatcher = &forwarder.Dispatcher{Clock: s.Clock, Limiter: s.Limiter}
+	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
+	e := listener.NewEcho()
+	listener.AddHealth(e, s.ready)
+	s.addRoutes(e, shared)
+	cfg := s.Settings.Gateway
+	s.server = &listener.Server{Address: cfg.Address, TLS: cfg.TLS, Echo: e}
+	if err := s.server.Start(); err != nil {
+		return fmt.Errorf("serve gateway: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.loops.Go(func() { s.configuration.run(ctx) })
+	s.loops.Go(func() { timekeeper.Every(ctx.Done(), tickPeriod, s.dispatcher.Tick) })
+	s.loops.Go(func() { timekeeper.Every(ctx.Done(), reportPeriod, func() { s.report(ctx) }) })
+	g := &gossiper{registrar: shared, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer}
+	for _, peer := range cfg.Peers {
+		s.loops.Go(func() { timekeeper.Every(ctx.Done(), gossipPeriod, func() { g.exchange(ctx, peer) }) })
+	}
+	return nil
+}
+
+func (s *Service) addRoutes(e *echo.Echo, shared *lockedRegistrar) {
+	cfg := s.Settings.Gateway
+	f := &forwarder.Forwarder{
+		Gateway:         manager.GatewayID(s.Settings.Node),
+		Clock:           s.Clock,
+		Dispatcher:      s.dispatcher,
+		Retrier:         s.Retrier,
+		Claims:          s.Client,
+		Exchanger:       forwarder.NewExchanger(),
+		MaxBodyBytes:    cfg.MaxBodyBytes,
+		DefaultDeadline: cfg.DefaultDeadlineMs,
+		Ready:           s.accepting,
+	}
+	e.Any("/services/:Service", f.Handle)
+	e.Any("/services/:Service/*", f.Handle)
+	e.POST("/announce", announceHandler(shared, s.Clock))
+	e.POST(pathGossip, gossipHandler(shared, s.Clock), listener.Bearer(s.Settings.Tokens.Peer))
+	api := &operator.API{Client: s.Client, Upstreams: func() []manager.Member { return shared.All(s.Clock.Now()) }}
+	api.AddRoutes(e.Group("/api", listener.Bearer(s.Settings.Tokens.Operator)))
+}
+
+// Addr returns the address that the gateway listens on.
+func (s *Service) Addr() manager.Address { return s.server.Addr() }
+
+// ready tells the balancer whether to bring work.
+func (s *Service) ready() error {
+	select {
+	case <-s.stopping:
+		return manager.ErrUnavailable{Part: "gateway", Reason: "it is stopping"}
+	default:
+	}
+	_, err := s.accepting()
+	return err
+}
+
+// accepting tells the forwarder whether it may take work: a stopping gateway still does, as the
+// balancer may not have noticed yet.
+func (s *Service) accepting() (manager.RefusalCode, error) {
+	if !s.configuration.inForce() {
+		return manager.RefusalStale, manager.ErrUnavailable{Part: "configuration", Reason: "its lease ran out"}
+	}
+	return "", nil
+}
+
+// PrepareStop fails /readyz.
+func (s *Service) PrepareStop() {
+	s.preparing.Do(func() {
+		if s.stopping != nil {
+			close(s.stopping)
+		}
+	})
+	if s.server != nil {
+		s.server.PrepareStop()
+	}
+}
+
+// Stop waits for the requests in flight and ends the loops.
+func (s *Service) Stop(stop <-chan struct{}) error {
+	var err error
+	if s.server != nil {
+		err = s.server.Stop(stop)
+	}
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.loops.Wait()
+	if err != nil {
+		return fmt.Errorf("stop gateway's listener: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/journaler/doc.go
@@ -0,0 +1,2 @@
+// Package journaler keeps the durable log of a controller on disk.
+package journaler
--- /dev/null
+++ b/internal/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger sets klog up to write JSON lines.
+package logger
--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter names the metrics of the processes; docs/OPERATIONS.md explains each.
+package meter
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator is the operators' API: thin handlers over the controllers' client.
+package operator
--- /dev/null
+++ b/internal/proposer/client.go
@@ -0,0 +1,230 @@
+package proposer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
+	"github.com/mulberryhaven/mulberryhaven/internal/translator"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	// DefaultTimeout bounds one call; it must exceed an election, or calls fail while a leader is elected.
+	DefaultTimeout = 5 * manager.Second
+	// retryPause is the pause between two rounds over the controllers.
+	retryPause = 50 * time.Millisecond
+)
+
+// Client calls the leader of the controllers.
+type Client struct {
+	Controllers []manager.Address
+	Token       string
+	HTTP        *http.Client
+	// Timeout bounds one call over all its tries, in milliseconds.
+	Timeout manager.Duration
+	// Scheme is "http" unless the controllers listen with TLS.
+	Scheme string
+
+	mu     sync.Mutex
+	leader manager.Address
+}
+
+// Propose sends a command; it is resent only if it names an id or certainly was not taken.
+func (c *Client) Propose(ctx context.Context, command manager.Command) (manager.Result, error) {
+	var result manager.Result
+	call := call{method: http.MethodPost, path: PathPropose, body: command, answer: &result}
+	call.repeatable = command.Command != "" || command.MakeClaim != nil || command.RecordAnswer != nil
+	if err := c.do(ctx, call); err != nil {
+		if errors.Is(err, errLost) {
+			return result, errors.Join(manager.ErrOutcomeUnknown{Command: command.Command}, err)
+		}
+		return result, fmt.Errorf("propose: %w", err)
+	}
+	if result.Failure != nil {
+		return result, result.Failure.Err()
+	}
+	return result, nil
+}
+
+// Fleet reads the state.
+func (c *Client) Fleet(ctx context.Context) (manager.Fleet, error) {
+	var f manager.Fleet
+	err := c.read(ctx, PathFleet, &f)
+	return f, err
+}
+
+// Gateways reads what the leader knows of the gateways.
+func (c *Client) Gateways(ctx context.Context) ([]GatewayStatus, error) {
+	var list []GatewayStatus
+	err := c.read(ctx, PathGateways, &list)
+	return list, err
+}
+
+// History reads the versions of a profile.
+func (c *Client) History(ctx context.Context, p manager.ProfileID) (History, error) {
+	var h History
+	err := c.read(ctx, PathHistory+"?Profile="+url.QueryEscape(string(p)), &h)
+	return h, err
+}
+
+// Plan asks for the plan of a wave, which is not stored yet.
+func (c *Client) Plan(ctx context.Context, spec manager.WaveSpec) (manager.Wave, error) {
+	var w manager.Wave
+	err := c.post(ctx, PathPlan, spec, &w)
+	return w, err
+}
+
+// Configuration asks for a newer configuration.
+func (c *Client) Configuration(ctx context.Context, r ConfigurationRequest) (Configuration, error) {
+	var cfg Configuration
+	err := c.post(ctx, PathConfiguration, r, &cfg)
+	return cfg, err
+}
+
+// Report sends what a gateway saw.
+func (c *Client) Report(ctx context.Context, r DemandReport) error {
+	var a Acknowledgement
+	return c.post(ctx, PathDemand, r, &a)
+}
+
+func (c *Client) read(ctx context.Context, path string, answer any) error {
+	if err := c.do(ctx, call{method: http.MethodGet, path: path, answer: answer, repeatable: true}); err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	return nil
+}
+
+func (c *Client) post(ctx context.Context, path string, body, answer any) error {
+	if err := c.do(ctx, call{method: http.MethodPost, path: path, body: body, answer: answer, repeatable: true}); err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	return nil
+}
+
+// call is one request to the leader.
+type call struct {
+	method string
+	path   string
+	body   any
+	answer any
+	// repeatable says that sending it twice does no harm.
+	repeatable bool
+}
+
+// do tries the last known leader, then every controller, until one answers or the time is over.
+func (c *Client) do(ctx context.Context, call call) error {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
+	defer cancel()
+	last := error(manager.ErrUnavailable{Part: "controllers", Reason: "none is known"})
+	for {
+		for _, a := range c.order() {
+			err := c.try(ctx, a, call)
+			if err == nil || final(err, call) {
+				return err
+			}
+			last = err
+		}
+		if err := pause(ctx); err != nil {
+			return errors.Join(manager.ErrUnavailable{Part: "controllers", Reason: "no leader answered in time"}, last)
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// final tells whether another try makes no sense or could do harm.
+func final(err error, call call) bool {
+	if errors.Is(err, errLost) {
+		return !call.repeatable
+	}
+	return !manager.IsErrNotLeader(err) && !manager.IsErrUnavailable(err) && !errors.Is(err, errNotSent)
+}
+
+// order lists the last known leader first.
+func (c *Client) order() []manager.Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]manager.Address, 0, len(c.Controllers)+1)
+	if c.leader != "" {
+		list = append(list, c.leader)
+	}
+	for _, a := range c.Controllers {
+		if a != c.leader {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (c *Client) setLeader(a manager.Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = a
+}
+
+func (c *Client) try(ctx context.Context, a manager.Address, call call) error {
+	r, err := c.request(ctx, a, call)
+	if err != nil {
+		return err
+	}
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		c.setLeader("")
+		return lostOrNotSent(a, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		err := translator.ReadError(response)
+		if e, ok := errors.AsType[manager.ErrNotLeader](err); ok {
+			c.setLeader(e.Leader)
+		}
+		return fmt.Errorf("controller %s: %w", a, err)
+	}
+	c.setLeader(a)
+	if err := json.NewDecoder(response.Body).Decode(call.answer); err != nil {
+		return fmt.Errorf("controller %s: decode answer: %w", a, errors.Join(errLost, err))
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, a manager.Address, call call) (*http.Request, error) {
+	var body bytes.Buffer
+	if call.body != nil {
+		if err := json.NewEncoder(&body).Encode(call.body); err != nil {
+			return nil, fmt.Errorf("encode request: %w", err)
+		}
+	}
+	scheme := c.Scheme
+	if scheme == "" {
+		scheme = "http"
+	}
+	r, err := http.NewRequestWithContext(ctx, call.method, scheme+"://"+string(a)+call.path, &body)
+	if err != nil {
+		return nil, fmt.Errorf("create request: %w", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	r.Header.Set("Content-Type", "application/json")
+	tracer.Inject(ctx, r.Header)
+	return r, nil
+}
--- /dev/null
+++ b/internal/storer/doc.go
@@ -0,0 +1,2 @@
+// Package storer makes commands durable and applies them in order.
+package storer
--- /dev/null
+++ b/internal/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper gives the decision parts the machine's time.
+package timekeeper
--- /dev/null
+++ b/internal/tracer/doc.go
@@ -0,0 +1,2 @@
+// Package tracer sets OpenTelemetry up and carries trace contexts over HTTP.
+package tracer
--- /dev/null
+++ b/internal/translator/doc.go
@@ -0,0 +1,2 @@
+// Package translator carries typed errors over HTTP and back.
+package translator
--- /dev/null
+++ b/pkg/manager/applier/snapshot.go
@@ -0,0 +1,94 @@
+package applier
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// SnapshotFormat is the version of the snapshot's layout; another version is refused on restore.
+const SnapshotFormat = 1
+
+// ErrSnapshotFormat reports a snapshot of a layout that this program does not read.
+var ErrSnapshotFormat = eris.New("snapshot has an unknown format")
+
+type snapshot struct {
+	Format    int
+	Revision  manager.Revision
+	Now       manager.Time
+	NextLease manager.LeaseID
+	Profiles  [][]manager.Profile
+	Pools     []manager.Pool
+	VMs       []manager.VM
+	Waves     []manager.Wave
+	Jobs      []manager.Job
+	Results   []resultRecord
+	Claims    []*claimRecord
+}
+
+// Snapshot encodes the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	snap := snapshot{
+		Format: SnapshotFormat, Revision: s.revision, Now: s.now, NextLease: s.nextID,
+		Profiles: values(s.profiles), Pools: values(s.pools), VMs: values(s.vms),
+		Waves: values(s.waves), Jobs: values(s.jobs),
+		Results: s.results.order, Claims: s.claims.live(),
+	}
+	data, err := json.Marshal(snap)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// live returns the claims that are still in force, oldest first.
+func (t *claimTable) live() []*claimRecord {
+	list := make([]*claimRecord, 0, len(t.index))
+	for _, r := range t.order {
+		if t.index[r.Request] == r {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	if snap.Format != SnapshotFormat {
+		return fmt.Errorf("restore format %d: %w", snap.Format, ErrSnapshotFormat)
+	}
+	fresh := New()
+	fresh.revision, fresh.now, fresh.nextID = snap.Revision, snap.Now, snap.NextLease
+	for _, history := range snap.Profiles {
+		if len(history) > 0 {
+			fresh.profiles[history[0].Profile] = history
+		}
+	}
+	for _, p := range snap.Pools {
+		fresh.pools[p.Pool] = p
+	}
+	for _, v := range snap.VMs {
+		fresh.vms[v.VM] = v
+	}
+	for _, w := range snap.Waves {
+		fresh.waves[w.Wave] = w
+	}
+	for _, j := range snap.Jobs {
+		fresh.jobs[j.Job] = j
+	}
+	for _, r := range snap.Results {
+		fresh.results.add(r)
+	}
+	for _, r := range snap.Claims {
+		fresh.claims.add(r)
+	}
+	*s = *fresh
+	return nil
+}
--- /dev/null
+++ b/pkg/manager/claimer/outcome.go
@@ -0,0 +1,30 @@
+package claimer
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// Refusal returns how a claim that was not granted and holds no answer is refused, and its status.
+func Refusal(state manager.ClaimState) (int, manager.Refusal) {
+	const retryAfter = 1 * manager.Second
+	switch state {
+	case manager.ClaimMismatch:
+		return 409, manager.Refusal{
+			Code: manager.RefusalRequestReused, RunState: manager.RunStateNotRun,
+			Message: "this Request-Id was used by another caller or with another body",
+		}
+	case manager.ClaimExpired:
+		return 503, manager.Refusal{
+			Code: manager.RefusalRequestExpired, RunState: manager.RunStateNotRun,
+			Message: "this Request-Id is older than the window in which resends are recognised",
+		}
+	case manager.ClaimFull:
+		return 503, manager.Refusal{
+			Code: manager.RefusalClaimUnavailable, RunState: manager.RunStateNotRun, RetryAfterMs: retryAfter,
+			Message: "too many non-idempotent requests are remembered",
+		}
+	default:
+		return 504, manager.Refusal{
+			Code: manager.RefusalClaimUnresolved, RunState: manager.RunStateUnknown, RetryAfterMs: retryAfter,
+			Message: "an earlier attempt with this Request-Id has no recorded answer",
+		}
+	}
+}
--- /dev/null
+++ b/pkg/manager/command.go
@@ -0,0 +1,245 @@
+package manager
+
+// Command is one change of the replicated state; exactly one of its bodies is set.
+type Command struct {
+	Command CommandID
+	// At is the proposer's time; the state's time is the latest seen, so that it never decreases.
+	At Time
+	// Digest stands for the operator's own words where the body is made from them and the state, so
+	// that a resend is recognised although the body may differ; empty compares the bodies.
+	Digest string `json:",omitempty"`
+
+	ApplyProfile *ApplyProfile `json:",omitempty"`
+	LoadFleet    *LoadFleet    `json:",omitempty"`
+	ObserveVM    *ObserveVM    `json:",omitempty"`
+	QuarantineVM *QuarantineVM `json:",omitempty"`
+	StartMove    *StartMove    `json:",omitempty"`
+	CommitMove   *CommitMove   `json:",omitempty"`
+	AbandonMove  *AbandonMove  `json:",omitempty"`
+	PlanWave     *PlanWave     `json:",omitempty"`
+	ApproveWave  *ApproveWave  `json:",omitempty"`
+	SetWaveState *SetWaveState `json:",omitempty"`
+	AdvanceStep  *AdvanceStep  `json:",omitempty"`
+	SubmitJob    *SubmitJob    `json:",omitempty"`
+	CancelJob    *CancelJob    `json:",omitempty"`
+	StartTask    *StartTask    `json:",omitempty"`
+	OrderTask    *OrderTask    `json:",omitempty"`
+	FinishTask   *FinishTask   `json:",omitempty"`
+	RenewLeases  *RenewLeases  `json:",omitempty"`
+	RefuseJob    *RefuseJob    `json:",omitempty"`
+	MakeClaim    *MakeClaim    `json:",omitempty"`
+	RecordAnswer *RecordAnswer `json:",omitempty"`
+}
+
+// ApplyProfile stores a profile; its Version is the one that the operator read, 0 for a new one.
+type ApplyProfile struct {
+	Profile Profile
+}
+
+// LoadFleet adds the pools, VMs and profiles of the settings that the state does not know yet.
+type LoadFleet struct {
+	Profiles []Profile
+	Pools    []Pool
+	VMs      []VM
+}
+
+// ObserveVM records what the platform says of a VM.
+type ObserveVM struct {
+	VM    VMID
+	State VMState
+}
+
+// QuarantineVM bars a VM from starting tasks, or lifts the bar.
+type QuarantineVM struct {
+	VM          VMID
+	Quarantined bool
+	Reason      string
+}
+
+// StartMove begins the drain that brings a VM to another pool.
+type StartMove struct {
+	VM     VMID
+	Epoch  Epoch
+	To     PoolID
+	Reason string
+}
+
+// CommitMove gives a drained VM to the pool that its move names.
+type CommitMove struct {
+	VM    VMID
+	Epoch Epoch
+}
+
+// AbandonMove leaves a VM in its old pool.
+type AbandonMove struct {
+	VM     VMID
+	Epoch  Epoch
+	Reason string
+}
+
+// PlanWave stores a wave's plan under the next plan version.
+type PlanWave struct {
+	Wave Wave
+}
+
+// ApproveWave starts the wave if its plan still has this version.
+type ApproveWave struct {
+	Wave        WaveID
+	PlanVersion Version
+}
+
+// SetWaveState pauses, resumes, cancels or ends a wave, or changes the reason it waits for.
+type SetWaveState struct {
+	Wave   WaveID
+	State  WaveState
+	Reason string
+}
+
+// AdvanceStep moves a step on; a step that starts draining is the permit, checked against the budget.
+type AdvanceStep struct {
+	Wave   WaveID
+	VM     VMID
+	Epoch  Epoch
+	From   StepState
+	To     StepState
+	Reason string
+}
+
+// SubmitJob queues a job.
+type SubmitJob struct {
+	Job Job
+}
+
+// CancelJob cancels a job; a running task is stopped.
+type CancelJob struct {
+	Job JobID
+}
+
+// StartTask leases a job to a VM.
+type StartTask struct {
+	Job      JobID
+	VM       VMID
+	Epoch    Epoch
+	Until    Time
+	Reserved Resources
+}
+
+// OrderTask tells the worker of a leased task what to do with it.
+type OrderTask struct {
+	Job   JobID
+	Lease LeaseID
+	Order TaskOrder
+}
+
+// FinishTask records the end of a lease.
+type FinishTask struct {
+	Job    JobID
+	Lease  LeaseID
+	Result TaskResult
+	Reason string
+	DoneMs Duration
+}
+
+// TaskResult is how a task ended.
+type TaskResult string
+
+// Results of a task.
+const (
+	TaskSucceeded    TaskResult = "succeeded"
+	TaskFailed       TaskResult = "failed"
+	TaskCheckpointed TaskResult = "checkpointed"
+	TaskNotStarted   TaskResult = "not-started"
+	// TaskLost says that the lease ended without a report.
+	TaskLost TaskResult = "lost"
+)
+
+// RenewLeases prolongs leases whose workers were heard.
+type RenewLeases struct {
+	Leases []LeaseID
+	Until  Time
+}
+
+// RefuseJob ends a job that can never run.
+type RefuseJob struct {
+	Job    JobID
+	Reason string
+}
+
+// MakeClaim claims a non-idempotent request before it is sent.
+type MakeClaim struct {
+	Request RequestID
+	Digest  ClaimDigest
+	Gateway GatewayID
+	// Attempt tells the resend of this command from a resend of the request.
+	Attempt string
+	// MadeAt is when the request was first seen, from the id or the gateway's wall clock.
+	MadeAt Time
+}
+
+// RecordAnswer ends a claim with the answer, or frees it if the work certainly did not run.
+type RecordAnswer struct {
+	Request RequestID
+	Attempt string
+	// NotRun says that the work did not run, so that a resend may claim again.
+	NotRun bool
+	Answer *RecordedAnswer `json:",omitempty"`
+}
+
+// FailureKind tells typed errors apart in a Result.
+type FailureKind string
+
+// Kinds of failures.
+const (
+	FailureInvalid  FailureKind = "Invalid"
+	FailureNotExist FailureKind = "NotExist"
+	FailureConflict FailureKind = "Conflict"
+	FailureReused   FailureKind = "CommandReused"
+)
+
+// Failure is the typed error of a command that was refused when applied.
+type Failure struct {
+	Kind FailureKind
+	// Object is the kind of object, such as profile; Name its id; Field the path of a wrong field.
+	Object string `json:",omitempty"`
+	Name   string `json:",omitempty"`
+	Field  string `json:",omitempty"`
+	Reason string `json:",omitempty"`
+}
+
+// Err returns the typed error that f stands for.
+func (f Failure) Err() error {
+	switch f.Kind {
+	case FailureInvalid:
+		return ErrInvalid{Field: f.Field, Reason: f.Reason}
+	case FailureNotExist:
+		return ErrNotExist{Kind: f.Object, Name: f.Name}
+	case FailureReused:
+		return ErrCommandReused{Command: CommandID(f.Name)}
+	default:
+		return ErrConflict{Kind: f.Object, Name: f.Name, Reason: f.Reason}
+	}
+}
+
+// Result is the outcome of an applied command; it is kept for resends of the same command id.
+type Result struct {
+	Revision Revision
+	Failure  *Failure     `json:",omitempty"`
+	Profile  *Profile     `json:",omitempty"`
+	Wave     *Wave        `json:",omitempty"`
+	Job      *Job         `json:",omitempty"`
+	Claim    *ClaimResult `json:",omitempty"`
+}
+
+// Applier is the replicated state: a deterministic function of the commands applied so far.
+type Applier interface {
+	// Apply applies a committed command and returns its result, or the first one for a resend.
+	Apply(c Command) Result
+	// Fleet returns a view of the state.
+	Fleet() Fleet
+	// History returns the versions kept of a profile, oldest first.
+	History(p ProfileID) []Profile
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot.
+	Restore(data []byte) error
+}
--- /dev/null
+++ b/pkg/manager/maintainer/doc.go
@@ -0,0 +1,2 @@
+// Package maintainer plans and runs maintenance waves under availability budgets.
+package maintainer
--- /dev/null
+++ b/pkg/manager/placer/doc.go
@@ -0,0 +1,2 @@
+// Package placer decides which job runs on which worker.
+package placer
--- /dev/null
+++ b/pkg/manager/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier decides which failed attempts of a request may run again.
+package retrier
--- /dev/null
+++ b/pkg/manager/router/doc.go
@@ -0,0 +1,2 @@
+// Package router chooses the upstream of a request.
+package router
