--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -35,4 +35,3 @@
 	}
 	return s, nil
 }
-
--- a/internal/assembler/gateway.go
+++ b/internal/assembler/gateway.go
@@ -35,4 +35,3 @@
 		Peers:   newClient(),
 	}
 }
-
--- a/internal/controller/loops.go
+++ b/internal/controller/loops.go
@@ -44,4 +44,3 @@
 	}
 	return f, nil
 }
-
--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -85,4 +85,3 @@
 	}
 	return errors.Join(failures...)
 }
-
--- a/pkg/manager/maintenance.go
+++ b/pkg/manager/maintenance.go
@@ -51,4 +51,3 @@
 	// Observe returns the state of every VM.
 	Observe(ctx context.Context) ([]VMObservation, error)
 }
-
