Place jobs by learned sizes under leases that are checked when applied

Cause: first fit believed declared sizes, knew no classes, quotas, spread, poison jobs or bad workers, sent one log entry a lease and sent every order again at each step. Change: the Adaptive placer, batch commands, checks of room, quota, spread, quarantine and lease time when applied, orders sent once, an explanation of what a job waits for.

--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -48,7 +48,9 @@
 		})
 	}
 	if worker != nil {
-		c.Loops = append(c.Loops, &controller.PlacementLoop{Worker: worker, Placer: &placer.FirstFit{}})
+		placement := &controller.PlacementLoop{Worker: worker, Placer: &placer.Adaptive{}}
+		c.Loops = append(c.Loops, placement)
+		c.Explainer = placement
 	}
 }
 
--- a/internal/commander/job.go
+++ b/internal/commander/job.go
@@ -16,13 +16,13 @@
 	return newGroup("job", "Submit and watch jobs", newJobSubmit(o), newJobStatus(o), newJobCancel(o))
 }
 
-func jobTable(j manager.Job) table {
-	t := table{header: []string{"Job", "Team", "Class", "State", "VM", "Reason"}}
+func jobTable(j manager.JobStatus) table {
+	t := table{header: []string{"Job", "Team", "Class", "State", "VM", "Rule", "Awaits", "Reason"}}
 	var vm manager.VMID
 	if j.Lease != nil {
 		vm = j.Lease.VM
 	}
-	t.add(j.Job, j.Team, j.Class, j.State, vm, j.Reason)
+	t.add(j.Job.Job, j.Team, j.Class, j.State, vm, j.Rule, j.Awaits, j.Reason)
 	return t
 }
 
@@ -62,7 +62,7 @@
 	return &cobra.Command{
 		Use: "status JOB", Short: "Show a job and what it waits for", Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var j manager.Job
+			var j manager.JobStatus
 			if err := o.client().Get(cmd.Context(), "/api/jobs/"+url.PathEscape(args[0]), &j); err != nil {
 				return err
 			}
@@ -74,9 +74,12 @@
 func newJobCancel(o *options) *cobra.Command {
 	var command string
 	cmd := &cobra.Command{
-		Use: "cancel JOB", Short: "Cancel a job; a running task is stopped", Args: exactly(1),
+		Use: "cancel JOB...", Short: "Cancel jobs, all in one change; running tasks are stopped", Args: atLeast(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			change := newChange(command)
+			if len(args) > 1 {
+				return cancelJobs(cmd, o, change, args)
+			}
 			return changeJob(cmd, o, "/api/jobs/"+url.PathEscape(args[0])+"/cancel", change, change)
 		},
 	}
@@ -84,8 +87,25 @@
 	return cmd
 }
 
+func cancelJobs(cmd *cobra.Command, o *options, change operator.Change, args []string) error {
+	body := operator.JobsCancellation{Change: change}
+	for _, id := range args {
+		body.Jobs = append(body.Jobs, manager.JobID(id))
+	}
+	var answer operator.JobsCancelled
+	if err := o.client().Post(cmd.Context(), "/api/jobs/cancel", body, &answer); err != nil {
+		return explainChange(change, err)
+	}
+	t := table{header: []string{"Job", "Result"}}
+	t.add("all", fmt.Sprintf("%d cancelled", answer.Cancelled))
+	for _, r := range answer.Refused {
+		t.add(r.Job, r.Failure.Err())
+	}
+	return o.print(answer, t)
+}
+
 func changeJob(cmd *cobra.Command, o *options, path string, change operator.Change, body any) error {
-	var j manager.Job
+	var j manager.JobStatus
 	if err := o.client().Post(cmd.Context(), path, body, &j); err != nil {
 		return explainChange(change, err)
 	}
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -114,6 +114,16 @@
 	return cmd
 }
 
+// atLeast returns an argument check whose error is one of usage.
+func atLeast(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.MinimumNArgs(n)(cmd, args); err != nil {
+			return errUsage{err}
+		}
+		return nil
+	}
+}
+
 // exactly returns an argument check whose error is one of usage.
 func exactly(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -1,26 +1,37 @@
 package controller
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
+// placementPeriod is the pause between two steps of placement; a start by a checkpoint takes two steps.
+const placementPeriod = 250 * manager.Millisecond
+
 // PlacementLoop runs jobs: it takes the workers' reports, lets the placer propose and gives the
 // workers the orders that the leases call for.
 type PlacementLoop struct {
 	Worker manager.Worker
 	Placer manager.Placer
+
+	mu   sync.Mutex
+	told map[manager.LeaseID]told
 }
 
 // Name is used in logs.
 func (l *PlacementLoop) Name() string { return "placement" }
 
 // Period is the pause between two steps.
-func (l *PlacementLoop) Period() manager.Duration { return loopPeriod }
+func (l *PlacementLoop) Period() manager.Duration { return placementPeriod }
 
 // Step does what the state calls for now.
 func (l *PlacementLoop) Step(ctx context.Context, now manager.Time, s storer.Store) error {
@@ -28,39 +39,52 @@
 	if err != nil {
 		return fmt.Errorf("read usage: %w", err)
 	}
-	f, err := readFleet(ctx, s)
+	before, err := readFleet(ctx, s)
 	if err != nil {
 		return err
 	}
-	l.Placer.Observe(now, reports)
-	if err := proposeAll(ctx, s, l.Placer.Plan(now, f)); err != nil {
+	if err := proposeAll(ctx, s, l.plan(now, before, reports)); err != nil {
 		return err
 	}
-	if f, err = readFleet(ctx, s); err != nil {
+	after, err := readFleet(ctx, s)
+	if err != nil {
 		return err
 	}
-	return l.order(ctx, f)
+	return l.deliver(ctx, before, after)
 }
 
-func (l *PlacementLoop) order(ctx context.Context, f manager.Fleet) error {
-	var failures []error
-	for _, j := range f.Jobs {
-		if j.Lease == nil {
-			continue
-		}
-		if err := l.orderTask(ctx, j); err != nil {
-			failures = append(failures, fmt.Errorf("order for job %q: %w", j.Job, err))
-		}
-	}
-	return errors.Join(failures...)
+func (l *PlacementLoop) plan(now manager.Time, f manager.Fleet, reports []manager.UsageReport) []manager.Command {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Placer.Observe(now, reports)
+	return l.Placer.Plan(now, f)
 }
 
-func (l *PlacementLoop) orderTask(ctx context.Context, j manager.Job) error {
-	if j.Lease.Order != manager.TaskRun {
-		return l.Worker.Order(ctx, *j.Lease, j.Lease.Order)
+// Explain returns the rule that holds a job, if the placer can tell.
+func (l *PlacementLoop) Explain(now manager.Time, f manager.Fleet, j manager.JobID) manager.JobExplanation {
+	e, ok := l.Placer.(manager.Explainer)
+	if !ok {
+		return manager.JobExplanation{}
 	}
-	if err := l.Worker.Start(ctx, *j.Lease, j); err != nil {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return e.Explain(now, f, j)
+}
+
+// job answers with a job and what it waits for.
+func (s *Service) job(c echo.Context) error {
+	f, err := readFleet(c.Request().Context(), s.Store)
+	if err != nil {
 		return err
 	}
-	return l.Worker.Renew(ctx, *j.Lease)
+	id := manager.JobID(c.QueryParam("Job"))
+	i, ok := slices.BinarySearchFunc(f.Jobs, id, func(j manager.Job, id manager.JobID) int { return cmp.Compare(j.Job, id) })
+	if !ok {
+		return manager.ErrNotExist{Kind: "job", Name: string(id)}
+	}
+	status := manager.JobStatus{Job: f.Jobs[i]}
+	if s.Explainer != nil {
+		status.JobExplanation = s.Explainer.Explain(s.Clock.Now(), f, id)
+	}
+	return c.JSON(http.StatusOK, status)
 }
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -32,6 +32,7 @@
 	g.POST("/propose", s.propose)
 	g.GET("/fleet", s.fleet)
 	g.GET("/history", s.history)
+	g.GET("/job", s.job)
 	g.GET("/gateways", s.gateways)
 	g.POST("/plan", s.plan)
 	g.POST("/configuration", s.configuration)
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -24,6 +24,8 @@
 	Maintainer manager.Maintainer
 	// Demand collects what the gateways report.
 	Demand *DemandTable
+	// Explainer says what a job waits for; nil leaves it open.
+	Explainer manager.Explainer
 
 	server *listener.Server
 	cancel context.CancelFunc
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -54,12 +54,6 @@
 	PlanVersion manager.Version
 }
 
-// JobChange submits a job.
-type JobChange struct {
-	Change
-	Job manager.Job
-}
-
 // AddRoutes adds the endpoints to a group that has checked the token.
 func (a *API) AddRoutes(g *echo.Group) {
 	g.Use(trace)
@@ -74,10 +68,7 @@
 	g.POST("/waves", a.planWave)
 	g.POST("/waves/:Wave/approve", a.approveWave)
 	g.POST("/waves/:Wave/cancel", a.cancelWave)
-	g.GET("/jobs", a.listJobs)
-	g.GET("/jobs/:Job", a.getJob)
-	g.POST("/jobs", a.submitJob)
-	g.POST("/jobs/:Job/cancel", a.cancelJob)
+	a.addJobRoutes(g)
 	g.GET("/upstreams", a.listUpstreams)
 	g.GET("/status", a.status)
 }
@@ -152,13 +143,11 @@
 func pools(f manager.Fleet) []manager.Pool       { return f.Pools }
 func vms(f manager.Fleet) []manager.VM           { return f.VMs }
 func waves(f manager.Fleet) []manager.Wave       { return f.Waves }
-func jobs(f manager.Fleet) []manager.Job         { return f.Jobs }
 
 func (a *API) listProfiles(c echo.Context) error { return list(a, c, profiles) }
 func (a *API) listPools(c echo.Context) error    { return list(a, c, pools) }
 func (a *API) listVMs(c echo.Context) error      { return list(a, c, vms) }
 func (a *API) listWaves(c echo.Context) error    { return list(a, c, waves) }
-func (a *API) listJobs(c echo.Context) error     { return list(a, c, jobs) }
 
 func (a *API) getProfile(c echo.Context) error {
 	id := manager.ProfileID(c.Param("Profile"))
@@ -170,11 +159,6 @@
 	return get(a, c, "wave", string(id), waves, func(w manager.Wave) bool { return w.Wave == id })
 }
 
-func (a *API) getJob(c echo.Context) error {
-	id := manager.JobID(c.Param("Job"))
-	return get(a, c, "job", string(id), jobs, func(j manager.Job) bool { return j.Job == id })
-}
-
 func (a *API) profileHistory(c echo.Context) error {
 	h, err := a.Client.History(c.Request().Context(), manager.ProfileID(c.Param("Profile")))
 	if err != nil {
@@ -268,30 +252,6 @@
 	return c.JSON(http.StatusOK, result.Wave)
 }
 
-func (a *API) submitJob(c echo.Context) error {
-	var change JobChange
-	if err := decode(c, &change); err != nil {
-		return err
-	}
-	result, err := a.propose(c, change.Change, manager.Command{SubmitJob: &manager.SubmitJob{Job: change.Job}})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Job)
-}
-
-func (a *API) cancelJob(c echo.Context) error {
-	var change Change
-	if err := decode(c, &change); err != nil {
-		return err
-	}
-	result, err := a.propose(c, change, manager.Command{CancelJob: &manager.CancelJob{Job: manager.JobID(c.Param("Job"))}})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Job)
-}
-
 func (a *API) listUpstreams(c echo.Context) error {
 	return c.JSON(http.StatusOK, a.Upstreams())
 }
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -75,6 +75,13 @@
 	return h, err
 }
 
+// Job reads a job with what it waits for.
+func (c *Client) Job(ctx context.Context, j manager.JobID) (manager.JobStatus, error) {
+	var status manager.JobStatus
+	err := c.read(ctx, PathJob+"?Job="+url.QueryEscape(string(j)), &status)
+	return status, err
+}
+
 // Plan asks for the plan of a wave, which is not stored yet.
 func (c *Client) Plan(ctx context.Context, spec manager.WaveSpec) (manager.Wave, error) {
 	var w manager.Wave
--- a/internal/proposer/messages.go
+++ b/internal/proposer/messages.go
@@ -7,6 +7,7 @@
 	PathPropose       = "/control/propose"
 	PathFleet         = "/control/fleet"
 	PathHistory       = "/control/history"
+	PathJob           = "/control/job"
 	PathPlan          = "/control/plan"
 	PathConfiguration = "/control/configuration"
 	PathDemand        = "/control/demand"
--- a/pkg/manager/applier/jobs.go
+++ b/pkg/manager/applier/jobs.go
@@ -7,8 +7,12 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// MaxJobs bounds the jobs kept; the oldest ended one goes first.
-const MaxJobs = 50_000
+const (
+	// MaxJobs bounds the jobs kept; the one that ended first goes first.
+	MaxJobs = 30_000
+	// MaxEndedJobs bounds the ended jobs kept for operators and for learning sizes anew.
+	MaxEndedJobs = 5_000
+)
 
 func (s *State) applyJobBody(c manager.Command) (manager.Result, *manager.Failure) {
 	switch {
@@ -16,6 +20,8 @@
 		return s.submitJob(*c.SubmitJob)
 	case c.CancelJob != nil:
 		return s.cancelJob(*c.CancelJob)
+	case c.CancelJobs != nil:
+		return s.cancelJobs(*c.CancelJobs)
 	case c.StartTask != nil:
 		return s.startTask(*c.StartTask)
 	case c.OrderTask != nil:
@@ -26,6 +32,8 @@
 		return s.renewLeases(*c.RenewLeases)
 	case c.RefuseJob != nil:
 		return s.refuseJob(*c.RefuseJob)
+	case c.PlaceTasks != nil:
+		return s.placeTasks(*c.PlaceTasks)
 	default:
 		return manager.Result{}, invalid("Command", "has no body")
 	}
@@ -33,44 +41,53 @@
 
 func (s *State) submitJob(c manager.SubmitJob) (manager.Result, *manager.Failure) {
 	j := c.Job
+	if f := s.checkJob(j); f != nil {
+		return manager.Result{}, f
+	}
+	if !s.makeRoomForJob() {
+		return manager.Result{}, conflict("job", string(j.Job), fmt.Sprintf("there are %d unfinished jobs already", MaxJobs))
+	}
+	s.putJob(manager.Job{
+		Job: j.Job, Team: j.Team, Profile: j.Profile, Class: j.Class,
+		Declared: j.Declared, DeclaredMs: j.DeclaredMs, Idempotent: j.Idempotent, Pool: j.Pool,
+		State: manager.JobQueued, SubmittedAt: s.now,
+	})
+	j = s.jobs[j.Job]
+	return manager.Result{Job: &j}, nil
+}
+
+func (s *State) checkJob(j manager.Job) *manager.Failure {
 	if j.Job == "" {
-		return manager.Result{}, invalid("Job", "is missing")
+		return invalid("Job", "is missing")
 	}
 	if _, ok := s.jobs[j.Job]; ok {
-		return manager.Result{}, conflict("job", string(j.Job), "exists already")
+		return conflict("job", string(j.Job), "exists already")
 	}
-	if _, ok := s.profile(j.Profile); !ok {
-		return manager.Result{}, notExist("profile", string(j.Profile))
+	p, ok := s.profile(j.Profile)
+	if !ok {
+		return notExist("profile", string(j.Profile))
 	}
-	if !j.Declared.Fits(manager.Resources{}) || j.DeclaredMs < 0 {
-		return manager.Result{}, invalid("Declared", "must not be negative")
+	if _, ok := s.pools[j.Pool]; j.Pool != "" && !ok {
+		return notExist("pool", string(j.Pool))
 	}
-	if !s.makeRoomForJob() {
-		return manager.Result{}, conflict("job", string(j.Job), fmt.Sprintf("there are %d unfinished jobs already", MaxJobs))
+	if !j.Declared.Fits(manager.Resources{}) {
+		return invalid("Declared", "must not be negative")
 	}
-	j.State = manager.JobQueued
-	j.SubmittedAt = s.now
-	j.Lease = nil
-	s.jobs[j.Job] = j
-	return manager.Result{Job: &j}, nil
+	if j.DeclaredMs < 0 {
+		return invalid("DeclaredMs", "must not be negative")
+	}
+	if _, ok := p.Class(j.Class); !ok && j.Class != "" {
+		return invalid("Class", fmt.Sprintf("profile %q has no job class %q", j.Profile, j.Class))
+	}
+	return nil
 }
 
+// makeRoomForJob forgets the job that ended first if too many are kept; it tells whether there is room.
 func (s *State) makeRoomForJob() bool {
-	if len(s.jobs) < MaxJobs {
-		return true
-	}
-	var oldest manager.JobID
-	for _, id := range sorted(s.jobs) {
-		j := s.jobs[id]
-		if j.FinishedAt == 0 {
-			continue
-		}
-		if oldest == "" || j.FinishedAt < s.jobs[oldest].FinishedAt {
-			oldest = id
-		}
-	}
-	delete(s.jobs, oldest)
-	return oldest != ""
+	if len(s.jobs) >= MaxJobs || s.tasks.ended.Len() > MaxEndedJobs {
+		s.forgetEndedJob()
+	}
+	return len(s.jobs) < MaxJobs
 }
 
 func (s *State) cancelJob(c manager.CancelJob) (manager.Result, *manager.Failure) {
@@ -78,139 +95,99 @@
 	if !ok {
 		return manager.Result{}, notExist("job", string(c.Job))
 	}
-	if j.FinishedAt != 0 {
+	if j.State.Ended() {
 		return manager.Result{}, conflict("job", string(c.Job), fmt.Sprintf("is %s", j.State))
 	}
 	if j.Lease != nil {
-		l := *j.Lease
-		l.Order = manager.TaskStop
-		j.Lease = &l
+		j.Lease = s.withOrder(*j.Lease, manager.TaskStop)
 	}
 	s.endJob(&j, manager.JobCancelled, "cancelled by its owner")
-	s.jobs[j.Job] = j
+	s.putJob(j)
 	return manager.Result{Job: &j}, nil
 }
 
+func (s *State) cancelJobs(c manager.CancelJobs) (manager.Result, *manager.Failure) {
+	if len(c.Jobs) > manager.MaxBatch {
+		return manager.Result{}, invalid("Jobs", fmt.Sprintf("must name at most %d jobs", manager.MaxBatch))
+	}
+	var result manager.Result
+	for _, id := range c.Jobs {
+		_, f := s.cancelJob(manager.CancelJob{Job: id})
+		refuse(&result, id, f)
+	}
+	return result, nil
+}
+
+// refuse notes an item of a batch that failed.
+func refuse(r *manager.Result, id manager.JobID, f *manager.Failure) {
+	if f != nil {
+		r.Refused = append(r.Refused, manager.JobFailure{Job: id, Failure: *f})
+	}
+}
+
 func (s *State) endJob(j *manager.Job, state manager.JobState, reason string) {
 	j.State = state
 	j.Reason = reason
 	j.FinishedAt = s.now
 }
 
-func (s *State) startTask(c manager.StartTask) (manager.Result, *manager.Failure) {
+func (s *State) refuseJob(c manager.RefuseJob) (manager.Result, *manager.Failure) {
 	j, ok := s.jobs[c.Job]
 	if !ok {
 		return manager.Result{}, notExist("job", string(c.Job))
 	}
-	if j.Lease != nil || (j.State != manager.JobQueued && j.State != manager.JobCheckpointed) {
+	if j.Lease != nil || j.State.Ended() {
 		return manager.Result{}, conflict("job", string(c.Job), fmt.Sprintf("is %s", j.State))
 	}
-	v, f := s.vmAt(c.VM, c.Epoch)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if !v.Available() || v.Quarantined {
-		return manager.Result{}, conflict("VM", string(c.VM), "takes no tasks now")
-	}
-	s.nextID++
-	j.Lease = &manager.Lease{
-		Lease: s.nextID, Job: j.Job, VM: v.VM, Epoch: v.Epoch,
-		Until: c.Until, Reserved: c.Reserved, StartAt: s.now,
-	}
-	j.State = manager.JobRunning
-	j.Attempts++
-	s.jobs[j.Job] = j
-	return manager.Result{Job: &j}, nil
-}
-
-// leased returns a job if the lease is its current one.
-func (s *State) leased(id manager.JobID, l manager.LeaseID) (manager.Job, *manager.Failure) {
-	j, ok := s.jobs[id]
-	if !ok {
-		return j, notExist("job", string(id))
-	}
-	if j.Lease == nil || j.Lease.Lease != l {
-		return j, conflict("job", string(id), fmt.Sprintf("lease %d is not current", l))
-	}
-	return j, nil
-}
-
-func (s *State) orderTask(c manager.OrderTask) (manager.Result, *manager.Failure) {
-	j, f := s.leased(c.Job, c.Lease)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	l := *j.Lease
-	l.Order = c.Order
-	j.Lease = &l
-	s.jobs[j.Job] = j
-	return manager.Result{}, nil
-}
-
-func (s *State) finishTask(c manager.FinishTask) (manager.Result, *manager.Failure) {
-	j, f := s.leased(c.Job, c.Lease)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if c.Result == manager.TaskLost && s.now < j.Lease.Until {
-		return manager.Result{}, conflict("job", string(c.Job), "the lease may still be live")
-	}
-	vm := j.Lease.VM
-	j.Lease = nil
-	if j.State != manager.JobCancelled {
-		s.finishJob(&j, vm, c)
-	}
-	s.jobs[j.Job] = j
+	s.endJob(&j, manager.JobRefused, c.Reason)
+	s.putJob(j)
 	return manager.Result{Job: &j}, nil
 }
 
+// finishJob sets what becomes of a job whose lease has ended.
 func (s *State) finishJob(j *manager.Job, vm manager.VMID, c manager.FinishTask) {
 	switch c.Result {
 	case manager.TaskSucceeded:
 		s.endJob(j, manager.JobDone, "")
 	case manager.TaskCheckpointed:
-		j.State = manager.JobCheckpointed
-		j.Progress.DoneMs = c.DoneMs
+		j.Progress = manager.Progress{DoneMs: c.DoneMs, Checkpoints: j.Progress.Checkpoints + 1}
+		requeue(j, c.Reason)
 	case manager.TaskNotStarted:
-		j.State = manager.JobQueued
-	case manager.TaskFailed, manager.TaskLost:
-		if !slices.Contains(j.FailedOn, vm) {
-			j.FailedOn = append(slices.Clone(j.FailedOn), vm)
-		}
-		j.State = manager.JobQueued
-		j.Reason = c.Reason
-		if !j.Idempotent {
-			s.endJob(j, manager.JobUnknown, "ran once and may not run again: "+c.Reason)
-		}
+		requeue(j, c.Reason)
+	case manager.TaskFailed:
+		noteFailure(j, vm)
+		s.requeueOrEnd(j, manager.JobFailed, c.Reason)
+	case manager.TaskLost, manager.TaskExpired, manager.TaskStopped:
+		s.requeueOrEnd(j, manager.JobUnknown, c.Reason)
 	}
 }
 
-func (s *State) renewLeases(c manager.RenewLeases) (manager.Result, *manager.Failure) {
-	wanted := make(map[manager.LeaseID]bool, len(c.Leases))
-	for _, id := range c.Leases {
-		wanted[id] = true
-	}
-	for id, j := range s.jobs {
-		if j.Lease == nil || !wanted[j.Lease.Lease] {
-			continue
-		}
-		l := *j.Lease
-		l.Until = max(l.Until, c.Until)
-		j.Lease = &l
-		s.jobs[id] = j
-	}
-	return manager.Result{}, nil
+// requeueOrEnd queues an idempotent job again and ends another one, which may not run a second time.
+func (s *State) requeueOrEnd(j *manager.Job, state manager.JobState, reason string) {
+	if j.Idempotent {
+		requeue(j, reason)
+		return
+	}
+	s.endJob(j, state, "started once and is not idempotent, so it is not started again: "+reason)
 }
 
-func (s *State) refuseJob(c manager.RefuseJob) (manager.Result, *manager.Failure) {
-	j, ok := s.jobs[c.Job]
-	if !ok {
-		return manager.Result{}, notExist("job", string(c.Job))
-	}
-	if j.Lease != nil || j.FinishedAt != 0 {
-		return manager.Result{}, conflict("job", string(c.Job), fmt.Sprintf("is %s", j.State))
+func requeue(j *manager.Job, reason string) {
+	j.Reason = reason
+	j.State = manager.JobQueued
+	if j.Progress.Checkpoints > 0 {
+		j.State = manager.JobCheckpointed
 	}
-	s.endJob(&j, manager.JobRefused, c.Reason)
-	s.jobs[j.Job] = j
-	return manager.Result{Job: &j}, nil
+}
+
+// maxFailedOn bounds the VMs remembered of a job's failures; fewer could not tell it from bad workers.
+const maxFailedOn = 16
+
+func noteFailure(j *manager.Job, vm manager.VMID) {
+	j.Failures++
+	list := slices.DeleteFunc(slices.Clone(j.FailedOn), func(v manager.VMID) bool { return v == vm })
+	list = append(list, vm)
+	if len(list) > maxFailedOn {
+		list = list[1:]
+	}
+	j.FailedOn = list
 }
--- a/pkg/manager/applier/snapshot.go
+++ b/pkg/manager/applier/snapshot.go
@@ -81,7 +81,7 @@
 		fresh.waves[w.Wave] = w
 	}
 	for _, j := range snap.Jobs {
-		fresh.jobs[j.Job] = j
+		fresh.putJob(j)
 	}
 	for _, r := range snap.Results {
 		fresh.results.add(r)
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -33,6 +33,7 @@
 	jobs     map[manager.JobID]manager.Job
 	results  *resultTable
 	claims   *claimTable
+	tasks    *taskIndex
 }
 
 var _ manager.Applier = (*State)(nil)
@@ -47,6 +48,7 @@
 		jobs:     map[manager.JobID]manager.Job{},
 		results:  newResultTable(),
 		claims:   newClaimTable(),
+		tasks:    newTaskIndex(),
 	}
 }
 
@@ -146,7 +148,7 @@
 		w.Steps = slices.Clone(w.Steps)
 		f.Waves = append(f.Waves, w)
 	}
-	f.Jobs = values(s.jobs)
+	f.Jobs = s.jobView()
 	return f
 }
 
--- a/pkg/manager/applier/vms.go
+++ b/pkg/manager/applier/vms.go
@@ -144,6 +144,9 @@
 	if !ok {
 		return manager.Result{}, notExist("VM", string(c.VM))
 	}
+	if f := s.checkQuarantine(v); c.Quarantined && f != nil {
+		return manager.Result{}, f
+	}
 	v.Quarantined = c.Quarantined
 	v.Reason = c.Reason
 	s.vms[c.VM] = v
@@ -191,6 +194,9 @@
 	if v.MoveTo == "" || v.State != manager.VMDrained {
 		return manager.Result{}, conflict("VM", string(c.VM), "is not drained for a move")
 	}
+	if f := s.checkEmpty(c.VM); f != nil {
+		return manager.Result{}, f
+	}
 	v.Epoch++
 	v.Pool = v.MoveTo
 	v.MoveTo = ""
--- a/pkg/manager/applier/waves.go
+++ b/pkg/manager/applier/waves.go
@@ -158,6 +158,9 @@
 	case manager.StepDraining:
 		return s.permit(w, v)
 	case manager.StepRebooting:
+		if f := s.checkEmpty(v.VM); f != nil {
+			return f
+		}
 		s.setPhase(v, manager.PhaseRebooting)
 	case manager.StepSettling:
 		s.setPhase(v, manager.PhaseSettling)
--- a/pkg/manager/command.go
+++ b/pkg/manager/command.go
@@ -27,6 +27,8 @@
 	FinishTask   *FinishTask   `json:",omitempty"`
 	RenewLeases  *RenewLeases  `json:",omitempty"`
 	RefuseJob    *RefuseJob    `json:",omitempty"`
+	PlaceTasks   *TaskBatch    `json:",omitempty"`
+	CancelJobs   *CancelJobs   `json:",omitempty"`
 	MakeClaim    *MakeClaim    `json:",omitempty"`
 	RecordAnswer *RecordAnswer `json:",omitempty"`
 }
@@ -122,6 +124,8 @@
 	Epoch    Epoch
 	Until    Time
 	Reserved Resources
+	// Probe tests a quarantined VM with one idempotent job.
+	Probe bool `json:",omitempty"`
 }
 
 // OrderTask tells the worker of a leased task what to do with it.
@@ -138,6 +142,8 @@
 	Result TaskResult
 	Reason string
 	DoneMs Duration
+	// Peak is the largest use that the worker reported.
+	Peak Resources `json:",omitzero"`
 }
 
 // TaskResult is how a task ended.
@@ -151,12 +157,49 @@
 	TaskNotStarted   TaskResult = "not-started"
 	// TaskLost says that the lease ended without a report.
 	TaskLost TaskResult = "lost"
+	// TaskStopped says that the worker stopped the task as ordered.
+	TaskStopped TaskResult = "stopped"
+	// TaskExpired says that the worker stopped the task by itself when its lease ended.
+	TaskExpired TaskResult = "expired"
 )
 
 // RenewLeases prolongs leases whose workers were heard.
 type RenewLeases struct {
-	Leases []LeaseID
-	Until  Time
+	Leases []LeaseID `json:",omitempty"`
+	// AllExcept prolongs every lease but these in place of those in Leases.
+	AllExcept []LeaseID `json:",omitempty"`
+	All       bool      `json:",omitempty"`
+	Until     Time
+}
+
+// TaskBatch is what one step of placement changes; its parts are applied in the order of the fields,
+// and an item that is refused does not stop the others.
+type TaskBatch struct {
+	Finish []FinishTask `json:",omitempty"`
+	Refuse []RefuseJob  `json:",omitempty"`
+	Order  []OrderTask  `json:",omitempty"`
+	Start  []StartTask  `json:",omitempty"`
+	Renew  *RenewLeases `json:",omitempty"`
+}
+
+// Size returns the number of items in the batch.
+func (b TaskBatch) Size() int {
+	n := len(b.Finish) + len(b.Refuse) + len(b.Order) + len(b.Start)
+	if b.Renew != nil {
+		n++
+	}
+	return n
+}
+
+// CancelJobs cancels many jobs in one command; an unknown or ended one does not stop the others.
+type CancelJobs struct {
+	Jobs []JobID
+}
+
+// JobFailure is an item of a batch that was refused.
+type JobFailure struct {
+	Job     JobID
+	Failure Failure
 }
 
 // RefuseJob ends a job that can never run.
@@ -228,6 +271,8 @@
 	Wave     *Wave        `json:",omitempty"`
 	Job      *Job         `json:",omitempty"`
 	Claim    *ClaimResult `json:",omitempty"`
+	// Refused lists the items of a batch that were refused.
+	Refused []JobFailure `json:",omitempty"`
 }
 
 // Applier is the replicated state: a deterministic function of the commands applied so far.
--- a/pkg/manager/fleet.go
+++ b/pkg/manager/fleet.go
@@ -121,9 +121,15 @@
 	JobFailed       JobState = "failed"
 	JobRefused      JobState = "refused"
 	JobCancelled    JobState = "cancelled"
-	JobUnknown      JobState = "unknown"
+	// JobUnknown says that a non-idempotent job may have run and is not started again.
+	JobUnknown JobState = "unknown"
 )
 
+// Ended tells whether a job in the state is never started again.
+func (s JobState) Ended() bool {
+	return s != JobQueued && s != JobRunning && s != JobCheckpointed
+}
+
 // LeaseID numbers the leases; an id is never used twice.
 type LeaseID uint64
 
@@ -140,6 +146,10 @@
 	StartAt  Time
 	// Order is what the worker shall do with the task besides running it.
 	Order TaskOrder `json:",omitempty"`
+	// OrderAt is the time of the order.
+	OrderAt Time `json:",omitempty"`
+	// Probe says that the task tests a quarantined VM.
+	Probe bool `json:",omitempty"`
 }
 
 // TaskOrder is what a worker is told to do with a running task.
@@ -165,18 +175,27 @@
 	// Pool bounds the job to the VMs of a pool; empty allows any.
 	Pool        PoolID `json:",omitempty"`
 	State       JobState
-	Reason      string   `json:",omitempty"`
-	SubmittedAt Time     `json:",omitempty"`
-	FinishedAt  Time     `json:",omitempty"`
-	Attempts    int      `json:",omitempty"`
-	FailedOn    []VMID   `json:",omitempty"`
-	Lease       *Lease   `json:",omitempty"`
-	Progress    Progress `json:",omitzero"`
+	Reason      string `json:",omitempty"`
+	SubmittedAt Time   `json:",omitempty"`
+	FinishedAt  Time   `json:",omitempty"`
+	Attempts    int    `json:",omitempty"`
+	// Failures counts the attempts that failed on a worker.
+	Failures int `json:",omitempty"`
+	// FailedOn lists the VMs on which the job failed, the latest last.
+	FailedOn []VMID `json:",omitempty"`
+	// LastVM is the VM of the latest lease that ended.
+	LastVM   VMID     `json:",omitempty"`
+	Lease    *Lease   `json:",omitempty"`
+	Progress Progress `json:",omitzero"`
+	// Peak is the largest use that workers reported.
+	Peak Resources `json:",omitzero"`
 }
 
 // Progress is how far a checkpointed job had come.
 type Progress struct {
 	DoneMs Duration `json:",omitempty"`
+	// Checkpoints counts the checkpoints; a task resumes from the latest one.
+	Checkpoints int `json:",omitempty"`
 }
 
 // Fleet is a view of the replicated state; every list is ordered by id and none may be changed.
--- a/pkg/manager/profile.go
+++ b/pkg/manager/profile.go
@@ -32,6 +32,24 @@
 		o.Accelerators <= r.Accelerators
 }
 
+// Max returns the larger of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		ProcessorMilliCores: max(r.ProcessorMilliCores, o.ProcessorMilliCores),
+		MemoryMegaBytes:     max(r.MemoryMegaBytes, o.MemoryMegaBytes),
+		Accelerators:        max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller of r and o in each dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		ProcessorMilliCores: min(r.ProcessorMilliCores, o.ProcessorMilliCores),
+		MemoryMegaBytes:     min(r.MemoryMegaBytes, o.MemoryMegaBytes),
+		Accelerators:        min(r.Accelerators, o.Accelerators),
+	}
+}
+
 // Budget bounds how many VMs of a pool may be unavailable at once, planned and failed together.
 type Budget struct {
 	// MaxUnavailable is a number of VMs; 0 leaves the bound to the share.
@@ -120,3 +138,23 @@
 	JobClasses []JobClass `json:",omitempty"`
 	Quotas     []Quota    `json:",omitempty"`
 }
+
+// Class returns a job class by name.
+func (p Profile) Class(name string) (JobClass, bool) {
+	for _, c := range p.JobClasses {
+		if c.Class == name {
+			return c, true
+		}
+	}
+	return JobClass{}, false
+}
+
+// Quota returns what a team's running jobs may use together; a team without one is not bounded.
+func (p Profile) Quota(t TeamID) (Resources, bool) {
+	for _, q := range p.Quotas {
+		if q.Team == t {
+			return q.Resources, true
+		}
+	}
+	return Resources{}, false
+}
