Check benchmarks against bounds and reach the platform over HTTP

Cause: benchmark figures had no bounds file and no verdict, and a daemon could only use the fake platform inside its own process, so that two controllers would each see another fleet.

Change: cmd/benchreport reads go test -bench output, prints a table, JSON lines and SVG plots and fails on a bound of benchmarks/bounds.json; platformer is the HTTP client of the platform, with the fake served over HTTP as its stand-in; the demo's checks of answers moved to internal/checker, which also resends.

Conclusion: figures get a verdict, and several controllers can share a platform.

--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,5 @@
+SHELL := /bin/bash
+.SHELLFLAGS := -o pipefail -c
 GOLANGCI_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
@@ -22,7 +24,7 @@
 	$(LINT) fmt ./...
 
 bench:
-	go test -run '^$$' -bench . -benchtime 1x ./...
+	go test -run "^$$" -bench . -benchtime 1x ./... | go run ./cmd/benchreport -lines benchmarks/figures.jsonl -plots docs/plots
 
 demo:
 	go run ./cmd/mulberryhaven demo
--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -8,6 +8,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/controller"
 	"github.com/mulberryhaven/mulberryhaven/internal/faker"
 	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
+	"github.com/mulberryhaven/mulberryhaven/internal/platformer"
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/maintainer"
@@ -39,8 +40,8 @@
 // addPlatform adds the loops that act on VMs and workers.
 func (p *Process) addPlatform(c *controller.Service, demand *controller.DemandTable) {
 	platform, worker := p.Platform, p.Worker
-	if platform == nil && p.Settings.Controller.Platform.Kind == configurer.PlatformFake {
-		platform, worker = p.fakePlatform()
+	if platform == nil {
+		platform, worker = p.settingsPlatform()
 	}
 	if platform != nil {
 		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
@@ -52,6 +53,19 @@
 	}
 }
 
+// settingsPlatform returns the platform and workers that the settings name, or none.
+func (p *Process) settingsPlatform() (manager.Platform, manager.Worker) {
+	switch cfg := p.Settings.Controller.Platform; cfg.Kind {
+	case configurer.PlatformFake:
+		return p.fakePlatform()
+	case configurer.PlatformHTTP:
+		c := &platformer.Client{Address: cfg.Address, Token: cfg.Token, HTTP: newClient()}
+		return c, c
+	default:
+		return nil, nil
+	}
+}
+
 func (p *Process) fakePlatform() (manager.Platform, manager.Worker) {
 	const rebootTime = 2 * manager.Second
 	platform := &faker.Platform{Clock: p.Clock, RebootTime: rebootTime}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -75,6 +75,8 @@
 const (
 	// PlatformFake is the stand-in that runs inside the controller.
 	PlatformFake = "fake"
+	// PlatformHTTP is a platform with the endpoints of docs/API.md.
+	PlatformHTTP = "http"
 	// PlatformNone leaves VMs and workers alone.
 	PlatformNone = "none"
 )
@@ -82,6 +84,9 @@
 // Platform are the settings of the platform's adapter.
 type Platform struct {
 	Kind string
+	// Address and Token reach a platform of the kind "http".
+	Address manager.Address `json:",omitempty"`
+	Token   string          `json:",omitempty"`
 }
 
 // TLS names the files of a listener's certificate.
--- a/internal/configurer/validate.go
+++ b/internal/configurer/validate.go
@@ -103,8 +103,9 @@
 		return invalid("Controller", "is missing: Services names %q", ServiceController)
 	case c.DataFolder == "":
 		return invalid("Controller.DataFolder", "is missing: expected a folder on a disk of this VM")
-	case c.Platform.Kind != PlatformFake && c.Platform.Kind != PlatformNone:
-		return invalid("Controller.Platform.Kind", "is %q: expected %q or %q", c.Platform.Kind, PlatformFake, PlatformNone)
+	}
+	if err := c.Platform.validate(); err != nil {
+		return err
 	}
 	if err := validateAddress("Controller.Address", c.Address); err != nil {
 		return err
@@ -121,6 +122,23 @@
 	return nil
 }
 
+func (p Platform) validate() error {
+	switch p.Kind {
+	case PlatformFake, PlatformNone:
+		if p.Address != "" || p.Token != "" {
+			return invalid("Controller.Platform", "has Address or Token: expected them only with Kind %q", PlatformHTTP)
+		}
+		return nil
+	case PlatformHTTP:
+		if p.Token == "" {
+			return invalid("Controller.Platform.Token", "is missing: expected the platform's bearer token")
+		}
+		return validateAddress("Controller.Platform.Address", p.Address)
+	default:
+		return invalid("Controller.Platform.Kind", "is %q: expected %q, %q or %q", p.Kind, PlatformHTTP, PlatformFake, PlatformNone)
+	}
+}
+
 func (c Controller) validateReplicas() error {
 	if !slices.Contains(replicaCounts, len(c.Replicas)) {
 		return invalid("Controller.Replicas", "has %d members: expected 1, 3, 5 or 7", len(c.Replicas))
--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/caller"
+	"github.com/mulberryhaven/mulberryhaven/internal/checker"
 	"github.com/mulberryhaven/mulberryhaven/internal/responder"
 	"github.com/mulberryhaven/mulberryhaven/internal/supervisor"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -36,7 +36,7 @@
 	processes []*supervisor.Supervisor
 	gateways  []manager.Address
 	tenant    *tenant
-	callers   *callers
+	callers   *checker.Callers
 	client    *caller.Client
 }
 
@@ -59,7 +59,7 @@
 		return errors.Join(err, d.stop())
 	}
 	rep, err := d.steps(ctx)
-	d.callers.stop()
+	d.callers.Stop()
 	if err == nil {
 		err = d.print(rep)
 	}
@@ -86,16 +86,19 @@
 		return fmt.Errorf("start upstreams: %w", err)
 	}
 	d.client = newClient(d.gateways[0])
-	d.callers = &callers{gateways: d.gateways, log: log, pause: callerPause}
+	d.callers = &checker.Callers{
+		Gateways: d.gateways, Services: services, Log: log, Pause: callerPause, Deadline: callerDeadline,
+	}
 	d.say("started 1 controller, %d gateways and %d upstreams of %d services", len(d.gateways), len(f.VMs), len(services))
 	return d.await("upstreams known to every gateway", func() (bool, error) { return d.allKnown(ctx) })
 }
 
 const (
-	callerPause = 20 * time.Millisecond
-	stepTimeout = 2 * time.Minute
-	pollPause   = 50 * time.Millisecond
-	warmUp      = 500 * time.Millisecond
+	callerPause    = 20 * time.Millisecond
+	callerDeadline = 10 * manager.Second
+	stepTimeout    = 2 * time.Minute
+	pollPause      = 50 * time.Millisecond
+	warmUp         = 500 * time.Millisecond
 )
 
 // await polls until done is true.
@@ -131,7 +134,7 @@
 
 func (d *Demo) steps(ctx context.Context) (report, error) {
 	var rep report
-	d.callers.run()
+	d.callers.Run()
 	time.Sleep(warmUp)
 	steps := []struct {
 		name string
@@ -182,19 +185,18 @@
 func newCommandID() manager.CommandID { return manager.CommandID(uuid.Must(uuid.NewV7()).String()) }
 
 func (d *Demo) print(rep report) error {
-	c := d.callers
-	violations := slices.Clone(c.violations)
+	seen := d.callers.Summary()
+	violations := seen.Violations
 	if n := d.tenant.breaches(); n > 0 {
 		violations = append(violations, fmt.Sprintf("%d upstreams got more requests at once than their slots", n))
 	}
 	t := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "\nwhat\tvalue\n")
 	for _, s := range []manager.RunState{manager.RunStateRan, manager.RunStateNotRun, manager.RunStateUnknown} {
-		fmt.Fprintf(t, "requests %s\t%d\n", s, c.states[s])
-	}
-	for _, q := range []float64{50, 99} {
-		fmt.Fprintf(t, "request latency p%.0f\t%.1f ms\n", q, float64(c.latency.ValueAtQuantile(q))/1000)
+		fmt.Fprintf(t, "requests %s\t%d\n", s, seen.States[s])
 	}
+	fmt.Fprintf(t, "request latency p50\t%.1f ms\n", seen.Median.Seconds()*1000)
+	fmt.Fprintf(t, "request latency p99\t%.1f ms\n", seen.High.Seconds()*1000)
 	fmt.Fprintf(t, "profile roll-out time\t%d ms\n", rep.profile.Milliseconds())
 	fmt.Fprintf(t, "job time\t%d ms\n", rep.job.Milliseconds())
 	fmt.Fprintf(t, "wave time\t%d ms\n", rep.wave.Milliseconds())
--- /dev/null
+++ b/internal/platformer/doc.go
@@ -0,0 +1,2 @@
+// Package platformer reaches the platform and its workers over HTTP with JSON.
+package platformer
--- a/internal/responder/upstream.go
+++ b/internal/responder/upstream.go
@@ -130,7 +130,7 @@
 		return
 	}
 	id := manager.RequestID(r.Header.Get("Request-Id"))
-	u.Log.Add(id)
+	u.Log.Add(id, r.Header.Get("Idempotent") != "false")
 	select {
 	case <-time.After(u.Work):
 	case <-ctx.Done():
