Prove the path under kills, cuts and silent connections over real processes

Cause: the invariants were checked only in one process without failures.

Change: relayer (a TCP relay that can be cut or made silent), launcher (real processes with a relay between any two), prover (the failure tests): gateways killed under load, a rack lost at once, connections gone silent, planned stops, racing operators, restart after 1000 changes, controller killed mid-wave.

Before: no failure test over processes.

--- /dev/null
+++ b/internal/launcher/process.go
@@ -0,0 +1,90 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+)
+
+const fileMode = 0o600
+
+// Process is one process of the program.
+type Process struct {
+	// Binary is the program's file.
+	Binary string
+	// Folder takes the settings file and the log.
+	Folder   string
+	Settings configurer.Settings
+
+	command *exec.Cmd
+	log     *os.File
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	data, err := json.MarshalIndent(p.Settings, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode settings: %w", err)
+	}
+	file := filepath.Join(p.Folder, p.Settings.Node+".json")
+	if err := os.WriteFile(file, data, fileMode); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	p.log, err = os.OpenFile(p.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	p.command = exec.CommandContext(context.Background(), p.Binary, "serve", "--config", file)
+	p.command.Stdout = p.log
+	p.command.Stderr = p.log
+	if err := p.command.Start(); err != nil {
+		return errors.Join(fmt.Errorf("start %s: %w", p.Settings.Node, err), p.log.Close())
+	}
+	return nil
+}
+
+// LogFile is where the process logs.
+func (p *Process) LogFile() string { return filepath.Join(p.Folder, p.Settings.Node+".log") }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error {
+	if err := p.command.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", p.Settings.Node, err)
+	}
+	return nil
+}
+
+// Running tells whether the process was started and not waited for.
+func (p *Process) Running() bool { return p.command != nil }
+
+// Kill ends the process at once.
+func (p *Process) Kill() error {
+	if p.command == nil {
+		return nil
+	}
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_ = p.Wait()
+	return nil
+}
+
+// Wait waits for the end of the process and returns its failure.
+func (p *Process) Wait() error {
+	err := p.command.Wait()
+	p.command = nil
+	if err := p.log.Close(); err != nil {
+		return fmt.Errorf("close log: %w", err)
+	}
+	if err != nil {
+		return fmt.Errorf("%s ended: %w", p.Settings.Node, err)
+	}
+	return nil
+}
--- a/internal/responder/upstream.go
+++ b/internal/responder/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/relayer"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -29,6 +31,8 @@
 	Period manager.Duration
 	// Log records the runs.
 	Log *RunLog
+	// Relay, if set, stands between the upstream and those that call it.
+	Relay *relayer.Relay
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -56,6 +60,13 @@
 		return fmt.Errorf("listen as upstream: %w", err)
 	}
 	u.Announcement.Address = manager.Address(l.Addr().String())
+	if u.Relay != nil {
+		u.Relay.Target = u.Announcement.Address
+		if err := u.Relay.Run(); err != nil {
+			return errors.Join(err, l.Close())
+		}
+		u.Announcement.Address = u.Relay.Addr()
+	}
 	u.Announcement.State = manager.UpstreamReady
 	u.Announcement.Incarnation++
 	u.Announcement.Sequence = 0
