Explain every setting and prove that spans join a caller's trace

Cause: the settings had examples but no page, and nothing showed that a trace goes on from hop to hop.

Change: configs/README.md lists each field; a failure-stand test sends a traceparent and reads the spans that the processes wrote.

Before: spans unchecked.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -8,7 +8,7 @@
 	ServiceGateway    = "gateway"
 )
 
-// Settings are the settings of one process; configs/ holds a commented page and examples.
+// Settings are the settings of one process; configs/README.md explains each field.
 type Settings struct {
 	// Node names this VM in logs, traces and gossip.
 	Node string
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -34,6 +34,8 @@
 	Fleet       manager.LoadFleet
 	// Platform is the address of the stand-in platform.
 	Platform manager.Address
+	// Traces makes every process write its spans to a file.
+	Traces bool
 
 	Mesh      *Mesh
 	Processes map[string]*Process
@@ -122,14 +124,21 @@
 
 func (c *Cluster) commonSettings(i int, node, service string) (configurer.Settings, error) {
 	controllers, err := c.ways(node, c.controllers)
-	return configurer.Settings{
+	s := configurer.Settings{
 		Node: node, AvailabilityZone: c.zone(i), Services: []string{service},
 		Tokens:      configurer.Tokens{Operator: OperatorToken, Peer: PeerToken},
 		Controllers: controllers,
 		Stop:        configurer.Stop{ReadyDelayMs: readyDelay, GraceMs: stopGrace},
-	}, err
+	}
+	if c.Traces {
+		s.Trace = configurer.Trace{Exporter: configurer.TraceFile, File: c.TraceFile(node)}
+	}
+	return s, err
 }
 
+// TraceFile is where a process writes its spans.
+func (c *Cluster) TraceFile(node string) string { return filepath.Join(c.Folder, "trace-"+node) }
+
 func (c *Cluster) controllerSettings(i int, node string) (configurer.Settings, error) {
 	s, err := c.commonSettings(i, node, configurer.ServiceController)
 	if err != nil {
--- a/internal/prover/stand_test.go
+++ b/internal/prover/stand_test.go
@@ -93,8 +93,10 @@
 	return f
 }
 
+func withTraces(c *launcher.Cluster) { c.Traces = true }
+
 // startStand starts processes and upstreams and waits until every service answers at every gateway.
-func startStand(t *testing.T, controllers, gateways int) *stand {
+func startStand(t *testing.T, controllers, gateways int, options ...func(*launcher.Cluster)) *stand {
 	t.Helper()
 	s := &stand{
 		t: t, log: &responder.RunLog{}, upstreams: map[manager.VMID]*responder.Upstream{},
@@ -110,6 +112,9 @@
 		Binary: binary, Folder: t.TempDir(), Controllers: controllers, Gateways: gateways, Zones: zones, Fleet: f,
 		Platform: s.servePlatform(clock),
 	}
+	for _, o := range options {
+		o(s.cluster)
+	}
 	t.Cleanup(s.close)
 	require.NoError(t, s.cluster.Start())
 	for _, v := range f.VMs {
--- a/internal/responder/upstream.go
+++ b/internal/responder/upstream.go
@@ -51,6 +51,8 @@
 	Method    string
 	Path      string
 	Body      string
+	// Traceparent is the trace context that arrived with the request.
+	Traceparent string
 }
 
 // Run serves and announces until Stop.
@@ -150,6 +152,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Echo{
 		Upstream: u.Announcement.Upstream, RequestID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
+		Traceparent: r.Header.Get("Traceparent"),
 	})
 }
 
