--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -35,22 +35,27 @@
 
 // Step does what the state calls for now.
 func (l *PlacementLoop) Step(ctx context.Context, now manager.Time, s storer.Store) error {
-	reports, err := l.Worker.Usage(ctx)
+	before, after, err := l.decide(ctx, now, s)
 	if err != nil {
-		return fmt.Errorf("read usage: %w", err)
+		return err
 	}
-	before, err := readFleet(ctx, s)
+	return l.deliver(ctx, before, after)
+}
+
+// decide proposes what the placer plans and returns the fleet before and after.
+func (l *PlacementLoop) decide(ctx context.Context, now manager.Time, s storer.Store) (before, after manager.Fleet, err error) {
+	reports, err := l.Worker.Usage(ctx)
 	if err != nil {
-		return err
+		return before, after, fmt.Errorf("read usage: %w", err)
 	}
-	if err := proposeAll(ctx, s, l.plan(now, before, reports)); err != nil {
-		return err
+	if before, err = readFleet(ctx, s); err != nil {
+		return before, after, err
 	}
-	after, err := readFleet(ctx, s)
-	if err != nil {
-		return err
+	if err = proposeAll(ctx, s, l.plan(now, before, reports)); err != nil {
+		return before, after, err
 	}
-	return l.deliver(ctx, before, after)
+	after, err = readFleet(ctx, s)
+	return before, after, err
 }
 
 func (l *PlacementLoop) plan(now manager.Time, f manager.Fleet, reports []manager.UsageReport) []manager.Command {
--- /dev/null
+++ b/internal/controller/placement_test.go
@@ -0,0 +1,376 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+func size(cores, gigaBytes int) manager.Resources {
+	return manager.Resources{
+		ProcessorMilliCores: manager.MilliCores(cores) * 1_000,
+		MemoryMegaBytes:     manager.MegaBytes(gigaBytes) << 10,
+	}
+}
+
+func newJob(id, class string, r manager.Resources, run manager.Duration) manager.Job {
+	return manager.Job{
+		Job: manager.JobID(id), Team: "desk", Profile: "cathode", Class: class, Declared: r, DeclaredMs: run, Idempotent: true,
+	}
+}
+
+// TestPlacementHoldsUnderFaults drives random jobs and faults; check asserts the invariants after each
+// step, and at the end every job must have come to an end that is right for it.
+func TestPlacementHoldsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		quotas := []manager.Quota{{Team: "desk", Resources: size(100, 200)}, {Team: "ledger", Resources: size(40, 80)}}
+		f := cathode.fleet(16, 2, manager.Profile{Quotas: quotas, Spread: manager.Spread{MaxPerRack: 20}})
+		s := newSimulation(rt, f, adaptive)
+		s.checkEvery = 1
+		s.box.random = rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		s.worker.SlowClock = func(v manager.VMID) manager.Percent { return manager.Percent(v[len(v)-1] % 10) }
+		s.worker.Fails = func(j manager.Job, v manager.VMID) bool {
+			return strings.HasPrefix(string(j.Job), "poison") || v == "vm-0003"
+		}
+		// Declared sizes are wrong by up to four times both ways.
+		s.worker.Uses = func(j manager.Job, _ manager.Duration) manager.Resources {
+			r := j.Declared
+			r.MemoryMegaBytes = r.MemoryMegaBytes * manager.MegaBytes(1+len(j.Job)%8) / 4
+			return r
+		}
+		faults := &faults{simulation: s}
+		rt.Repeat(map[string]func(*rapid.T){
+			"submit": faults.submitSome, "cancel": faults.cancelSome, "cut": faults.cut, "heal": faults.heal,
+			"crash": faults.crash, "leader": faults.changeLeader, "late": faults.deliverLate,
+			"drain": faults.drain, "run": faults.runOn, "run2": faults.runOn, "run3": faults.runOn,
+			"": func(*rapid.T) { s.check() },
+		})
+		faults.healAll()
+		require.True(rt, s.run(20*manager.Minute, allEnded), "jobs are left: %v", s.states())
+		for _, j := range s.fleet().Jobs {
+			faults.checkEnd(j)
+		}
+	})
+}
+
+// faults are the actions of the property test.
+type faults struct {
+	*simulation
+	jobs   int
+	cutVMs []manager.VMID
+	late   []func()
+}
+
+func (x *faults) vm(rt *rapid.T) manager.VMID {
+	vms := x.fleet().VMs
+	return vms[rapid.IntRange(0, len(vms)-1).Draw(rt, "vm")].VM
+}
+
+func (x *faults) submitSome(rt *rapid.T) {
+	for range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+		x.jobs++
+		kind := rapid.SampledFrom([]string{"good", "good", "good", "sum", "once", "once", "poison", "huge"}).Draw(rt, "kind")
+		class := rapid.SampledFrom([]string{urgent, "steady", batch, batch}).Draw(rt, "class")
+		j := newJob(fmt.Sprintf("%s-%d", kind, x.jobs), class, size(1+x.jobs%8, 1+x.jobs%6), manager.Duration(1+x.jobs%20)*manager.Second)
+		j.Team = rapid.SampledFrom([]manager.TeamID{"desk", "ledger", "other"}).Draw(rt, "team")
+		j.Idempotent = kind != "once"
+		if kind == "huge" {
+			j.Declared = size(17, 1)
+		}
+		x.submit(j)
+	}
+}
+
+func (x *faults) cancelSome(rt *rapid.T) {
+	var c manager.CancelJobs
+	for _, j := range x.fleet().Jobs {
+		if rapid.IntRange(0, 3).Draw(rt, "cancel") > 0 {
+			continue
+		}
+		c.Jobs = append(c.Jobs, j.Job)
+		x.unstarted[j.Job] = !j.State.Ended() && x.worker.Runs(j.Job) == 0 && j.Lease == nil
+	}
+	x.apply(manager.Command{CancelJobs: &c})
+}
+
+func (x *faults) cut(rt *rapid.T) {
+	v := x.vm(rt)
+	x.worker.Cut(v)
+	x.cutVMs = append(x.cutVMs, v)
+}
+
+func (x *faults) heal(*rapid.T) { x.healAll() }
+
+func (x *faults) healAll() {
+	for _, v := range x.cutVMs {
+		x.worker.Heal(v)
+	}
+	for _, v := range x.fleet().VMs {
+		if v.MoveTo != "" {
+			x.propose(manager.Command{AbandonMove: &manager.AbandonMove{VM: v.VM, Epoch: v.Epoch}})
+		}
+	}
+	x.cutVMs = nil
+}
+
+func (x *faults) crash(rt *rapid.T) { x.worker.Crash(x.vm(rt)) }
+
+// changeLeader deposes a leader between its proposals and its orders, which arrive late or never.
+func (x *faults) changeLeader(*rapid.T) {
+	old := x.loop
+	before, after, err := old.decide(context.Background(), x.clock.At, x.store)
+	require.NoError(x.t, err)
+	x.late = append(x.late, func() { _ = old.deliver(context.Background(), before, after) })
+	x.lead()
+}
+
+func (x *faults) deliverLate(*rapid.T) {
+	for _, deliver := range x.late {
+		deliver()
+	}
+	x.late = nil
+}
+
+func (x *faults) drain(rt *rapid.T) {
+	v := x.vm(rt)
+	for _, o := range x.fleet().VMs {
+		if o.VM == v {
+			to := manager.PoolID("pool-000")
+			if o.Pool == to {
+				to = "pool-001"
+			}
+			x.propose(manager.Command{StartMove: &manager.StartMove{VM: v, Epoch: o.Epoch, To: to}})
+		}
+	}
+}
+
+func (x *faults) runOn(rt *rapid.T) {
+	x.run(manager.Duration(rapid.IntRange(1, 40).Draw(rt, "steps"))*x.loop.Period(), nil)
+}
+
+// checkEnd asserts that a job's end fits what it was.
+func (x *faults) checkEnd(j manager.Job) {
+	kind, _, _ := strings.Cut(string(j.Job), "-")
+	allowed := map[string][]manager.JobState{
+		"good":   {manager.JobDone, manager.JobCancelled},
+		"sum":    {manager.JobDone, manager.JobCancelled},
+		"once":   {manager.JobDone, manager.JobCancelled, manager.JobFailed, manager.JobUnknown},
+		"poison": {manager.JobRefused, manager.JobCancelled},
+		"huge":   {manager.JobRefused, manager.JobCancelled},
+	}
+	require.Contains(x.t, allowed[kind], j.State, "job %s: %s", j.Job, j.Reason)
+}
+
+// TestTellsPoisonJobsFromBadWorkers has both at once, with good jobs all over.
+func TestTellsPoisonJobsFromBadWorkers(t *testing.T) {
+	for _, d := range []deployment{cathode, qirsh} {
+		t.Run(d.name, func(t *testing.T) {
+			s := newSimulation(t, d.fleet(60, 3, manager.Profile{}), adaptive)
+			bad := map[manager.VMID]bool{"vm-0002": true, "vm-0013": true, "vm-0020": true, "vm-0021": true, "vm-0040": true, "vm-0058": true}
+			s.worker.Fails = func(j manager.Job, v manager.VMID) bool {
+				return bad[v] || strings.HasPrefix(string(j.Job), "poison")
+			}
+			for i := range 600 {
+				kind := "good"
+				if i%10 == 3 {
+					kind = "poison"
+				}
+				j := newJob(fmt.Sprintf("%s-%03d", kind, i), batch, size(4, 8), manager.Duration(5+i%20)*manager.Second)
+				j.Profile = manager.ProfileID(d.name)
+				s.submit(j)
+			}
+			require.True(t, s.run(15*manager.Minute, allEnded), "jobs are left: %v", s.states())
+			for _, j := range s.fleet().Jobs {
+				want := manager.JobDone
+				if strings.HasPrefix(string(j.Job), "poison") {
+					want = manager.JobRefused
+				}
+				require.Equal(t, want, j.State, "job %s: %s, failed on %v", j.Job, j.Reason, j.FailedOn)
+			}
+			for _, v := range s.fleet().VMs {
+				require.False(t, v.Quarantined && !bad[v.VM], "sound VM %s is quarantined: %s", v.VM, v.Reason)
+			}
+			require.Less(t, s.worker.Failed(), 60*4+len(bad)*40, "bad workers and poison jobs are tried a bounded number of times")
+		})
+	}
+}
+
+// TestQuarantineEndsAfterProbe repairs a bad worker, which then comes back by a probe.
+func TestQuarantineEndsAfterProbe(t *testing.T) {
+	s := newSimulation(t, cathode.fleet(10, 1, manager.Profile{}), adaptive)
+	broken := true
+	s.worker.Fails = func(_ manager.Job, v manager.VMID) bool { return broken && v == "vm-0003" }
+	quarantined := func(f manager.Fleet) bool { return f.VMs[3].Quarantined }
+	n := 0
+	feed := func(f manager.Fleet) {
+		if len(f.Jobs) < 2_000 && s.steps%4 == 0 {
+			n++
+			s.submit(newJob(fmt.Sprintf("count-%04d", n), batch, size(8, 16), 10*manager.Second))
+		}
+	}
+	require.True(t, s.run(5*manager.Minute, func(f manager.Fleet) bool { feed(f); return quarantined(f) }))
+	broken = false
+	require.True(t, s.run(5*manager.Minute, func(f manager.Fleet) bool { feed(f); return !quarantined(f) }))
+}
+
+// TestCancellationWave cancels thousands at once: nothing cancelled starts, what runs is stopped, and
+// the capacity goes to the jobs that are left.
+func TestCancellationWave(t *testing.T) {
+	s := newSimulation(t, cathode.fleet(100, 1, manager.Profile{}), adaptive)
+	for i := range 4_000 {
+		s.submit(newJob(fmt.Sprintf("old-%04d", i), "steady", size(4, 8), manager.Hour))
+	}
+	s.run(5*manager.Second, nil)
+	for i := range 400 {
+		s.submit(newJob(fmt.Sprintf("new-%04d", i), "steady", size(4, 8), manager.Hour))
+	}
+	for i := range 2 {
+		var c manager.CancelJobs
+		for k := range 2_000 {
+			id := manager.JobID(fmt.Sprintf("old-%04d", 2_000*i+k))
+			c.Jobs = append(c.Jobs, id)
+			s.unstarted[id] = s.worker.Runs(id) == 0
+		}
+		require.Empty(t, s.apply(manager.Command{CancelJobs: &c}).Refused)
+	}
+	before, from := s.store.commands, s.clock.At
+	running := func(f manager.Fleet) bool {
+		n := 0
+		for _, j := range f.Jobs {
+			if strings.HasPrefix(string(j.Job), "new") && j.State == manager.JobRunning {
+				n++
+			}
+		}
+		return n == 400
+	}
+	require.True(t, s.run(lag+manager.Second, running), "capacity is free within the lag of the reports")
+	s.check()
+	t.Logf("400 jobs run %d ms after 4,000 were cancelled, %d commands", s.clock.At.Sub(from), s.store.commands-before)
+	require.LessOrEqual(t, s.store.commands-before, 12, "one command a step, not one a job")
+}
+
+// TestLostWorkerWithSlowClock cuts a worker whose clock runs 9% slow: its tasks may not run elsewhere
+// before it has stopped them by itself.
+func TestLostWorkerWithSlowClock(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		s := newSimulation(t, cathode.fleet(8, 1, manager.Profile{}), adaptive)
+		s.checkEvery = 1
+		s.worker.SlowClock = func(manager.VMID) manager.Percent { return 9 }
+		once := newJob("once", "steady", size(2, 2), 40*manager.Second)
+		once.Idempotent = false
+		s.submit(once)
+		s.submit(newJob("again", "steady", size(2, 2), 40*manager.Second))
+		s.run(5*manager.Second, nil)
+		for _, j := range s.fleet().Jobs {
+			s.worker.Cut(j.Lease.VM)
+		}
+		if change {
+			s.lead()
+		}
+		require.True(t, s.run(3*manager.Minute, allEnded))
+		require.Equal(t, manager.JobUnknown, s.job("once").State)
+		require.Equal(t, manager.JobDone, s.job("again").State)
+		require.Equal(t, 2, s.job("again").Attempts)
+	}
+}
+
+// TestDrainEmptiesVM has every kind of task on a VM that drains for a move.
+func TestDrainEmptiesVM(t *testing.T) {
+	f := cathode.fleet(8, 2, manager.Profile{})
+	s := newSimulation(t, f, adaptive)
+	s.checkEvery = 1
+	for i, class := range []string{batch, "steady", "steady"} {
+		j := newJob(fmt.Sprintf("job-%d", i), class, size(4, 8), []manager.Duration{manager.Minute, 10 * manager.Second, manager.Minute}[i])
+		j.Pool = "pool-000"
+		s.submit(j)
+	}
+	s.run(3*manager.Second, nil)
+	v := s.fleet().VMs[0]
+	require.Len(t, s.fleet().LeasesOn(v.VM), 3)
+	s.apply(manager.Command{StartMove: &manager.StartMove{VM: v.VM, Epoch: v.Epoch, To: "pool-001"}})
+	s.apply(manager.Command{ObserveVM: &manager.ObserveVM{VM: v.VM, State: manager.VMDrained}})
+	move := manager.Command{CommitMove: &manager.CommitMove{VM: v.VM, Epoch: v.Epoch + 1}}
+	require.NotNil(t, s.propose(move).Failure, "a VM with live leases does not move")
+	empty := func(f manager.Fleet) bool { return len(f.LeasesOn(v.VM)) == 0 }
+	require.True(t, s.run(20*manager.Second, empty), "the drain limit holds")
+	s.apply(move)
+	require.True(t, s.run(3*manager.Minute, allEnded))
+	require.Equal(t, 1, s.job("job-1").Attempts, "a short task is let end")
+	require.Equal(t, 1, s.job("job-0").Progress.Checkpoints, "a checkpointable task loses no work")
+	require.Equal(t, manager.JobDone, s.job("job-2").State)
+}
+
+// TestTeamsShareAndNothingStarves floods the fleet with one team's jobs and urgent work.
+func TestTeamsShareAndNothingStarves(t *testing.T) {
+	f := cathode.fleet(8, 1, manager.Profile{Quotas: []manager.Quota{{Team: "small", Resources: size(128, 256)}}})
+	s := newSimulation(t, f, adaptive)
+	for i := range 200 {
+		s.submit(newJob(fmt.Sprintf("flood-%03d", i), batch, size(8, 16), 20*manager.Second))
+	}
+	for i := range 8 {
+		j := newJob(fmt.Sprintf("small-%d", i), batch, size(8, 16), 20*manager.Second)
+		j.Team = "small"
+		s.submit(j)
+	}
+	s.submit(newJob("large", batch, size(16, 32), 20*manager.Second))
+	s.run(3*manager.Second, nil)
+	small := 0
+	for _, j := range s.fleet().Jobs {
+		if j.Team == "small" && j.State == manager.JobRunning {
+			small++
+		}
+	}
+	require.Equal(t, 8, small, "a team with little gets its share although another asked first")
+	n := 0
+	large := func(manager.Fleet) bool {
+		if n++; n%2 == 0 {
+			s.submit(newJob(fmt.Sprintf("hot-%04d", n), urgent, size(4, 4), 10*manager.Second))
+		}
+		return n%40 == 0 && s.job("large").State == manager.JobDone
+	}
+	require.True(t, s.run(12*manager.Minute, large), "a large old job gets a hole at last")
+}
+
+// TestExplainsWhatJobsAwait checks the rule that operators see.
+func TestExplainsWhatJobsAwait(t *testing.T) {
+	f := cathode.fleet(2, 2, manager.Profile{
+		Quotas: []manager.Quota{{Team: "poor", Resources: size(4, 4)}}, Spread: manager.Spread{MaxPerRack: 2},
+	})
+	s := newSimulation(t, f, adaptive)
+	add := func(id, class string, team manager.TeamID, pool manager.PoolID, r manager.Resources) {
+		j := newJob(id, class, r, manager.Hour)
+		j.Team, j.Pool = team, pool
+		s.submit(j)
+	}
+	add("poor-1", "steady", "poor", "", size(3, 3))
+	add("poor-2", "steady", "poor", "", size(3, 3))
+	add("fill", batch, "desk", "pool-000", size(12, 28))
+	s.run(3*manager.Second, nil)
+	add("full", batch, "desk", "pool-000", size(12, 28))
+	add("third", "steady", "desk", "pool-001", size(1, 1))
+	s.run(3*manager.Second, nil)
+	add("fourth", "steady", "desk", "pool-001", size(1, 1))
+	add("giant", batch, "desk", "", size(17, 1))
+	add("greedy", batch, "poor", "", size(5, 1))
+	s.run(3*manager.Second, nil)
+	rules := map[manager.JobID]manager.JobRule{
+		"poor-2": manager.JobRuleQuota, "full": manager.JobRuleNoRoom, "fourth": manager.JobRuleSpread, "fill": manager.JobRuleNone,
+	}
+	for id, rule := range rules {
+		e := s.loop.Explain(s.clock.At, s.fleet(), id)
+		require.Equal(t, rule, e.Rule, "job %s awaits %s", id, e.Awaits)
+	}
+	require.Contains(t, s.job("giant").Reason, "no VM is that large")
+	require.Contains(t, s.job("greedy").Reason, "quota of team poor")
+	v := s.fleet().VMs[1]
+	s.apply(manager.Command{QuarantineVM: &manager.QuarantineVM{VM: v.VM}})
+	s.apply(manager.Command{ObserveVM: &manager.ObserveVM{VM: v.VM, State: manager.VMFailed}})
+	require.Equal(t, manager.JobRuleUnavailable, s.loop.Explain(s.clock.At, s.fleet(), "fourth").Rule)
+}
--- a/internal/faker/task.go
+++ b/internal/faker/task.go
@@ -41,8 +41,15 @@
 	t.speed = speed
 }
 
-func (t *task) end(at manager.Time, result manager.TaskResult, reason string) {
+// end ends a task; work since the last checkpoint is lost unless it succeeded or was checkpointed.
+func (w *Worker) end(t *task, at manager.Time, result manager.TaskResult, reason string) {
 	t.base = t.done(at)
+	if result != manager.TaskSucceeded && result != manager.TaskCheckpointed {
+		w.lost += t.base - t.job.Progress.DoneMs
+	}
+	if result == manager.TaskFailed {
+		w.failed++
+	}
 	t.since = at
 	t.endedAt = at
 	t.result = result
@@ -55,7 +62,7 @@
 		return
 	}
 	if w.Fails != nil && w.Fails(t.job, t.lease.VM) {
-		t.end(now, manager.TaskFailed, "exit status 1")
+		w.end(t, now, manager.TaskFailed, "exit status 1")
 		return
 	}
 	rest := max(0, w.RunTime(t.job)-t.base)
@@ -67,6 +74,6 @@
 		at, result, reason = t.expireAt, manager.TaskExpired, "its lease ended"
 	}
 	if at <= now {
-		t.end(at, result, reason)
+		w.end(t, at, result, reason)
 	}
 }
--- a/internal/faker/worker.go
+++ b/internal/faker/worker.go
@@ -32,7 +32,10 @@
 	epochs map[manager.VMID]manager.Epoch
 	cut    map[manager.VMID]bool
 	runs   map[segment]int
+	most   map[manager.JobID]int
 	kills  int
+	failed int
+	lost   manager.Duration
 }
 
 // segment is the part of a job's run that begins at a checkpoint.
@@ -54,6 +57,7 @@
 	w.epochs = map[manager.VMID]manager.Epoch{}
 	w.cut = map[manager.VMID]bool{}
 	w.runs = map[segment]int{}
+	w.most = map[manager.JobID]int{}
 }
 
 // reach fails if a VM is cut off.
@@ -85,11 +89,13 @@
 	t := &task{lease: l, job: j, started: now, since: now, base: j.Progress.DoneMs, speed: fullSpeed}
 	w.tasks[l.Lease] = t
 	if now >= l.Until {
-		t.end(now, manager.TaskNotStarted, "its lease had ended before")
+		w.end(t, now, manager.TaskNotStarted, "its lease had ended before")
 		return nil
 	}
 	t.expireAt = w.expiry(now, l)
-	w.runs[segment{job: j.Job, checkpoints: j.Progress.Checkpoints}]++
+	k := segment{job: j.Job, checkpoints: j.Progress.Checkpoints}
+	w.runs[k]++
+	w.most[j.Job] = max(w.most[j.Job], w.runs[k])
 	return nil
 }
 
@@ -115,7 +121,7 @@
 	if !ok {
 		t = &task{lease: l, job: manager.Job{Job: l.Job}, started: now, since: now}
 		w.tasks[l.Lease] = t
-		t.end(now, manager.TaskStopped, "no such task runs, and none starts under its lease")
+		w.end(t, now, manager.TaskStopped, "no such task runs, and none starts under its lease")
 		return nil
 	}
 	w.advance(now, t)
@@ -137,7 +143,7 @@
 		}
 		w.advance(now, t)
 	case manager.TaskStop:
-		t.end(now, manager.TaskStopped, "stopped as ordered")
+		w.end(t, now, manager.TaskStopped, "stopped as ordered")
 	}
 }
 
@@ -227,7 +233,7 @@
 	}
 	for v, t := range largest {
 		if used[v] > w.Capacity(v).MemoryMegaBytes {
-			t.end(now, manager.TaskFailed, "out of memory")
+			w.end(t, now, manager.TaskFailed, "out of memory")
 			w.kills++
 		}
 	}
@@ -261,13 +267,7 @@
 func (w *Worker) Runs(j manager.JobID) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := 0
-	for s, count := range w.runs {
-		if s.job == j {
-			n = max(n, count)
-		}
-	}
-	return n
+	return w.most[j]
 }
 
 // Kills returns how many tasks were killed because memory ran out.
@@ -277,15 +277,29 @@
 	return w.kills
 }
 
-// Live returns how many tasks of a job run now.
-func (w *Worker) Live(j manager.JobID) int {
+// Failed returns how many tasks ended as failed.
+func (w *Worker) Failed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
+// Lost returns the work that was done in vain, in milliseconds.
+func (w *Worker) Lost() manager.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
+// LiveTasks returns how many tasks of each job run now.
+func (w *Worker) LiveTasks() map[manager.JobID]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := 0
+	n := map[manager.JobID]int{}
 	for _, t := range w.tasks {
 		w.advance(w.Clock.Now(), t)
-		if t.job.Job == j && t.result == "" {
-			n++
+		if t.result == "" {
+			n[t.job.Job]++
 		}
 	}
 	return n
--- a/pkg/manager/placer/adaptive.go
+++ b/pkg/manager/placer/adaptive.go
@@ -181,7 +181,9 @@
 		p.health.succeeded(now, j, j.Lease.VM)
 	case manager.TaskFailed:
 		p.health.failed(now, j.Job, j.Lease.VM, j.Lease.Probe)
-	case manager.TaskCheckpointed, manager.TaskNotStarted, manager.TaskLost, manager.TaskStopped, manager.TaskExpired:
+	case manager.TaskLost:
+		p.health.lost(now, j.Lease.VM)
+	case manager.TaskCheckpointed, manager.TaskNotStarted, manager.TaskStopped, manager.TaskExpired:
 	}
 }
 
@@ -232,7 +234,7 @@
 	s := starter{
 		b: b, learner: p.learner, lease: p.Lease, batch: batch,
 		scopes: map[manager.PoolID]*scope{}, noRoom: map[shape]bool{},
-		held: p.held, holds: map[manager.JobID]manager.VMID{},
+		held: p.held, holds: map[manager.JobID]manager.VMID{}, trials: dueTrials(b),
 	}
 	s.run(newQueue(b, jobs))
 	p.held = s.holds
--- a/pkg/manager/placer/health.go
+++ b/pkg/manager/placer/health.go
@@ -12,10 +12,12 @@
 	maxStreak = 16
 	// soundFor is how long a success speaks for a VM.
 	soundFor = 10 * manager.Minute
-	// A failed job weighs on a VM by confirmedWeight if it then succeeded elsewhere, by plainWeight if
-	// nothing explains it, and not at all if it failed on a sound VM, too.
+	// A failed job weighs on a VM by confirmedWeight if it then succeeded elsewhere, by plainWeight if it
+	// has not been tried elsewhere, and not at all if it failed elsewhere, too. Plain weights together
+	// count up to maxPlainWeight, as many poison jobs may come to one VM first.
 	confirmedWeight = 2
 	plainWeight     = 1
+	maxPlainWeight  = 3
 	// suspectWeight makes a VM take one idempotent job at a time, quarantineWeight bars it.
 	suspectWeight    = 2
 	quarantineWeight = 4
@@ -58,6 +60,9 @@
 	lastFailure manager.Time
 	// probes counts the failed probes of a quarantined VM.
 	probes int
+	// lostAt is when a lease last ended without a report, losses counts those since the last success.
+	lostAt manager.Time
+	losses int
 	// quarantinedAt is when the VM was first seen quarantined.
 	quarantinedAt manager.Time
 }
@@ -106,6 +111,15 @@
 	}
 }
 
+// lost notes a worker that was not heard until a lease ended.
+func (h *health) lost(now manager.Time, v manager.VMID) {
+	r := h.of(v)
+	if now > r.lostAt {
+		r.lostAt = now
+		r.losses++
+	}
+}
+
 // acquit takes a job that was refused off every VM's streak, as the fault was the job's.
 func (h *health) acquit(j *manager.Job) {
 	for _, v := range j.FailedOn {
@@ -121,30 +135,33 @@
 }
 
 // weight sums up the failures that speak against a VM, but for those of one job.
-func (h *health) weight(now manager.Time, v manager.VMID, but manager.JobID, failed map[manager.JobID]*manager.Job) int {
+func (h *health) weight(v manager.VMID, but manager.JobID, failed map[manager.JobID]*manager.Job) int {
 	r, ok := h.vms[v]
 	if !ok {
 		return 0
 	}
-	n := 0
+	plain, confirmed := 0, 0
 	for _, id := range r.streak {
 		switch {
 		case id == but:
 		case slices.Contains(r.confirmed, id):
-			n += confirmedWeight
-		case !h.failedElsewhere(now, v, failed[id]):
-			n += plainWeight
+			confirmed += confirmedWeight
+		case !h.failedElsewhere(v, failed[id]):
+			plain += plainWeight
 		}
 	}
-	return n
+	return confirmed + min(plain, maxPlainWeight)
 }
 
-// failedElsewhere tells whether a job failed on a sound VM other than v, too.
-func (h *health) failedElsewhere(now manager.Time, v manager.VMID, j *manager.Job) bool {
+// failedElsewhere tells whether a job failed on another VM, too, that is not known to be bad.
+func (h *health) failedElsewhere(v manager.VMID, j *manager.Job) bool {
 	if j == nil {
 		return false
 	}
-	return slices.ContainsFunc(j.FailedOn, func(o manager.VMID) bool { return o != v && h.sound(now, o) })
+	return slices.ContainsFunc(j.FailedOn, func(o manager.VMID) bool {
+		r, ok := h.vms[o]
+		return o != v && ok && r.quarantinedAt == 0 && len(r.confirmed) < suspectWeight
+	})
 }
 
 // judge sets the standing of each host and returns the quarantines to begin or lift.
@@ -157,6 +174,9 @@
 		on := &b.hosts[i]
 		r, ok := h.vms[on.vm.VM]
 		if !ok && !on.vm.Quarantined {
+			if silent(b.now, on) {
+				on.standing = standingBarred
+			}
 			continue
 		}
 		if on.vm.Quarantined {
@@ -164,8 +184,11 @@
 			continue
 		}
 		r.quarantinedAt = 0
-		w := h.weight(b.now, on.vm.VM, "", failed)
+		w := h.weight(on.vm.VM, "", failed)
 		on.standing = h.standingOf(b.now, on, r, w)
+		if silent(b.now, on) {
+			on.standing = standingBarred
+		}
 		if w < quarantineWeight || len(r.streak) < suspectWeight {
 			continue
 		}
@@ -188,8 +211,27 @@
 	return manager.Command{At: now, QuarantineVM: &manager.QuarantineVM{VM: v, Quarantined: on, Reason: reason}}
 }
 
+// silentAfter is the time without a report of a running task after which its VM gets no more tasks.
+const silentAfter = 5 * manager.Second
+
+// silent tells whether a VM runs a task of which nothing has been heard for some time.
+func silent(now manager.Time, on *host) bool {
+	for _, t := range on.tasks {
+		heard := t.job.Lease.StartAt
+		if t.task != nil {
+			heard = t.task.heardAt
+		}
+		if now.Sub(heard) > silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *health) standingOf(now manager.Time, on *host, r *record, weight int) standing {
 	switch {
+	case r.losses > 0:
+		return h.trial(now, on, r.lostAt.Add(backoff(firstRetry, maxRetry, r.losses)))
 	case weight >= suspectWeight:
 		return h.trial(now, on, r.lastFailure.Add(backoff(firstRetry, maxRetry, len(r.streak)-suspectWeight)))
 	case weight > 0:
@@ -275,7 +317,7 @@
 	evidence := 0
 	for _, v := range j.FailedOn {
 		switch {
-		case h.weight(now, v, j.Job, failed) >= suspectWeight:
+		case h.weight(v, j.Job, failed) >= suspectWeight:
 		case h.sound(now, v):
 			evidence += soundEvidence
 		default:
--- a/pkg/manager/placer/learner.go
+++ b/pkg/manager/placer/learner.go
@@ -119,25 +119,36 @@
 func (l *learner) size(j manager.Job) manager.Resources {
 	r := l.likely(j)
 	r.Accelerators = j.Declared.Accelerators
-	seen := manager.Resources{
-		ProcessorMilliCores: j.Peak.ProcessorMilliCores,
-		MemoryMegaBytes:     withHeadroom(j.Peak.MemoryMegaBytes, memoryHeadroom),
-	}
-	return r.Max(seen).Max(manager.LeastReservation(j.Declared))
+	return r.Max(withHeadroom(j.Peak, j.Declared)).Max(manager.LeastReservation(j.Declared))
 }
 
 func (l *learner) likely(j manager.Job) manager.Resources {
 	if s := l.find(familyKey(j)); len(s.samples) >= familySamples {
-		return s.size
+		return withHeadroom(s.size, j.Declared)
 	}
 	s, ok := l.share(j)
 	if !ok {
 		return j.Declared
 	}
-	return manager.Resources{
+	return withHeadroom(manager.Resources{
 		ProcessorMilliCores: j.Declared.ProcessorMilliCores * s.size.ProcessorMilliCores / perMille,
 		MemoryMegaBytes:     j.Declared.MemoryMegaBytes * s.size.MemoryMegaBytes / perMille,
+	}, j.Declared)
+}
+
+// withHeadroom adds the headroom, but not beyond a declared size that was enough so far.
+func withHeadroom(used, declared manager.Resources) manager.Resources {
+	roomy := manager.Resources{
+		ProcessorMilliCores: addPercent(used.ProcessorMilliCores, processorHeadroom),
+		MemoryMegaBytes:     addPercent(used.MemoryMegaBytes, memoryHeadroom),
 	}
+	if used.ProcessorMilliCores <= declared.ProcessorMilliCores {
+		roomy.ProcessorMilliCores = min(roomy.ProcessorMilliCores, declared.ProcessorMilliCores)
+	}
+	if used.MemoryMegaBytes <= declared.MemoryMegaBytes {
+		roomy.MemoryMegaBytes = min(roomy.MemoryMegaBytes, declared.MemoryMegaBytes)
+	}
+	return roomy
 }
 
 func (l *learner) share(j manager.Job) (learned, bool) {
@@ -167,10 +178,7 @@
 		most = max(most, s.memory)
 	}
 	usual := quantile(list, func(s sample) manager.MilliCores { return s.processors })
-	return manager.Resources{
-		ProcessorMilliCores: withHeadroom(usual, processorHeadroom),
-		MemoryMegaBytes:     withHeadroom(most, memoryHeadroom),
-	}
+	return manager.Resources{ProcessorMilliCores: usual, MemoryMegaBytes: most}
 }
 
 // quantile returns the value that three quarters of the samples do not exceed.
@@ -183,7 +191,7 @@
 	return values[(len(values)-1)*3/4]
 }
 
-func withHeadroom[T ~int64](v, percent T) T { return v + (v*percent+99)/100 }
+func addPercent[T ~int64](v, percent T) T { return v + (v*percent+99)/100 }
 
 // remaining returns how long a task is likely to run on.
 func (l *learner) remaining(now manager.Time, t *held) manager.Duration {
--- a/pkg/manager/placer/starter.go
+++ b/pkg/manager/placer/starter.go
@@ -14,6 +14,8 @@
 	holdAfter = 30 * manager.Second
 	// maxScans bounds the searches of one step that look at every host.
 	maxScans = 32
+	// maxTrials bounds the suspect VMs that one job is tried on.
+	maxTrials = 8
 	// hostsAHold is the number of hosts for each one that may be held; more holds idle capacity.
 	hostsAHold = 50
 )
@@ -35,6 +37,7 @@
 	scopes  map[manager.PoolID]*scope
 	noRoom  map[shape]bool
 	scans   int
+	trials  []int
 	// held names the host that an old job was promised in the step before, holds those of this step.
 	held  map[manager.JobID]manager.VMID
 	holds map[manager.JobID]manager.VMID
@@ -158,8 +161,40 @@
 	return j.FailedOn[len(j.FailedOn)/2:]
 }
 
+// trial returns a suspect VM that is due a job, as it would not come back to use otherwise; urgent
+// jobs don't try such VMs.
+func (s *starter) trial(j *manager.Job, need manager.Resources) (int, bool) {
+	r := s.b.ruleOf(j)
+	if r.class(j.Class).Priority <= r.urgent {
+		return 0, false
+	}
+	for k, i := range s.trials[:min(len(s.trials), maxTrials)] {
+		h := &s.b.hosts[i]
+		if !suits(h, j) || !h.free.Fits(need) || !s.b.spreadLeft(j, h.vm) || (j.Pool != "" && j.Pool != h.vm.Pool) {
+			continue
+		}
+		s.trials = slices.Delete(s.trials, k, k+1)
+		return i, true
+	}
+	return 0, false
+}
+
+// dueTrials lists the suspect VMs that are due a job.
+func dueTrials(b *board) []int {
+	var list []int
+	for i := range b.hosts {
+		if h := &b.hosts[i]; h.standing == standingTrial && h.vm.Available() {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 func (s *starter) start(sc *scope, j *manager.Job, need manager.Resources) bool {
-	i, ok := s.find(sc, sc.free, j, need)
+	i, ok := s.trial(j, need)
+	if !ok {
+		i, ok = s.find(sc, sc.free, j, need)
+	}
 	if !ok {
 		return false
 	}
@@ -216,8 +251,8 @@
 	return true
 }
 
-// victims returns the tasks to checkpoint so that need fits: the least urgent first, and none whose
-// room is not needed after all.
+// victims returns the tasks to checkpoint so that need fits: the least urgent and youngest first, and none
+// whose room is not needed after all.
 func victims(h *host, priority int, need manager.Resources) []*held {
 	var list []*held
 	for _, t := range h.tasks {
@@ -226,7 +261,11 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, c *held) int {
-		return cmp.Or(cmp.Compare(c.class.Priority, a.class.Priority), cmp.Compare(c.need.MemoryMegaBytes, a.need.MemoryMegaBytes))
+		return cmp.Or(
+			cmp.Compare(c.class.Priority, a.class.Priority),
+			cmp.Compare(c.job.SubmittedAt, a.job.SubmittedAt),
+			cmp.Compare(c.need.MemoryMegaBytes, a.need.MemoryMegaBytes),
+		)
 	})
 	room := h.free.Add(h.releasing)
 	n := 0
