--- a/internal/launcher/mesh.go
+++ b/internal/launcher/mesh.go
@@ -1,9 +1,7 @@
 package launcher
 
 import (
-	"context"
 	"fmt"
-	"net"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/relayer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -18,16 +16,6 @@
 	relays  map[link]*relayer.Relay
 }
 
-// FreeAddress returns a loopback address that no one listens on now.
-func FreeAddress() (manager.Address, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find free address: %w", err)
-	}
-	defer l.Close()
-	return manager.Address(l.Addr().String()), nil
-}
-
 // Add names the address at which a node listens.
 func (m *Mesh) Add(node string, a manager.Address) {
 	if m.targets == nil {
