--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -1,67 +1,72 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"sync"
 
 	"github.com/labstack/echo/v4"
-	"k8s.io/klog/v2"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
-	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/registrar"
 )
 
 const (
-	pathGossip = "/peer/gossip"
 	// maxAnnouncementBytes bounds an announcement.
 	maxAnnouncementBytes = 16 << 10
-	// maxGossipBytes bounds a peer's message.
-	maxGossipBytes = 4 << 20
-	// gossipTimeout bounds one exchange with a peer, in milliseconds.
-	gossipTimeout = 1 * manager.Second
 )
 
-// lockedRegistrar lets several goroutines use a Registrar.
-type lockedRegistrar struct {
-	inner manager.Registrar
-	mu    *sync.Mutex
+// LockedRegistrar lets several goroutines use a Registrar.
+type LockedRegistrar struct {
+	Inner manager.Registrar
+
+	mu sync.Mutex
 }
 
-func (r *lockedRegistrar) Announce(now manager.Time, a manager.Announcement) error {
+var _ manager.Registrar = (*LockedRegistrar)(nil)
+
+// Announce takes what an upstream said directly.
+func (r *LockedRegistrar) Announce(now manager.Time, a manager.Announcement) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inner.Announce(now, a)
+	return r.Inner.Announce(now, a)
 }
 
-func (r *lockedRegistrar) Merge(now manager.Time, m manager.GossipMessage) {
+// Gossip returns the message that opens an exchange with a peer.
+func (r *LockedRegistrar) Gossip(now manager.Time, peer manager.Address) manager.GossipMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.inner.Merge(now, m)
+	return r.Inner.Gossip(now, peer)
 }
 
-func (r *lockedRegistrar) Gossip(now manager.Time) manager.GossipMessage {
+// Answer takes a peer's message and returns the answer.
+func (r *LockedRegistrar) Answer(now manager.Time, m manager.GossipMessage) manager.GossipMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inner.Gossip(now)
+	return r.Inner.Answer(now, m)
 }
 
-func (r *lockedRegistrar) Ready(now manager.Time, s manager.ServiceID) []manager.Member {
+// Merge takes the answer to a message and returns a second message if the two still differ.
+func (r *LockedRegistrar) Merge(now, sent manager.Time, peer manager.Address, m manager.GossipMessage) (manager.GossipMessage, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inner.Ready(now, s)
+	return r.Inner.Merge(now, sent, peer, m)
 }
 
-func (r *lockedRegistrar) All(now manager.Time) []manager.Member {
+// Ready returns the upstreams of a service that may get new work, ordered by id.
+func (r *LockedRegistrar) Ready(now manager.Time, s manager.ServiceID) []manager.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inner.All(now)
+	return r.Inner.Ready(now, s)
+}
+
+// All returns every known upstream, ordered by id.
+func (r *LockedRegistrar) All(now manager.Time) []manager.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Inner.All(now)
 }
 
 func announceHandler(r manager.Registrar, clock manager.Clock) echo.HandlerFunc {
@@ -79,18 +84,6 @@
 	}
 }
 
-// gossipHandler takes a peer's message and answers with this gateway's own.
-func gossipHandler(r manager.Registrar, clock manager.Clock) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		var m manager.GossipMessage
-		if err := decode(c, maxGossipBytes, &m); err != nil {
-			return err
-		}
-		r.Merge(clock.Now(), m)
-		return c.JSON(http.StatusOK, r.Gossip(clock.Now()))
-	}
-}
-
 func decode(c echo.Context, limit int64, v any) error {
 	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
 	if err := configurer.Decode(body, v); err != nil {
@@ -98,45 +91,3 @@
 	}
 	return nil
 }
-
-// gossiper exchanges membership with the other gateways.
-type gossiper struct {
-	registrar manager.Registrar
-	clock     manager.Clock
-	client    *http.Client
-	token     string
-}
-
-func (g *gossiper) exchange(ctx context.Context, peer manager.Address) {
-	ctx, cancel := context.WithTimeout(ctx, gossipTimeout.Std())
-	defer cancel()
-	if err := g.send(ctx, peer); err != nil {
-		klog.V(2).InfoS("Gossip failed", "Peer", peer, "Error", err.Error())
-	}
-}
-
-func (g *gossiper) send(ctx context.Context, peer manager.Address) error {
-	body, err := json.Marshal(g.registrar.Gossip(g.clock.Now()))
-	if err != nil {
-		return fmt.Errorf("encode gossip: %w", err)
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(peer)+pathGossip, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("create gossip request: %w", err)
-	}
-	r.Header.Set(echo.HeaderAuthorization, "Bearer "+g.token)
-	response, err := g.client.Do(r)
-	if err != nil {
-		return fmt.Errorf("send gossip: %w", err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("peer refused gossip: %w", translator.ReadError(response))
-	}
-	var m manager.GossipMessage
-	if err := configurer.Decode(http.MaxBytesReader(nil, response.Body, maxGossipBytes), &m); err != nil {
-		return fmt.Errorf("decode gossip: %w", err)
-	}
-	g.registrar.Merge(g.clock.Now(), m)
-	return nil
-}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// gossipPeriod is the pause between two messages to a peer; it adds to the time in which all know.
-	gossipPeriod = 500 * manager.Millisecond
+	// peerPeriod is the pause between two looks at the messages due to peers; it adds to the time that
+	// a waiting request needs to borrow a slot.
+	peerPeriod = 10 * manager.Millisecond
 	// tickPeriod is the pause between two looks at waiting requests.
 	tickPeriod = 10 * manager.Millisecond
 	// reportPeriod is the pause between two reports to the controllers.
@@ -33,6 +34,7 @@
 	Clock     manager.Clock
 	Registrar manager.Registrar
 	Limiter   manager.Limiter
+	Slots     manager.SlotKeeper
 	Retrier   manager.Retrier
 	Client    *proposer.Client
 	// Peers is the HTTP client for the other gateways.
@@ -41,7 +43,7 @@
 	server        *listener.Server
 	dispatcher    *forwarder.Dispatcher
 	configuration *configurationKeeper
-	membership    sync.Mutex
+	peers         *peerLoop
 	stopping      chan struct{}
 	preparing     sync.Once
 	cancel        context.CancelFunc
@@ -62,12 +64,15 @@
 // Start serves callers, operators, upstreams and peers.
 func (s *Service) Start(*supervisor.Registry) error {
 	s.stopping = make(chan struct{})
-	shared := &lockedRegistrar{inner: s.Registrar, mu: &s.membership}
 	s.dispatcher = &forwarder.Dispatcher{Clock: s.Clock, Limiter: s.Limiter}
 	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
+	s.peers = &peerLoop{
+		registrar: s.Registrar, slots: s.Slots, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer,
+		changed: s.dispatcher.Tick,
+	}
 	e := listener.NewEcho()
 	listener.AddHealth(e, s.ready)
-	s.addRoutes(e, shared)
+	s.addRoutes(e)
 	cfg := s.Settings.Gateway
 	s.server = &listener.Server{Address: cfg.Address, TLS: cfg.TLS, Echo: e}
 	if err := s.server.Start(); err != nil {
@@ -78,14 +83,11 @@
 	s.loops.Go(func() { s.configuration.run(ctx) })
 	s.loops.Go(func() { timekeeper.Every(ctx.Done(), tickPeriod, s.dispatcher.Tick) })
 	s.loops.Go(func() { timekeeper.Every(ctx.Done(), reportPeriod, func() { s.report(ctx) }) })
-	g := &gossiper{registrar: shared, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer}
-	for _, peer := range cfg.Peers {
-		s.loops.Go(func() { timekeeper.Every(ctx.Done(), gossipPeriod, func() { g.exchange(ctx, peer) }) })
-	}
+	s.loops.Go(func() { timekeeper.Every(ctx.Done(), peerPeriod, func() { s.peers.send(ctx) }) })
 	return nil
 }
 
-func (s *Service) addRoutes(e *echo.Echo, shared *lockedRegistrar) {
+func (s *Service) addRoutes(e *echo.Echo) {
 	cfg := s.Settings.Gateway
 	f := &forwarder.Forwarder{
 		Gateway:         manager.GatewayID(s.Settings.Node),
@@ -100,9 +102,9 @@
 	}
 	e.Any("/services/:Service", f.Handle)
 	e.Any("/services/:Service/*", f.Handle)
-	e.POST("/announce", announceHandler(shared, s.Clock))
-	e.POST(pathGossip, gossipHandler(shared, s.Clock), listener.Bearer(s.Settings.Tokens.Peer))
-	api := &operator.API{Client: s.Client, Upstreams: func() []manager.Member { return shared.All(s.Clock.Now()) }}
+	e.POST("/announce", announceHandler(s.Registrar, s.Clock))
+	e.POST(pathPeer, s.peers.handle, listener.Bearer(s.Settings.Tokens.Peer))
+	api := &operator.API{Client: s.Client, Upstreams: func() []manager.Member { return s.Registrar.All(s.Clock.Now()) }}
 	api.AddRoutes(e.Group("/api", listener.Bearer(s.Settings.Tokens.Operator)))
 }
 
@@ -116,8 +118,13 @@
 		return manager.ErrUnavailable{Part: "gateway", Reason: "it is stopping"}
 	default:
 	}
-	_, err := s.accepting()
-	return err
+	if _, err := s.accepting(); err != nil {
+		return err
+	}
+	if !s.Slots.Holds(s.Clock.Now()) {
+		return manager.ErrUnavailable{Part: "slots", Reason: "no majority of the gateways supports this one"}
+	}
+	return nil
 }
 
 // accepting tells the forwarder whether it may take work: a stopping gateway still does, as the
@@ -151,6 +158,9 @@
 		s.cancel()
 	}
 	s.loops.Wait()
+	if s.peers != nil {
+		s.peers.stop()
+	}
 	if err != nil {
 		return fmt.Errorf("stop gateway's listener: %w", err)
 	}
--- /dev/null
+++ b/internal/gateway/slots.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// LockedKeeper lets several goroutines use a SlotKeeper.
+type LockedKeeper struct {
+	Inner manager.SlotKeeper
+
+	mu sync.Mutex
+}
+
+var _ manager.SlotKeeper = (*LockedKeeper)(nil)
+
+// Free returns how many requests may start at m now and hold their slots until until.
+func (k *LockedKeeper) Free(now manager.Time, m manager.Member, until manager.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Free(now, m, until)
+}
+
+// Take uses a slot until Give or until, whichever comes first.
+func (k *LockedKeeper) Take(now manager.Time, r manager.RequestID, m manager.Member, until manager.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Take(now, r, m, until)
+}
+
+// Give returns the slot of a request.
+func (k *LockedKeeper) Give(now manager.Time, r manager.RequestID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Inner.Give(now, r)
+}
+
+// Want says that n requests of a service wait for slots that they need until until.
+func (k *LockedKeeper) Want(now manager.Time, s manager.ServiceID, n int, until manager.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Inner.Want(now, s, n, until)
+}
+
+// Due returns the messages to send now.
+func (k *LockedKeeper) Due(now manager.Time) []manager.SlotExchange {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Due(now)
+}
+
+// Handle answers a peer's request.
+func (k *LockedKeeper) Handle(now manager.Time, r manager.SlotRequest) manager.SlotAnswer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Handle(now, r)
+}
+
+// Answered takes the answer to a request that was sent at sent.
+func (k *LockedKeeper) Answered(now, sent manager.Time, e manager.SlotExchange, a manager.SlotAnswer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Inner.Answered(now, sent, e, a)
+}
+
+// Failed takes note that a request got no answer.
+func (k *LockedKeeper) Failed(now manager.Time, e manager.SlotExchange) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Inner.Failed(now, e)
+}
+
+// Holds tells whether this gateway may use any slots now.
+func (k *LockedKeeper) Holds(now manager.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Holds(now)
+}
+
+// Stop gives the leases up and returns the messages that say so.
+func (k *LockedKeeper) Stop(now manager.Time) []manager.SlotExchange {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Inner.Stop(now)
+}
--- /dev/null
+++ b/pkg/manager/lender/keeper.go
@@ -0,0 +1,217 @@
+package lender
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	// DefaultMaxHold bounds a lease; it must exceed the longest deadline by renewSlack, or a request
+	// with that deadline never gets a slot, and a restarted gateway abstains from votes for this long
+	// if a peer stays silent.
+	DefaultMaxHold = 65 * manager.Second
+	// exchangePeriod is the pause between two exchanges with a peer, taken in turn; a longer one lets
+	// leases run out before a majority renewed them.
+	exchangePeriod = 500 * manager.Millisecond
+	// renewSlack is added to the longest deadline in use; it must cover the exchanges with a majority,
+	// and a lost gateway's slots stay idle for it.
+	renewSlack = 4 * manager.Second
+	// burstPause is the least time between two rounds with every peer at once.
+	burstPause = 250 * manager.Millisecond
+	// closeMargin is how long a slot outlives its request: the connection's close and clock drift.
+	closeMargin = 250 * manager.Millisecond
+	// holdWindow is how long a deadline counts for the length of leases.
+	holdWindow = 30 * manager.Second
+)
+
+// Keeper is the SlotKeeper of one gateway.
+type Keeper struct {
+	Self manager.Address
+	// Gateways are the addresses of all gateways; Self may be among them.
+	Gateways []manager.Address
+	// Start is unique to this start of the gateway.
+	Start manager.StartID
+	// Registrar tells which upstreams' slots may be lent.
+	Registrar manager.Registrar
+	// MaxHold bounds a lease in milliseconds.
+	MaxHold manager.Duration
+	// Deadline is the deadline of a request that names none, in milliseconds; leases cover it at first.
+	Deadline   manager.Duration
+	Assignment Assignment
+
+	shares  *shares
+	voter   *voter
+	shards  map[manager.Address]*shard
+	book    book
+	lending lending
+	hold    holdTracker
+	source  *rand.Rand
+
+	number    uint64
+	turn      []manager.Address
+	nextTurn  manager.Time
+	lastBurst manager.Time
+	kept      map[manager.Address]manager.Time
+	failed    map[manager.Address]bool
+	returned  map[manager.Address]manager.Time
+	stopping  bool
+}
+
+var _ manager.SlotKeeper = (*Keeper)(nil)
+
+func (k *Keeper) init(now manager.Time) {
+	if k.shares != nil {
+		return
+	}
+	if k.MaxHold == 0 {
+		k.MaxHold = DefaultMaxHold
+	}
+	k.shares = newShares(append(slices.Clone(k.Gateways), k.Self), k.Assignment)
+	k.voter = &voter{
+		gateways: k.shares.gateways, maxHold: k.MaxHold, started: now,
+		promises: map[manager.Address]promise{}, relied: map[manager.Address]manager.Time{},
+	}
+	k.source = rand.New(rand.NewPCG(startSeed(k.Start, k.Self), 1))
+	k.kept = map[manager.Address]manager.Time{}
+	k.failed = map[manager.Address]bool{}
+	k.returned = map[manager.Address]manager.Time{}
+	k.shards = map[manager.Address]*shard{k.Self: newShard(k.Self)}
+	k.book.init()
+	k.lending.init()
+	k.hold.see(now, k.Deadline)
+	k.lastBurst = now.Add(-burstPause)
+	k.nextTurn = now
+	k.voter.hear(now, k.Self, 0)
+}
+
+// holdMs is how long leases are asked for.
+func (k *Keeper) holdMs(now manager.Time) manager.Duration {
+	return min(k.hold.longest(now)+renewSlack, k.MaxHold)
+}
+
+// Due returns the messages to send now.
+func (k *Keeper) Due(now manager.Time) []manager.SlotExchange {
+	k.init(now)
+	k.review(now)
+	if k.urgent(now) && now.Sub(k.lastBurst) >= burstPause {
+		k.lastBurst = now
+		k.nextTurn = now.Add(exchangePeriod)
+		return k.burst(now)
+	}
+	due := k.borrowDue(now)
+	if now >= k.nextTurn && len(k.shares.gateways) > 1 {
+		k.nextTurn = now.Add(exchangePeriod)
+		due = append(due, k.exchange(now, k.nextPeer()))
+	}
+	return append(due, k.returnsDue(now)...)
+}
+
+func (k *Keeper) peers() []manager.Address {
+	return slices.DeleteFunc(slices.Clone(k.shares.gateways), func(g manager.Address) bool { return g == k.Self })
+}
+
+// nextPeer goes through all peers in a random order before it returns one again.
+func (k *Keeper) nextPeer() manager.Address {
+	if len(k.turn) == 0 {
+		k.turn = k.peers()
+		k.source.Shuffle(len(k.turn), func(i, j int) { k.turn[i], k.turn[j] = k.turn[j], k.turn[i] })
+	}
+	p := k.turn[0]
+	k.turn = k.turn[1:]
+	return p
+}
+
+func (k *Keeper) burst(now manager.Time) []manager.SlotExchange {
+	var due []manager.SlotExchange
+	for _, p := range k.peers() {
+		due = append(due, k.exchange(now, p))
+	}
+	return due
+}
+
+// exchange returns a request that renews all leases; this gateway's own vote counts at once.
+func (k *Keeper) exchange(now manager.Time, peer manager.Address) manager.SlotExchange {
+	r := k.request(now, peer)
+	r.HoldMs = k.holdMs(now)
+	r.Shards = k.asked(now)
+	r.Release = k.releases(now)
+	return manager.SlotExchange{Peer: peer, Request: r, Gossip: true}
+}
+
+func (k *Keeper) request(now manager.Time, peer manager.Address) manager.SlotRequest {
+	k.number++
+	return manager.SlotRequest{
+		From: k.Self, Start: k.Start, Set: k.shares.digest(), Number: k.number,
+		KeptMs: max(k.kept[peer].Sub(now), 0), Returns: k.lending.takeReturns(peer),
+	}
+}
+
+// Handle answers a peer's request.
+func (k *Keeper) Handle(now manager.Time, r manager.SlotRequest) manager.SlotAnswer {
+	k.init(now)
+	if r.Set != k.shares.digest() || !slices.Contains(k.shares.gateways, r.From) {
+		return manager.SlotAnswer{Start: k.Start}
+	}
+	k.hear(now, r.From, r.KeptMs)
+	k.book.takeBack(r.From, r.Start, r.Returns)
+	a := manager.SlotAnswer{Start: k.Start, Granted: k.voter.vote(now, r), KeptMs: max(k.kept[r.From].Sub(now), 0)}
+	if r.Borrow != nil {
+		a.Loans = k.lend(now, r)
+	}
+	return a
+}
+
+// hear notes that a gateway lives.
+func (k *Keeper) hear(now manager.Time, from manager.Address, kept manager.Duration) {
+	k.voter.hear(now, from, kept)
+	delete(k.failed, from)
+	if _, ok := k.shards[from]; ok {
+		k.returned[from] = now
+	}
+}
+
+// Answered takes the answer to a request that was sent at sent.
+func (k *Keeper) Answered(now, sent manager.Time, e manager.SlotExchange, a manager.SlotAnswer) {
+	k.init(now)
+	k.hear(now, e.Peer, a.KeptMs)
+	until := sent.Add(e.Request.HoldMs)
+	for _, s := range a.Granted {
+		k.kept[e.Peer] = max(k.kept[e.Peer], until)
+		if held := k.shards[s]; held != nil && !held.dropped && sent >= held.since {
+			held.grant(e.Peer, until, k.majority())
+		}
+	}
+	if e.Request.Borrow != nil {
+		k.lending.borrowed(now, sent, e, a.Loans)
+	}
+}
+
+// Failed takes note that a request got no answer.
+func (k *Keeper) Failed(now manager.Time, e manager.SlotExchange) {
+	k.init(now)
+	k.failed[e.Peer] = true
+	if e.Request.Borrow != nil {
+		k.lending.borrowed(now, now, e, nil)
+	}
+}
+
+// Holds tells whether this gateway may use any slots now.
+func (k *Keeper) Holds(now manager.Time) bool {
+	k.init(now)
+	return k.shards[k.Self].horizon > now
+}
+
+// Stop gives the leases up and returns the messages that say so; no request may start afterwards.
+func (k *Keeper) Stop(now manager.Time) []manager.SlotExchange {
+	k.init(now)
+	k.stopping = true
+	for _, s := range k.shards {
+		s.dropped = true
+	}
+	k.vote(now)
+	return k.burst(now)
+}
+
+func (k *Keeper) majority() int { return len(k.shares.gateways)/2 + 1 }
--- a/pkg/manager/membership.go
+++ b/pkg/manager/membership.go
@@ -38,10 +38,32 @@
 	AgeMs        Duration
 }
 
+// MembershipDigest is equal for two gateways that know the same upstreams in the same states.
+type MembershipDigest uint64
+
+// EntryDigest names one upstream's incarnation in one state.
+type EntryDigest uint32
+
 // GossipMessage carries what a gateway knows of upstreams to a peer.
 type GossipMessage struct {
-	From    GatewayID
-	Entries []GossipEntry
+	From  GatewayID
+	Start StartID
+	// Clock is the sender's clock.
+	Clock Time
+	// Echo is the receiver's clock as its start EchoStart last told it, SinceMs before this message
+	// was sent; they bound how long the message was under way. Echo is 0 if nothing was heard.
+	Echo      Time     `json:",omitempty"`
+	EchoStart StartID  `json:",omitempty"`
+	SinceMs   Duration `json:",omitempty"`
+	Digest    MembershipDigest
+	// Ages are the ages of all upstreams in the order of their ids, for a receiver with equal Digest.
+	Ages []byte `json:",omitempty"`
+	// Entries are upstreams that changed lately or that the receiver lacks.
+	Entries []GossipEntry `json:",omitempty"`
+	// Summary names all upstreams that the sender knows; it is sent if the digests differ.
+	Summary []EntryDigest `json:",omitempty"`
+	// Want names the upstreams that the sender lacks.
+	Want []EntryDigest `json:",omitempty"`
 }
 
 // Member is an upstream that a gateway may use.
@@ -55,11 +77,15 @@
 type Registrar interface {
 	// Announce takes what an upstream said directly.
 	Announce(now Time, a Announcement) error
-	// Merge takes a peer's message.
-	Merge(now Time, m GossipMessage)
-	// Gossip returns the message for a peer.
-	Gossip(now Time) GossipMessage
-	// Ready returns the upstreams of a service that may get new work, ordered by id.
+	// Gossip returns the message that opens an exchange with a peer.
+	Gossip(now Time, peer Address) GossipMessage
+	// Answer takes a peer's message and returns the answer.
+	Answer(now Time, m GossipMessage) GossipMessage
+	// Merge takes the answer to a message that was sent at sent, and returns a second message if the
+	// two gateways still differ.
+	Merge(now, sent Time, peer Address, m GossipMessage) (GossipMessage, bool)
+	// Ready returns the upstreams of a service that may get new work, ordered by id; the list must
+	// not be changed.
 	Ready(now Time, s ServiceID) []Member
 	// All returns every known upstream, ordered by id.
 	All(now Time) []Member
--- a/pkg/manager/registrar/table.go
+++ b/pkg/manager/registrar/table.go
@@ -1,9 +1,7 @@
 package registrar
 
 import (
-	"net/netip"
 	"slices"
-	"strings"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -14,70 +12,136 @@
 	DefaultTimeToLive = 3 * manager.Second
 	// DefaultPeriod is how often an upstream announces itself; two lost in a row must not end it.
 	DefaultPeriod = 1 * manager.Second
-	// forgetAfter is how long a dead incarnation is remembered; late gossip older than this is refused by age.
+	// DefaultMaxMembers bounds the upstreams in memory; more than twice the size that the system is
+	// designed for.
+	DefaultMaxMembers = 4096
+	// forgetAfter is how long a silent upstream is listed; gossip of older announcements is refused.
 	forgetAfter = 60 * manager.Second
+	// maxGraves bounds the forgotten upstreams whose last announcement is remembered.
+	maxGraves = 8192
+	// loadAge is how long a reported load counts.
+	loadAge = 2 * manager.Second
+	// viewAge is how long the list of a service's ready upstreams is kept; reported loads and new
+	// announcements of known upstreams show after this long at the latest.
+	viewAge = 100 * manager.Millisecond
+	// maxViews bounds the kept lists, as callers choose the names of services.
+	maxViews = 1024
 )
 
 // Table is a Registrar that keeps every announcement in memory.
 type Table struct {
 	// Gateway is the id under which this table gossips.
 	Gateway manager.GatewayID
+	// Start is unique to this start of the gateway.
+	Start manager.StartID
 	// TimeToLive is how long an announcement is believed, in milliseconds.
 	TimeToLive manager.Duration
+	// MaxMembers bounds the upstreams in memory.
+	MaxMembers int
 
-	members map[manager.UpstreamID]manager.Member
+	members map[manager.UpstreamID]*record
+	// order holds the ids of members, sorted.
+	order   []manager.UpstreamID
+	digest  manager.MembershipDigest
+	version uint64
+	graves  graveyard
+	echoes  map[manager.Address]echo
+	rumors  []rumor
+	views   map[manager.ServiceID]view
+}
+
+// record is a known upstream.
+type record struct {
+	manager.Member
+	// loadAt is the local time of the reported load.
+	loadAt manager.Time
+}
+
+// view is the list of a service's ready upstreams, good until until.
+type view struct {
+	members []manager.Member
+	version uint64
+	made    manager.Time
+	until   manager.Time
 }
 
 var _ manager.Registrar = (*Table)(nil)
 
+func (t *Table) init() {
+	if t.members != nil {
+		return
+	}
+	t.members = map[manager.UpstreamID]*record{}
+	t.echoes = map[manager.Address]echo{}
+	t.views = map[manager.ServiceID]view{}
+	t.graves.init()
+	if t.MaxMembers == 0 {
+		t.MaxMembers = DefaultMaxMembers
+	}
+	if t.TimeToLive == 0 {
+		t.TimeToLive = DefaultTimeToLive
+	}
+}
+
 // Announce takes what an upstream said directly.
 func (t *Table) Announce(now manager.Time, a manager.Announcement) error {
+	t.init()
 	if err := Validate(a); err != nil {
 		return err
 	}
-	t.take(manager.Member{Announcement: a, AnnouncedAt: now})
-	return nil
-}
-
-// Validate returns the first field of an announcement that breaks a rule.
-func Validate(a manager.Announcement) error {
-	switch {
-	case a.Upstream == "":
-		return manager.ErrInvalid{Field: "Upstream", Reason: "is missing"}
-	case a.Service == "":
-		return manager.ErrInvalid{Field: "Service", Reason: "is missing"}
-	case a.Slots < 1:
-		return manager.ErrInvalid{Field: "Slots", Reason: "must be at least 1"}
-	case a.Connections < 1:
-		return manager.ErrInvalid{Field: "Connections", Reason: "must be at least 1"}
-	case a.State != manager.UpstreamReady && a.State != manager.UpstreamLeaving:
-		return manager.ErrInvalid{Field: "State", Reason: `must be "ready" or "leaving"`}
+	old, ok := t.members[a.Upstream]
+	if ok && old.Incarnation == a.Incarnation {
+		if err := sameIncarnation(old.Announcement, a); err != nil {
+			return err
+		}
 	}
-	if _, err := netip.ParseAddrPort(string(a.Address)); err != nil {
-		return manager.ErrInvalid{Field: "Address", Reason: "must be an IP address and port"}
+	t.forget(now)
+	if !ok && len(t.members) >= t.MaxMembers {
+		return manager.ErrUnavailable{Part: "membership", Reason: "there are too many upstreams"}
 	}
+	t.take(now, manager.Member{Announcement: a, AnnouncedAt: now})
 	return nil
 }
 
-// Merge takes a peer's message.
-func (t *Table) Merge(now manager.Time, m manager.GossipMessage) {
-	for _, e := range m.Entries {
-		if Validate(e.Announcement) != nil || e.AgeMs < 0 || e.AgeMs > forgetAfter {
-			continue
+// take stores what is newer than the known; a known announcement only becomes fresher.
+func (t *Table) take(now manager.Time, m manager.Member) {
+	old, ok := t.members[m.Upstream]
+	if !ok {
+		if len(t.members) < t.MaxMembers && t.graves.allows(m.Announcement) {
+			t.add(now, m)
 		}
-		t.take(manager.Member{Announcement: e.Announcement, AnnouncedAt: now.Add(-e.AgeMs)})
+		return
 	}
-}
-
-func (t *Table) take(m manager.Member) {
-	if t.members == nil {
-		t.members = map[manager.UpstreamID]manager.Member{}
+	if !newer(m.Announcement, old.Announcement) {
+		return
 	}
-	old, ok := t.members[m.Upstream]
-	if ok && !newer(m.Announcement, old.Announcement) {
+	if m.Incarnation == old.Incarnation && m.State == old.State {
+		if sameIncarnation(old.Announcement, m.Announcement) != nil {
+			return
+		}
+		old.Sequence = m.Sequence
+		old.InFlight = m.InFlight
+		old.loadAt = m.AnnouncedAt
+		old.AnnouncedAt = max(old.AnnouncedAt, m.AnnouncedAt)
 		return
 	}
-	t.members[m.Upstream] = m
+	t.changed(now, old.Announcement, m.Announcement)
+	*old = record{Member: m, loadAt: m.AnnouncedAt}
+}
+
+func (t *Table) add(now manager.Time, m manager.Member) {
+	t.members[m.Upstream] = &record{Member: m, loadAt: m.AnnouncedAt}
+	i, _ := slices.BinarySearch(t.order, m.Upstream)
+	t.order = slices.Insert(t.order, i, m.Upstream)
+	t.digest ^= identity(m.Announcement)
+	t.version++
+	t.rumor(now, m.Upstream)
+}
+
+func (t *Table) changed(now manager.Time, old, a manager.Announcement) {
+	t.digest ^= identity(old) ^ identity(a)
+	t.version++
+	t.rumor(now, a.Upstream)
 }
 
 // newer orders announcements of one upstream; within an incarnation leaving is final.
@@ -91,57 +155,105 @@
 	return a.Sequence > b.Sequence
 }
 
-// Gossip returns the message for a peer.
-func (t *Table) Gossip(now manager.Time) manager.GossipMessage {
-	t.forget(now)
-	m := manager.GossipMessage{From: t.Gateway}
-	for _, member := range t.All(now) {
-		m.Entries = append(m.Entries, manager.GossipEntry{
-			Announcement: member.Announcement,
-			AgeMs:        now.Sub(member.AnnouncedAt),
-		})
+// forget buries upstreams that were silent for long.
+func (t *Table) forget(now manager.Time) {
+	t.order = slices.DeleteFunc(t.order, func(id manager.UpstreamID) bool {
+		m := t.members[id]
+		if now.Sub(m.AnnouncedAt) <= forgetAfter {
+			return false
+		}
+		t.digest ^= identity(m.Announcement)
+		t.version++
+		t.graves.bury(m.Announcement)
+		delete(t.members, id)
+		return true
+	})
+}
+
+// Ready returns the upstreams of a service that may get new work, ordered by id; the list must not
+// be changed.
+func (t *Table) Ready(now manager.Time, s manager.ServiceID) []manager.Member {
+	t.init()
+	v, ok := t.views[s]
+	if ok && v.version == t.version && now >= v.made && now < v.until {
+		return v.members
 	}
-	return m
+	v = t.view(now, s)
+	if !ok && len(t.views) >= maxViews {
+		clear(t.views)
+	}
+	t.views[s] = v
+	return v.members
 }
 
-func (t *Table) forget(now manager.Time) {
-	for id, m := range t.members {
-		if now.Sub(m.AnnouncedAt) > forgetAfter {
-			delete(t.members, id)
+func (t *Table) view(now manager.Time, s manager.ServiceID) view {
+	v := view{version: t.version, made: now, until: now.Add(viewAge)}
+	for _, id := range t.order {
+		m := t.members[id]
+		expiry := m.AnnouncedAt.Add(t.TimeToLive)
+		if m.Service != s || m.State != manager.UpstreamReady || expiry <= now {
+			continue
 		}
+		v.until = min(v.until, expiry)
+		v.members = append(v.members, m.current(now))
 	}
+	v.members = latestAtAddress(v.members, t)
+	return v
 }
 
-// Ready returns the upstreams of a service that may get new work, ordered by id.
-func (t *Table) Ready(now manager.Time, s manager.ServiceID) []manager.Member {
-	list := make([]manager.Member, 0, len(t.members))
-	for _, m := range t.members {
-		fresh := now.Sub(m.AnnouncedAt) < t.timeToLive()
-		if m.Service == s && m.State == manager.UpstreamReady && fresh {
-			list = append(list, m)
+// current returns the member without a load that was reported long ago.
+func (r *record) current(now manager.Time) manager.Member {
+	m := r.Member
+	if now.Sub(r.loadAt) > loadAge {
+		m.InFlight = 0
+	}
+	return m
+}
+
+// latestAtAddress leaves out upstreams whose address another one announced later: only one process
+// listens there.
+func latestAtAddress(list []manager.Member, t *Table) []manager.Member {
+	latest := make(map[manager.Address]*record, len(list))
+	for _, id := range t.order {
+		m := t.members[id]
+		if best := latest[m.Address]; best == nil || m.AnnouncedAt > best.AnnouncedAt {
+			latest[m.Address] = m
 		}
 	}
-	slices.SortFunc(list, byID)
-	return list
+	return slices.DeleteFunc(list, func(m manager.Member) bool { return latest[m.Address].Upstream != m.Upstream })
 }
 
 // All returns every known upstream, ordered by id.
-func (t *Table) All(manager.Time) []manager.Member {
-	list := make([]manager.Member, 0, len(t.members))
-	for _, m := range t.members {
-		list = append(list, m)
+func (t *Table) All(now manager.Time) []manager.Member {
+	t.init()
+	list := make([]manager.Member, 0, len(t.order))
+	for _, id := range t.order {
+		list = append(list, t.members[id].current(now))
 	}
-	slices.SortFunc(list, byID)
 	return list
 }
 
-func (t *Table) timeToLive() manager.Duration {
-	if t.TimeToLive == 0 {
-		return DefaultTimeToLive
+// graveyard remembers the last announcement of forgotten upstreams.
+type graveyard struct {
+	last  map[manager.UpstreamID]manager.Announcement
+	order []manager.UpstreamID
+}
+
+func (g *graveyard) init() { g.last = map[manager.UpstreamID]manager.Announcement{} }
+
+func (g *graveyard) bury(a manager.Announcement) {
+	if _, ok := g.last[a.Upstream]; !ok {
+		g.order = append(g.order, a.Upstream)
+	}
+	g.last[a.Upstream] = a
+	if len(g.order) > maxGraves {
+		delete(g.last, g.order[0])
+		g.order = g.order[1:]
 	}
-	return t.TimeToLive
 }
 
-func byID(a, b manager.Member) int {
-	return strings.Compare(string(a.Upstream), string(b.Upstream))
+// allows tells whether an announcement is newer than the last one of its forgotten upstream.
+func (g *graveyard) allows(a manager.Announcement) bool {
+	last, ok := g.last[a.Upstream]
+	return !ok || newer(a, last)
 }
--- a/pkg/manager/request.go
+++ b/pkg/manager/request.go
@@ -76,6 +76,8 @@
 	DurationMs Duration
 	// Failed says that the attempt brought no whole answer.
 	Failed bool
+	// Cancelled says that the caller went away first, so that nothing is known of the upstream.
+	Cancelled bool
 }
 
 // DecisionKind tells what to do with a waiting request.
--- /dev/null
+++ b/pkg/manager/slots.go
@@ -0,0 +1,103 @@
+package manager
+
+// StartID names one start of a gateway; a restarted gateway is another holder of leases.
+type StartID uint64
+
+// LoanID numbers the loans of one start of a gateway.
+type LoanID uint64
+
+// SetDigest names the set of gateways that a gateway was set up with.
+type SetDigest uint64
+
+// SlotRequest asks a peer to support leases, to lend slots and to take slots back.
+type SlotRequest struct {
+	From  Address
+	Start StartID
+	Set   SetDigest
+	// Number counts the requests of a start, so that a late release frees nothing leased since.
+	Number uint64
+	// Shards are the home gateways whose slots the sender holds or wants to hold.
+	Shards []Address `json:",omitempty"`
+	// HoldMs is how long the support is asked for.
+	HoldMs Duration `json:",omitempty"`
+	// Release names shards that the sender gave up with nothing in use.
+	Release []Address `json:",omitempty"`
+	// KeptMs is how long the sender still relies on an earlier support of the receiver.
+	KeptMs  Duration `json:",omitempty"`
+	Returns []LoanID `json:",omitempty"`
+	Borrow  *Borrow  `json:",omitempty"`
+}
+
+// Borrow asks for slots of a service.
+type Borrow struct {
+	Service ServiceID
+	Count   int
+	// HoldMs is how long the slots are needed.
+	HoldMs Duration
+}
+
+// Loan is the right to use one slot at an address, counted from the sending of the request for it.
+type Loan struct {
+	Loan    LoanID
+	Address Address
+	HoldMs  Duration
+}
+
+// SlotAnswer is a peer's answer to a SlotRequest.
+type SlotAnswer struct {
+	Start StartID
+	// Granted are the shards that the answering gateway supports the asking one for.
+	Granted []Address `json:",omitempty"`
+	// KeptMs is how long the answering gateway still relies on an earlier support of the asking one.
+	KeptMs Duration `json:",omitempty"`
+	Loans  []Loan   `json:",omitempty"`
+}
+
+// SlotExchange is a message that a gateway shall send to a peer now.
+type SlotExchange struct {
+	Peer    Address
+	Request SlotRequest
+	// Gossip says that the exchange shall carry membership too.
+	Gossip bool
+}
+
+// SlotSource tells which slots of upstreams a gateway may use; no two gateways use one at a time.
+type SlotSource interface {
+	// Free returns how many requests may start at m now and hold their slots until until.
+	Free(now Time, m Member, until Time) int
+	// Take uses a slot until Give or until, whichever comes first.
+	Take(now Time, r RequestID, m Member, until Time) bool
+	// Give returns the slot of a request.
+	Give(now Time, r RequestID)
+	// Want says that n requests of a service wait for slots that they need until until.
+	Want(now Time, s ServiceID, n int, until Time)
+}
+
+// SlotKeeper is a SlotSource that agrees with its peers by messages.
+type SlotKeeper interface {
+	SlotSource
+	// Due returns the messages to send now.
+	Due(now Time) []SlotExchange
+	// Handle answers a peer's request.
+	Handle(now Time, r SlotRequest) SlotAnswer
+	// Answered takes the answer to a request that was sent at sent.
+	Answered(now Time, sent Time, e SlotExchange, a SlotAnswer)
+	// Failed takes note that a request got no answer.
+	Failed(now Time, e SlotExchange)
+	// Holds tells whether this gateway may use any slots now.
+	Holds(now Time) bool
+	// Stop gives the leases up and returns the messages that say so; no request may start afterwards.
+	Stop(now Time) []SlotExchange
+}
+
+// PeerMessage is what one gateway sends to another.
+type PeerMessage struct {
+	Slots      *SlotRequest   `json:",omitempty"`
+	Membership *GossipMessage `json:",omitempty"`
+}
+
+// PeerAnswer is the answer to a PeerMessage.
+type PeerAnswer struct {
+	Slots      *SlotAnswer    `json:",omitempty"`
+	Membership *GossipMessage `json:",omitempty"`
+}
