Run waves pipelined under budgets with a reserve, and size pools by learned demand

Cause: waves took one VM at a time over all pools, a failure did not pause them, a lost VM left its step and its wave hanging, a late drain order could take a VM that was back in service, and the rebalancer moved VMs for every surge.

Change: package budgeter counts what is out of service by pool, service, zone and rack and keeps one VM of each limit above 1 for an unplanned loss. The applier checks permits, windows and the most at once, pauses waves on a loss in the same entry of the log, gives each order an epoch of its own, refuses a plan whose VMs or profiles have changed, and takes batches. Maintainer Pipelined plans and runs all pools at once and prints the bound; Rebalancer Shared learns demand and shares one reserve. Profiles are validated whole; a budget that bars every wave is refused.

--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -30,7 +30,7 @@
 		Settings:   p.Settings,
 		Clock:      p.Clock,
 		Store:      store,
-		Maintainer: maintainer.OneByOne{},
+		Maintainer: maintainer.Pipelined{},
 		Demand:     demand,
 	}
 	p.addPlatform(c, demand)
@@ -45,7 +45,7 @@
 	}
 	if platform != nil {
 		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
-			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Fixed{}, Demand: demand,
+			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: demand,
 		})
 	}
 	if worker != nil {
--- a/internal/controller/loops.go
+++ b/internal/controller/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -44,3 +45,24 @@
 	}
 	return f, nil
 }
+
+// proposeBatch proposes commands as few entries of the log; one that is refused does not stop the others.
+func proposeBatch(ctx context.Context, s storer.Store, commands []manager.Command) error {
+	for part := range slices.Chunk(commands, manager.MaxBatch) {
+		c := manager.Command{At: part[0].At, Batch: &manager.Batch{Commands: part}}
+		if len(part) == 1 {
+			c = part[0]
+		}
+		result, err := s.Propose(ctx, c)
+		if err != nil {
+			return fmt.Errorf("propose: %w", err)
+		}
+		if result.Failure != nil {
+			result.Refused = append(result.Refused, *result.Failure)
+		}
+		for _, f := range result.Refused {
+			klog.V(2).InfoS("Command refused", "Reason", f.Err().Error())
+		}
+	}
+	return nil
+}
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -39,6 +39,8 @@
 	draining bool
 	upAt     manager.Time
 	reboots  int
+	// returning says that the VM goes back to work once what ran on it has ended.
+	returning bool
 }
 
 var _ manager.Platform = (*Platform)(nil)
@@ -78,6 +80,7 @@
 		return nil
 	}
 	m.draining = true
+	m.returning = false
 	if p.Tenant != nil {
 		p.Tenant.Leave(v)
 	}
@@ -102,7 +105,7 @@
 	return nil
 }
 
-// Restore puts a drained VM back to work in a pool.
+// Restore puts a draining or drained VM back to work in a pool; one that still drains cuts off no work.
 func (p *Platform) Restore(_ context.Context, v manager.VMID, e manager.Epoch, pool manager.PoolID) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,17 +113,19 @@
 	if err != nil {
 		return err
 	}
-	if m.state != manager.VMDrained {
+	if m.state != manager.VMDrained && !m.draining {
 		return nil
 	}
 	m.pool = pool
-	p.start(v, m)
+	m.returning = true
+	p.advance(v, m)
 	return nil
 }
 
 func (p *Platform) start(v manager.VMID, m *machine) {
 	m.state = manager.VMRunning
 	m.draining = false
+	m.returning = false
 	if p.Tenant != nil {
 		p.Tenant.Return(v, m.pool)
 	}
@@ -133,7 +138,7 @@
 	list := make([]manager.VMObservation, 0, len(p.vms))
 	for id, m := range p.vms {
 		p.advance(id, m)
-		list = append(list, manager.VMObservation{VM: id, State: m.state})
+		list = append(list, manager.VMObservation{VM: id, State: m.shown(), Epoch: m.epoch})
 	}
 	slices.SortFunc(list, func(a, b manager.VMObservation) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return list, nil
@@ -143,16 +148,28 @@
 	if m.draining && m.state == manager.VMRunning && (p.Tenant == nil || p.Tenant.Left(v)) {
 		m.state = manager.VMDrained
 	}
+	if m.state == manager.VMDrained && m.returning {
+		p.start(v, m)
+	}
 	if m.state == manager.VMRebooting && p.Clock.Now() >= m.upAt {
 		p.start(v, m)
 	}
 }
 
+// shown returns the state that the platform tells; a VM that drains still finishes work.
+func (m *machine) shown() manager.VMState {
+	if m.draining && m.state == manager.VMRunning {
+		return manager.VMDraining
+	}
+	return m.state
+}
+
 // Fail makes a VM fail; Repair brings it back.
 func (p *Platform) Fail(v manager.VMID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms[v].state = manager.VMFailed
+	m := p.vms[v]
+	m.state, m.draining, m.returning = manager.VMFailed, false, false
 }
 
 // Repair brings a failed VM back.
--- /dev/null
+++ b/pkg/manager/applier/batch.go
@@ -0,0 +1,32 @@
+package applier
+
+import (
+	"fmt"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// applyBatch applies the commands in order; each is checked against what the ones before it left.
+func (s *State) applyBatch(b manager.Batch) (manager.Result, *manager.Failure) {
+	if len(b.Commands) > manager.MaxBatch {
+		return manager.Result{}, invalid("Batch", fmt.Sprintf("has more than %d commands", manager.MaxBatch))
+	}
+	var result manager.Result
+	for i, c := range b.Commands {
+		if f := s.applyMember(c); f != nil {
+			if f.Field != "" {
+				f.Field = fmt.Sprintf("Batch[%d].%s", i, f.Field)
+			}
+			result.Refused = append(result.Refused, *f)
+		}
+	}
+	return result, nil
+}
+
+func (s *State) applyMember(c manager.Command) *manager.Failure {
+	if c.Batch != nil || c.Command != "" {
+		return invalid("Command", "must have no id and be no batch inside a batch")
+	}
+	_, f := s.applyBody(c)
+	return f
+}
--- a/pkg/manager/applier/profiles.go
+++ b/pkg/manager/applier/profiles.go
@@ -35,6 +35,7 @@
 		history = history[len(history)-MaxHistory:]
 	}
 	s.profiles[p.Profile] = history
+	s.book.SetProfile(p)
 }
 
 func (s *State) currentVersion(id manager.ProfileID) manager.Version {
@@ -58,81 +59,10 @@
 	return slices.Clone(s.profiles[id])
 }
 
-// checkBudgetChange refuses a budget that VMs which are unavailable now already exceed.
+// checkBudgetChange refuses a budget that planned work already exceeds or that bars every wave.
 func (s *State) checkBudgetChange(p manager.Profile) *manager.Failure {
-	for _, id := range sorted(s.pools) {
-		if s.pools[id].Profile != p.Profile {
-			continue
-		}
-		usage := s.poolUsage(id)
-		if usage.planned > 0 && usage.unavailable > p.Budget.Limit(usage.size) {
-			reason := fmt.Sprintf("pool %q has %d VMs unavailable and the new budget allows %d",
-				id, usage.unavailable, p.Budget.Limit(usage.size))
-			return invalid("Budget", reason)
-		}
-	}
-	return nil
-}
-
-// ValidateProfile returns the first rule that a profile breaks.
-func ValidateProfile(p manager.Profile) *manager.Failure {
-	switch {
-	case p.Profile == "":
-		return invalid("Profile", "is missing")
-	case p.Budget.MaxUnavailable < 0:
-		return invalid("Budget.MaxUnavailable", "must not be negative")
-	case p.Budget.MaxUnavailablePercent < 0 || p.Budget.MaxUnavailablePercent > 100:
-		return invalid("Budget.MaxUnavailablePercent", "must be from 0 to 100")
-	case p.Budget.MaxUnavailable == 0 && p.Budget.MaxUnavailablePercent == 0:
-		return invalid("Budget", "needs MaxUnavailable or MaxUnavailablePercent")
-	case p.Budget.MaxPerZone < 0:
-		return invalid("Budget.MaxPerZone", "must not be negative")
-	case p.Budget.MaxPerRack < 0:
-		return invalid("Budget.MaxPerRack", "must not be negative")
-	default:
-		return validateRules(p)
-	}
-}
-
-func validateRules(p manager.Profile) *manager.Failure {
-	const minutesADay = 24 * 60
-	switch {
-	case p.Wave.MaxAtOnce < 1:
-		return invalid("Wave.MaxAtOnce", "must be at least 1")
-	case p.Wave.SettleMs < 0:
-		return invalid("Wave.SettleMs", "must not be negative")
-	case p.Wave.DrainLimitMs <= 0:
-		return invalid("Wave.DrainLimitMs", "must be more than 0")
-	case !slices.Contains([]manager.WaveOrder{manager.WaveOrderName, manager.WaveOrderZone, manager.WaveOrderRack}, p.Wave.Order):
-		return invalid("Wave.Order", `must be "name", "zone" or "rack"`)
-	case p.Wave.WindowStartMinute < 0 || p.Wave.WindowStartMinute >= minutesADay:
-		return invalid("Wave.WindowStartMinute", "must be from 0 to 1439")
-	case p.Wave.WindowEndMinute < 0 || p.Wave.WindowEndMinute >= minutesADay:
-		return invalid("Wave.WindowEndMinute", "must be from 0 to 1439")
-	case p.Weights.BufferCost < 0 || p.Weights.RollOutTime < 0 || p.Weights.Moves < 0:
-		return invalid("Weights", "must not be negative")
-	default:
-		return validateJobRules(p)
-	}
-}
-
-func validateJobRules(p manager.Profile) *manager.Failure {
-	classes := map[string]bool{}
-	for i, c := range p.JobClasses {
-		if c.Class == "" || classes[c.Class] {
-			return invalid(fmt.Sprintf("JobClasses[%d].Class", i), "must be named once")
-		}
-		classes[c.Class] = true
-	}
-	teams := map[manager.TeamID]bool{}
-	for i, q := range p.Quotas {
-		if q.Team == "" || teams[q.Team] {
-			return invalid(fmt.Sprintf("Quotas[%d].Team", i), "must be named once")
-		}
-		teams[q.Team] = true
-		if !q.Resources.Fits(manager.Resources{}) {
-			return invalid(fmt.Sprintf("Quotas[%d].Resources", i), "must not be negative")
-		}
+	if reason := s.book.CheckProfile(p); reason != "" {
+		return invalid("Budget", reason)
 	}
 	return nil
 }
--- a/pkg/manager/applier/snapshot.go
+++ b/pkg/manager/applier/snapshot.go
@@ -69,13 +69,14 @@
 	for _, history := range snap.Profiles {
 		if len(history) > 0 {
 			fresh.profiles[history[0].Profile] = history
+			fresh.book.SetProfile(history[len(history)-1])
 		}
 	}
 	for _, p := range snap.Pools {
-		fresh.pools[p.Pool] = p
+		fresh.putPool(p)
 	}
 	for _, v := range snap.VMs {
-		fresh.vms[v.VM] = v
+		fresh.putVM(v)
 	}
 	for _, w := range snap.Waves {
 		fresh.waves[w.Wave] = w
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/budgeter"
 )
 
 const (
@@ -33,6 +34,9 @@
 	jobs     map[manager.JobID]manager.Job
 	results  *resultTable
 	claims   *claimTable
+	// book counts the VMs that do not serve; settling holds those that wait for their settle time.
+	book     *budgeter.Book
+	settling map[manager.VMID]bool
 }
 
 var _ manager.Applier = (*State)(nil)
@@ -47,6 +51,8 @@
 		jobs:     map[manager.JobID]manager.Job{},
 		results:  newResultTable(),
 		claims:   newClaimTable(),
+		book:     budgeter.New(),
+		settling: map[manager.VMID]bool{},
 	}
 }
 
@@ -124,6 +130,8 @@
 		return s.setWaveState(*c.SetWaveState)
 	case c.AdvanceStep != nil:
 		return s.advanceStep(*c.AdvanceStep)
+	case c.Batch != nil:
+		return s.applyBatch(*c.Batch)
 	default:
 		return s.applyJobBody(c)
 	}
--- /dev/null
+++ b/pkg/manager/applier/steps.go
@@ -0,0 +1,152 @@
+package applier
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// stepMoves lists the states to which a step may go from each state.
+var stepMoves = map[manager.StepState][]manager.StepState{
+	manager.StepWaiting:   {manager.StepDraining, manager.StepGivenUp},
+	manager.StepDraining:  {manager.StepRebooting, manager.StepGivenUp},
+	manager.StepRebooting: {manager.StepSettling, manager.StepGivenUp},
+	manager.StepSettling:  {manager.StepDone, manager.StepGivenUp},
+}
+
+func (s *State) advanceStep(c manager.AdvanceStep) (manager.Result, *manager.Failure) {
+	w, ok := s.waves[c.Wave]
+	if !ok {
+		return manager.Result{}, notExist("wave", string(c.Wave))
+	}
+	i := slices.IndexFunc(w.Steps, func(step manager.WaveStep) bool { return step.VM == c.VM })
+	if i < 0 {
+		return manager.Result{}, notExist("step", string(c.VM))
+	}
+	if w.Steps[i].State != c.From || !slices.Contains(stepMoves[c.From], c.To) {
+		return manager.Result{}, conflict("step", string(c.VM), fmt.Sprintf("is %s and can't go from %s to %s", w.Steps[i].State, c.From, c.To))
+	}
+	v, f := s.vmAt(c.VM, c.Epoch)
+	if f != nil {
+		return manager.Result{}, f
+	}
+	if f := s.advanceVM(w, v, c); f != nil {
+		return manager.Result{}, f
+	}
+	// The wave is read again as the step may have paused it.
+	w = s.waves[c.Wave]
+	w.Steps = slices.Clone(w.Steps)
+	w.Steps[i].State = c.To
+	w.Steps[i].Reason = c.Reason
+	w.Steps[i].Since = s.now
+	if c.To == manager.StepDraining {
+		w.Steps[i].Pool = v.Pool
+		w.Reason = ""
+	}
+	s.waves[c.Wave] = w
+	return manager.Result{}, nil
+}
+
+// advanceVM does to the VM what the step's next state says; each order to the platform has an epoch
+// of its own, so that a late one of the state before is refused.
+func (s *State) advanceVM(w manager.Wave, v manager.VM, c manager.AdvanceStep) *manager.Failure {
+	if c.From != manager.StepWaiting && v.Wave != w.Wave {
+		return conflict("VM", string(v.VM), fmt.Sprintf("is not held by wave %q", w.Wave))
+	}
+	switch c.To {
+	case manager.StepDraining:
+		return s.permit(w, v)
+	case manager.StepRebooting:
+		return s.startReboot(v)
+	case manager.StepSettling:
+		if v.State != manager.VMRunning {
+			return conflict("VM", string(v.VM), fmt.Sprintf("is %s after its reboot", v.State))
+		}
+		s.setPhase(v, manager.PhaseSettling)
+	case manager.StepDone:
+		return s.finishStep(v)
+	case manager.StepGivenUp:
+		s.giveUpStep(v, c)
+	case manager.StepWaiting:
+	}
+	return nil
+}
+
+// permit takes a VM out of service for a wave if every rule and budget allows it.
+func (s *State) permit(w manager.Wave, v manager.VM) *manager.Failure {
+	if w.State != manager.WaveRunning {
+		return conflict("wave", string(w.Wave), fmt.Sprintf("is %s", w.State))
+	}
+	if !slices.Contains(w.Pools, v.Pool) {
+		return conflict("VM", string(v.VM), fmt.Sprintf("has moved to pool %q, which the wave does not cover", v.Pool))
+	}
+	p, _ := s.profile(s.pools[v.Pool].Profile)
+	if !p.Wave.Open(s.now) {
+		return conflict("pool", string(v.Pool), "is outside of its maintenance window")
+	}
+	if n := s.activeSteps(w, v.Pool); n >= p.Wave.MaxAtOnce {
+		return conflict("pool", string(v.Pool), fmt.Sprintf("has %d VMs in the wave at once already", n))
+	}
+	check := s.book.Check
+	if s.acceptsLoss(w) {
+		check = s.book.CheckWholeBudget
+	}
+	if f := s.checkTake(v, check); f != nil {
+		return f
+	}
+	v.Epoch++
+	v.Wave = w.Wave
+	s.setPhase(v, manager.PhaseDraining)
+	return nil
+}
+
+// activeSteps counts the VMs of a pool that a wave holds now.
+func (s *State) activeSteps(w manager.Wave, pool manager.PoolID) int {
+	n := 0
+	for _, step := range w.Steps {
+		if step.State.Active() && s.vms[step.VM].Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) startReboot(v manager.VM) *manager.Failure {
+	if v.State != manager.VMDrained {
+		return conflict("VM", string(v.VM), fmt.Sprintf("is %s, not drained", v.State))
+	}
+	v.Epoch++
+	s.setPhase(v, manager.PhaseRebooting)
+	return nil
+}
+
+func (s *State) finishStep(v manager.VM) *manager.Failure {
+	p, _ := s.profile(s.pools[v.Pool].Profile)
+	if v.State != manager.VMRunning || s.now.Sub(v.PhaseSince) < p.Wave.SettleMs {
+		return conflict("step", string(v.VM), "has not settled")
+	}
+	v.Epoch++
+	v.Wave = ""
+	s.setPhase(v, manager.PhaseInService)
+	return nil
+}
+
+// giveUpStep ends a VM's part in a wave; a VM that did not come back pauses the waves of its service.
+func (s *State) giveUpStep(v manager.VM, c manager.AdvanceStep) {
+	if c.From == manager.StepWaiting {
+		return
+	}
+	v = s.giveBack(v)
+	if c.From != manager.StepDraining && v.State != manager.VMRunning {
+		s.pauseWaves(v)
+	}
+}
+
+// giveBack ends a wave's hold on a VM, which has to settle before it counts as in service.
+func (s *State) giveBack(v manager.VM) manager.VM {
+	v.Epoch++
+	v.Wave = ""
+	s.setPhase(v, manager.PhaseSettling)
+	return s.vms[v.VM]
+}
--- a/pkg/manager/applier/vms.go
+++ b/pkg/manager/applier/vms.go
@@ -6,136 +6,101 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// usage counts the VMs of a pool that do not serve.
-type usage struct {
-	size        int
-	unavailable int
-	// planned counts those that the system itself took out of service.
-	planned int
-	perZone map[manager.AvailabilityZone]int
-	perRack map[manager.RackID]int
+// putVM stores a VM and keeps the counts of those that do not serve.
+func (s *State) putVM(v manager.VM) {
+	if old, ok := s.vms[v.VM]; ok {
+		s.book.Remove(old)
+	}
+	s.vms[v.VM] = v
+	s.book.Add(v)
+	if v.Phase == manager.PhaseJoining || (v.Phase == manager.PhaseSettling && v.Wave == "") {
+		s.settling[v.VM] = true
+		return
+	}
+	delete(s.settling, v.VM)
 }
 
-func (s *State) poolUsage(id manager.PoolID) usage {
-	u := usage{perZone: map[manager.AvailabilityZone]int{}, perRack: map[manager.RackID]int{}}
-	for _, v := range s.vms {
-		if v.Pool != id {
-			continue
-		}
-		u.size++
-		if v.Available() {
-			continue
-		}
-		u.unavailable++
-		u.perZone[v.AvailabilityZone]++
-		u.perRack[v.Rack]++
-		if v.Phase != manager.PhaseInService {
-			u.planned++
-		}
-	}
-	return u
+func (s *State) putPool(p manager.Pool) {
+	s.pools[p.Pool] = p
+	s.book.SetPool(p)
 }
 
-// checkTake refuses to take v out of service if that would overspend its pool's budget.
-func (s *State) checkTake(v manager.VM) *manager.Failure {
+func (s *State) setPhase(v manager.VM, p manager.Phase) {
+	v.Phase = p
+	v.PhaseSince = s.now
+	s.putVM(v)
+}
+
+// checkTake refuses to take v out of service if check names a budget that this would overspend.
+func (s *State) checkTake(v manager.VM, check func(manager.VM) string) *manager.Failure {
 	if !v.Available() {
 		return conflict("VM", string(v.VM), fmt.Sprintf("is not in service (state %q, phase %q)", v.State, v.Phase))
 	}
-	p, ok := s.profile(s.pools[v.Pool].Profile)
-	if !ok {
-		return notExist("profile", string(s.pools[v.Pool].Profile))
-	}
-	u := s.poolUsage(v.Pool)
-	limit := p.Budget.Limit(u.size)
-	if u.unavailable >= limit {
-		return conflict("pool", string(v.Pool), fmt.Sprintf("budget is spent: %d of %d unavailable", u.unavailable, limit))
-	}
-	if p.Budget.MaxPerZone > 0 && u.perZone[v.AvailabilityZone] >= p.Budget.MaxPerZone {
-		return conflict("pool", string(v.Pool), fmt.Sprintf("budget of availability zone %q is spent", v.AvailabilityZone))
-	}
-	if p.Budget.MaxPerRack > 0 && u.perRack[v.Rack] >= p.Budget.MaxPerRack {
-		return conflict("pool", string(v.Pool), fmt.Sprintf("budget of rack %q is spent", v.Rack))
+	if reason := check(v); reason != "" {
+		return conflict("pool", string(v.Pool), reason)
 	}
 	return nil
 }
 
-func (s *State) loadFleet(c manager.LoadFleet) (manager.Result, *manager.Failure) {
-	if f := s.checkLoad(c); f != nil {
-		return manager.Result{}, f
+// observeVM records what the platform says; a VM that comes back has to settle before it counts as in service.
+func (s *State) observeVM(c manager.ObserveVM) (manager.Result, *manager.Failure) {
+	v, ok := s.vms[c.VM]
+	if !ok {
+		return manager.Result{}, notExist("VM", string(c.VM))
 	}
-	for _, p := range c.Profiles {
-		if s.currentVersion(p.Profile) == 0 {
-			p.Version = 1
-			s.storeProfile(p)
-		}
+	if v.State == c.State {
+		return manager.Result{}, nil
 	}
-	for _, p := range c.Pools {
-		if _, ok := s.pools[p.Pool]; !ok {
-			s.pools[p.Pool] = p
-		}
+	if f := checkObservation(v, c); f != nil {
+		return manager.Result{}, f
 	}
-	for _, v := range c.VMs {
-		if _, ok := s.vms[v.VM]; !ok {
-			v.Epoch = 1
-			v.State = manager.VMRunning
-			s.vms[v.VM] = v
-		}
+	before := v
+	v.State = c.State
+	if c.State == manager.VMRunning {
+		markReturned(&v, s.now)
+	}
+	s.putVM(v)
+	if isDown(v) && !isDown(before) {
+		s.pauseWaves(v)
 	}
 	return manager.Result{}, nil
 }
 
-func (s *State) checkLoad(c manager.LoadFleet) *manager.Failure {
-	profiles := map[manager.ProfileID]bool{}
-	for i, p := range c.Profiles {
-		if f := ValidateProfile(p); f != nil {
-			f.Field = fmt.Sprintf("Profiles[%d].%s", i, f.Field)
-			return f
-		}
-		profiles[p.Profile] = true
-	}
-	pools := map[manager.PoolID]bool{}
-	for i, p := range c.Pools {
-		if !profiles[p.Profile] && s.currentVersion(p.Profile) == 0 {
-			return invalid(fmt.Sprintf("Pools[%d].Profile", i), fmt.Sprintf("profile %q does not exist", p.Profile))
-		}
-		pools[p.Pool] = true
-	}
-	for i, v := range c.VMs {
-		if _, ok := s.pools[v.Pool]; !ok && !pools[v.Pool] {
-			return invalid(fmt.Sprintf("VMs[%d].Pool", i), fmt.Sprintf("pool %q does not exist", v.Pool))
-		}
+// isDown tells whether a VM is lost and has not come back yet.
+func isDown(v manager.VM) bool { return v.Lost() && v.State != manager.VMRunning }
+
+// checkObservation refuses a state seen before the platform took the order to reboot: a VM that
+// still ran then has not been restarted.
+func checkObservation(v manager.VM, c manager.ObserveVM) *manager.Failure {
+	if v.Phase != manager.PhaseRebooting || c.State != manager.VMRunning || c.Epoch == 0 || c.Epoch >= v.Epoch {
+		return nil
 	}
-	return nil
+	return conflict("VM", string(v.VM), fmt.Sprintf("was seen at epoch %d before its reboot at epoch %d", c.Epoch, v.Epoch))
 }
 
-func (s *State) observeVM(c manager.ObserveVM) (manager.Result, *manager.Failure) {
-	v, ok := s.vms[c.VM]
-	if !ok {
-		return manager.Result{}, notExist("VM", string(c.VM))
-	}
-	repaired := v.State == manager.VMFailed && c.State == manager.VMRunning
-	v.State = c.State
-	if repaired && v.Phase == manager.PhaseInService {
+func markReturned(v *manager.VM, now manager.Time) {
+	switch v.Phase {
+	case manager.PhaseInService:
 		v.Phase = manager.PhaseSettling
-		v.PhaseSince = s.now
+		v.PhaseSince = now
+	case manager.PhaseSettling, manager.PhaseJoining:
+		v.PhaseSince = now
+	case manager.PhaseDraining, manager.PhaseRebooting:
 	}
-	s.vms[c.VM] = v
-	return manager.Result{}, nil
 }
 
-// endSettling returns repaired VMs to service after their profile's settle time.
+// endSettling returns VMs that have run for their profile's settle time to service.
 func (s *State) endSettling() {
-	for id, v := range s.vms {
-		if v.Phase != manager.PhaseSettling || v.Wave != "" || v.State != manager.VMRunning {
+	for id := range s.settling {
+		v := s.vms[id]
+		if v.State != manager.VMRunning {
 			continue
 		}
 		p, _ := s.profile(s.pools[v.Pool].Profile)
 		if s.now.Sub(v.PhaseSince) < p.Wave.SettleMs {
 			continue
 		}
-		v.Phase = manager.PhaseInService
-		v.PhaseSince = s.now
-		s.vms[id] = v
+		s.setPhase(v, manager.PhaseInService)
 	}
 }
 
@@ -146,7 +111,7 @@
 	}
 	v.Quarantined = c.Quarantined
 	v.Reason = c.Reason
-	s.vms[c.VM] = v
+	s.putVM(v)
 	return manager.Result{}, nil
 }
 
@@ -161,60 +126,3 @@
 	}
 	return v, nil
 }
-
-func (s *State) startMove(c manager.StartMove) (manager.Result, *manager.Failure) {
-	v, f := s.vmAt(c.VM, c.Epoch)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if _, ok := s.pools[c.To]; !ok {
-		return manager.Result{}, notExist("pool", string(c.To))
-	}
-	if c.To == v.Pool {
-		return manager.Result{}, conflict("VM", string(c.VM), "is in that pool already")
-	}
-	if f := s.checkTake(v); f != nil {
-		return manager.Result{}, f
-	}
-	v.Epoch++
-	v.MoveTo = c.To
-	v.Reason = c.Reason
-	s.setPhase(v, manager.PhaseDraining)
-	return manager.Result{}, nil
-}
-
-func (s *State) commitMove(c manager.CommitMove) (manager.Result, *manager.Failure) {
-	v, f := s.vmAt(c.VM, c.Epoch)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if v.MoveTo == "" || v.State != manager.VMDrained {
-		return manager.Result{}, conflict("VM", string(c.VM), "is not drained for a move")
-	}
-	v.Epoch++
-	v.Pool = v.MoveTo
-	v.MoveTo = ""
-	s.setPhase(v, manager.PhaseSettling)
-	return manager.Result{}, nil
-}
-
-func (s *State) abandonMove(c manager.AbandonMove) (manager.Result, *manager.Failure) {
-	v, f := s.vmAt(c.VM, c.Epoch)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if v.MoveTo == "" {
-		return manager.Result{}, conflict("VM", string(c.VM), "is not moving")
-	}
-	v.Epoch++
-	v.MoveTo = ""
-	v.Reason = c.Reason
-	s.setPhase(v, manager.PhaseSettling)
-	return manager.Result{}, nil
-}
-
-func (s *State) setPhase(v manager.VM, p manager.Phase) {
-	v.Phase = p
-	v.PhaseSince = s.now
-	s.vms[v.VM] = v
-}
--- a/pkg/manager/applier/waves.go
+++ b/pkg/manager/applier/waves.go
@@ -19,10 +19,8 @@
 	if exists && old.State != manager.WavePlanned {
 		return manager.Result{}, conflict("wave", string(w.Wave), fmt.Sprintf("is %s and can't be planned anew", old.State))
 	}
-	for i, step := range w.Steps {
-		if _, ok := s.vms[step.VM]; !ok {
-			return manager.Result{}, invalid(fmt.Sprintf("Steps[%d].VM", i), fmt.Sprintf("VM %q does not exist", step.VM))
-		}
+	if f := s.checkSteps(w); f != nil {
+		return manager.Result{}, f
 	}
 	if !exists && !s.makeRoomForWave() {
 		return manager.Result{}, conflict("wave", string(w.Wave), fmt.Sprintf("there are %d unfinished waves already", MaxWaves))
@@ -30,17 +28,84 @@
 	w.PlanVersion = old.PlanVersion + 1
 	w.State = manager.WavePlanned
 	w.Steps = slices.Clone(w.Steps)
+	w.Held, w.Accepted = false, nil
+	w.Basis = s.basis(w.Pools)
 	s.waves[w.Wave] = w
 	return waveResult(w), nil
 }
 
+// checkSteps refuses a plan whose steps are not exactly the present VMs of its pools.
+func (s *State) checkSteps(w manager.Wave) *manager.Failure {
+	if len(w.Pools) == 0 {
+		return invalid("Pools", "is empty")
+	}
+	for i, id := range w.Pools {
+		if _, ok := s.pools[id]; !ok {
+			return invalid(fmt.Sprintf("Pools[%d]", i), fmt.Sprintf("pool %q does not exist", id))
+		}
+	}
+	planned := make(map[manager.VMID]bool, len(w.Steps))
+	for i, step := range w.Steps {
+		v, ok := s.vms[step.VM]
+		if !ok {
+			return invalid(fmt.Sprintf("Steps[%d].VM", i), fmt.Sprintf("VM %q does not exist", step.VM))
+		}
+		if planned[step.VM] || step.State != manager.StepWaiting {
+			return invalid(fmt.Sprintf("Steps[%d]", i), "must wait and be the VM's only one")
+		}
+		if v.Pool != step.Pool {
+			return s.staleStep(w, step, v)
+		}
+		planned[step.VM] = true
+	}
+	return s.checkMissing(w, planned)
+}
+
+func (s *State) staleStep(w manager.Wave, step manager.WaveStep, v manager.VM) *manager.Failure {
+	reason := fmt.Sprintf("VM %q has moved from pool %q to %q since the plan was made: plan the wave anew", v.VM, step.Pool, v.Pool)
+	return conflict("wave", string(w.Wave), reason)
+}
+
+func (s *State) checkMissing(w manager.Wave, planned map[manager.VMID]bool) *manager.Failure {
+	for _, id := range sorted(s.vms) {
+		v := s.vms[id]
+		if planned[id] || !slices.Contains(w.Pools, v.Pool) {
+			continue
+		}
+		reason := fmt.Sprintf("VM %q has come to pool %q since the plan was made: plan the wave anew", id, v.Pool)
+		return conflict("wave", string(w.Wave), reason)
+	}
+	return nil
+}
+
+// basis returns what a plan over pools depends on besides their VMs.
+func (s *State) basis(pools []manager.PoolID) []manager.WaveBasis {
+	list := make([]manager.WaveBasis, 0, len(pools))
+	for _, id := range pools {
+		p := s.pools[id].Profile
+		list = append(list, manager.WaveBasis{Pool: id, Profile: p, Version: s.currentVersion(p)})
+	}
+	return list
+}
+
+// checkBasis refuses a plan whose VMs or profiles have changed since it was made.
+func (s *State) checkBasis(w manager.Wave) *manager.Failure {
+	for _, b := range w.Basis {
+		if v := s.currentVersion(b.Profile); v != b.Version {
+			reason := fmt.Sprintf("profile %q of pool %q has version %d and the plan was made for %d: plan the wave anew", b.Profile, b.Pool, v, b.Version)
+			return conflict("wave", string(w.Wave), reason)
+		}
+	}
+	return s.checkSteps(w)
+}
+
 func (s *State) makeRoomForWave() bool {
 	if len(s.waves) < MaxWaves {
 		return true
 	}
 	for _, id := range sorted(s.waves) {
 		w := s.waves[id]
-		if w.State == manager.WaveDone || w.State == manager.WaveCancelled {
+		if (w.State == manager.WaveDone || w.State == manager.WaveCancelled) && stepsEnded(w.Steps) {
 			delete(s.waves, id)
 			return true
 		}
@@ -65,6 +130,9 @@
 		reason := fmt.Sprintf("plan version %d was approved but %d is current", c.PlanVersion, w.PlanVersion)
 		return manager.Result{}, conflict("wave", string(c.Wave), reason)
 	}
+	if f := s.checkBasis(w); f != nil {
+		return manager.Result{}, f
+	}
 	w.State = manager.WaveRunning
 	w.StartedAt = s.now
 	s.waves[c.Wave] = w
@@ -89,11 +157,22 @@
 	if c.State == manager.WaveDone && !stepsEnded(w.Steps) {
 		return manager.Result{}, conflict("wave", string(c.Wave), "has steps that have not ended")
 	}
+	if f := s.checkResume(w, c); f != nil {
+		return manager.Result{}, f
+	}
+	if c.State == manager.WaveRunning && c.Accept {
+		w.Accepted = s.lostVMs(w)
+	}
+	if c.State == manager.WavePaused {
+		w.Held = w.Held || c.Held
+	} else {
+		w.Held = false
+	}
 	w.State = c.State
 	w.Reason = c.Reason
 	if c.State == manager.WaveCancelled {
 		w.Steps = slices.Clone(w.Steps)
-		dropWaiting(w.Steps, s.now)
+		s.cancelSteps(w.Steps)
 	}
 	if c.State == manager.WaveCancelled || c.State == manager.WaveDone {
 		w.FinishedAt = s.now
@@ -102,100 +181,23 @@
 	return waveResult(w), nil
 }
 
-func dropWaiting(steps []manager.WaveStep, now manager.Time) {
+// cancelSteps ends the steps that have not rebooted yet; a VM that drains returns to service, and one
+// that reboots settles first.
+func (s *State) cancelSteps(steps []manager.WaveStep) {
 	for i := range steps {
-		if steps[i].State == manager.StepWaiting {
-			steps[i].State = manager.StepGivenUp
-			steps[i].Reason = "wave cancelled"
-			steps[i].Since = now
+		step := &steps[i]
+		if step.State != manager.StepWaiting && step.State != manager.StepDraining {
+			continue
 		}
+		if step.State == manager.StepDraining {
+			s.giveBack(s.vms[step.VM])
+		}
+		step.State = manager.StepGivenUp
+		step.Reason = "wave cancelled"
+		step.Since = s.now
 	}
 }
 
 func stepsEnded(steps []manager.WaveStep) bool {
-	return !slices.ContainsFunc(steps, func(step manager.WaveStep) bool {
-		return step.State != manager.StepDone && step.State != manager.StepGivenUp
-	})
-}
-
-// stepMoves lists the states to which a step may go from each state.
-var stepMoves = map[manager.StepState][]manager.StepState{
-	manager.StepWaiting:   {manager.StepDraining, manager.StepGivenUp},
-	manager.StepDraining:  {manager.StepRebooting, manager.StepGivenUp},
-	manager.StepRebooting: {manager.StepSettling, manager.StepGivenUp},
-	manager.StepSettling:  {manager.StepDone, manager.StepGivenUp},
-}
-
-func (s *State) advanceStep(c manager.AdvanceStep) (manager.Result, *manager.Failure) {
-	w, ok := s.waves[c.Wave]
-	if !ok {
-		return manager.Result{}, notExist("wave", string(c.Wave))
-	}
-	i := slices.IndexFunc(w.Steps, func(step manager.WaveStep) bool { return step.VM == c.VM })
-	if i < 0 {
-		return manager.Result{}, notExist("step", string(c.VM))
-	}
-	if w.Steps[i].State != c.From || !slices.Contains(stepMoves[c.From], c.To) {
-		return manager.Result{}, conflict("step", string(c.VM), fmt.Sprintf("is %s and can't go from %s to %s", w.Steps[i].State, c.From, c.To))
-	}
-	v, f := s.vmAt(c.VM, c.Epoch)
-	if f != nil {
-		return manager.Result{}, f
-	}
-	if f := s.advanceVM(w, v, c); f != nil {
-		return manager.Result{}, f
-	}
-	w.Steps = slices.Clone(w.Steps)
-	w.Steps[i].State = c.To
-	w.Steps[i].Reason = c.Reason
-	w.Steps[i].Since = s.now
-	s.waves[c.Wave] = w
-	return manager.Result{}, nil
-}
-
-func (s *State) advanceVM(w manager.Wave, v manager.VM, c manager.AdvanceStep) *manager.Failure {
-	switch c.To {
-	case manager.StepDraining:
-		return s.permit(w, v)
-	case manager.StepRebooting:
-		s.setPhase(v, manager.PhaseRebooting)
-	case manager.StepSettling:
-		s.setPhase(v, manager.PhaseSettling)
-	case manager.StepDone, manager.StepGivenUp:
-		return s.release(v, c)
-	}
-	return nil
-}
-
-// permit takes a VM out of service for a wave if every budget allows it.
-func (s *State) permit(w manager.Wave, v manager.VM) *manager.Failure {
-	if w.State != manager.WaveRunning {
-		return conflict("wave", string(w.Wave), fmt.Sprintf("is %s", w.State))
-	}
-	if f := s.checkTake(v); f != nil {
-		return f
-	}
-	v.Epoch++
-	v.Wave = w.Wave
-	s.setPhase(v, manager.PhaseDraining)
-	return nil
-}
-
-// release ends a VM's part in a wave; one that is given up while out of service has to settle first.
-func (s *State) release(v manager.VM, c manager.AdvanceStep) *manager.Failure {
-	if c.From == manager.StepWaiting {
-		return nil
-	}
-	p, _ := s.profile(s.pools[v.Pool].Profile)
-	if c.To == manager.StepDone && s.now.Sub(v.PhaseSince) < p.Wave.SettleMs {
-		return conflict("step", string(c.VM), "has not settled")
-	}
-	v.Epoch++
-	v.Wave = ""
-	if c.To == manager.StepDone {
-		s.setPhase(v, manager.PhaseInService)
-		return nil
-	}
-	s.setPhase(v, manager.PhaseSettling)
-	return nil
+	return !slices.ContainsFunc(steps, func(step manager.WaveStep) bool { return !step.State.Ended() })
 }
--- /dev/null
+++ b/pkg/manager/budgeter/check.go
@@ -0,0 +1,148 @@
+package budgeter
+
+import (
+	"fmt"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// lossReserve is how much of a limit waves and moves leave for an unplanned loss; with less, a VM
+// that is lost while another is maintained overspends the budget.
+const lossReserve = 1
+
+// Spendable returns how much of a limit waves and moves may spend; a limit of 1 has no room for a reserve.
+func Spendable(limit int) int {
+	if limit <= lossReserve {
+		return limit
+	}
+	return limit - lossReserve
+}
+
+// rule is one bound of a budget on one group of VMs.
+type rule struct {
+	name  string
+	limit int
+	used  int
+}
+
+// rules returns the bounds that a VM of a pool is under; the per-domain ones only where they are set.
+func (b *Book) rules(v manager.VM) []rule {
+	pool := b.pools[v.Pool]
+	count := b.byPool[v.Pool]
+	list := make([]rule, 0, 4)
+	list = append(list, rule{fmt.Sprintf("pool %q", v.Pool), b.poolLimit(v.Pool), count.unavailable})
+	service := b.byService[pool.Service]
+	if len(b.members[pool.Service]) > 1 {
+		list = append(list, rule{fmt.Sprintf("service %q", pool.Service), b.serviceLimit(pool.Service), service.unavailable})
+	}
+	perZone, perRack := b.domainLimits(pool.Service)
+	if perZone > 0 {
+		list = append(list, rule{fmt.Sprintf("service %q in availability zone %q", pool.Service, v.AvailabilityZone), perZone, service.perZone[v.AvailabilityZone]})
+	}
+	if perRack > 0 {
+		list = append(list, rule{fmt.Sprintf("service %q in rack %q", pool.Service, v.Rack), perRack, service.perRack[v.Rack]})
+	}
+	return list
+}
+
+func (b *Book) poolLimit(id manager.PoolID) int {
+	return b.Profile(id).Budget.Limit(b.Size(id))
+}
+
+// serviceLimit returns the strictest limit of the profiles of a service's pools.
+func (b *Book) serviceLimit(s manager.ServiceID) int {
+	size := b.byService[s].size
+	limit := size
+	for _, id := range b.members[s] {
+		limit = min(limit, b.Profile(id).Budget.Limit(size))
+	}
+	return limit
+}
+
+// domainLimits returns the strictest bounds by zone and rack of a service's pools; 0 sets none.
+func (b *Book) domainLimits(s manager.ServiceID) (perZone, perRack int) {
+	for _, id := range b.members[s] {
+		budget := b.Profile(id).Budget
+		perZone = strictest(perZone, budget.MaxPerZone)
+		perRack = strictest(perRack, budget.MaxPerRack)
+	}
+	return perZone, perRack
+}
+
+func strictest(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// Check returns which rule forbids to take an available VM out of service now; it is empty if none does.
+func (b *Book) Check(v manager.VM) string { return b.check(v, Spendable) }
+
+// CheckWholeBudget is Check for work whose operator has accepted a loss: the part of the budget that
+// was kept for it may be spent too, but no more than the budget.
+func (b *Book) CheckWholeBudget(v manager.VM) string {
+	return b.check(v, func(limit int) int { return limit })
+}
+
+func (b *Book) check(v manager.VM, spendable func(int) int) string {
+	if _, ok := b.pools[v.Pool]; !ok {
+		return fmt.Sprintf("pool %q does not exist", v.Pool)
+	}
+	for _, r := range b.rules(v) {
+		if r.used >= spendable(r.limit) {
+			return r.refusal()
+		}
+	}
+	return ""
+}
+
+func (r rule) refusal() string {
+	if r.limit == 0 {
+		return fmt.Sprintf("budget of %s allows no VM to be unavailable", r.name)
+	}
+	if r.used < r.limit {
+		return fmt.Sprintf("budget of %s is spent: %d of %d unavailable, and %d is kept for an unplanned loss", r.name, r.used, r.limit, lossReserve)
+	}
+	return fmt.Sprintf("budget of %s is spent: %d of %d unavailable", r.name, r.used, r.limit)
+}
+
+// Full tells whether no VM of a pool may be taken now, whatever its zone and rack are.
+func (b *Book) Full(id manager.PoolID) bool { return b.Left(id) == 0 }
+
+// Left returns how many more VMs of a pool its own and its service's budget let be unavailable,
+// without the part kept for an unplanned loss.
+func (b *Book) Left(id manager.PoolID) int {
+	s := b.Service(id)
+	left := min(Spendable(b.poolLimit(id))-b.byPool[id].unavailable, Spendable(b.serviceLimit(s))-b.byService[s].unavailable)
+	return max(left, 0)
+}
+
+// Limit returns how many VMs of a pool may be unavailable at once, and how many are.
+func (b *Book) Limit(id manager.PoolID) (limit, unavailable int) {
+	if _, ok := b.byPool[id]; !ok {
+		return 0, 0
+	}
+	return b.poolLimit(id), b.byPool[id].unavailable
+}
+
+// Limits are the most VMs that a wave may take at once under one profile of a service.
+type Limits struct {
+	Pool    int
+	Service int
+	// PerZone and PerRack are 0 where no bound is set.
+	PerZone int
+	PerRack int
+}
+
+// SpendableLimits returns what waves may spend in a pool while nothing is lost.
+func (b *Book) SpendableLimits(id manager.PoolID) Limits {
+	s := b.Service(id)
+	perZone, perRack := b.domainLimits(s)
+	return Limits{
+		Pool:    Spendable(b.poolLimit(id)),
+		Service: Spendable(b.serviceLimit(s)),
+		PerZone: Spendable(perZone),
+		PerRack: Spendable(perRack),
+	}
+}
--- a/pkg/manager/command.go
+++ b/pkg/manager/command.go
@@ -29,6 +29,16 @@
 	RefuseJob    *RefuseJob    `json:",omitempty"`
 	MakeClaim    *MakeClaim    `json:",omitempty"`
 	RecordAnswer *RecordAnswer `json:",omitempty"`
+	Batch        *Batch        `json:",omitempty"`
+}
+
+// MaxBatch bounds the commands of a batch; a larger one is refused.
+const MaxBatch = 1_000
+
+// Batch applies commands without ids in order under one entry of the log; one that is refused does
+// not stop the others. An empty batch only moves the time on.
+type Batch struct {
+	Commands []Command
 }
 
 // ApplyProfile stores a profile; its Version is the one that the operator read, 0 for a new one.
@@ -47,6 +57,8 @@
 type ObserveVM struct {
 	VM    VMID
 	State VMState
+	// Epoch is that of the latest order which the platform has taken for the VM; 0 if unknown.
+	Epoch Epoch `json:",omitempty"`
 }
 
 // QuarantineVM bars a VM from starting tasks, or lifts the bar.
@@ -93,6 +105,10 @@
 	Wave   WaveID
 	State  WaveState
 	Reason string
+	// Held makes a pause last until an operator resumes the wave.
+	Held bool `json:",omitempty"`
+	// Accept resumes the wave despite the VMs that are lost now, and lifts an operator's pause.
+	Accept bool `json:",omitempty"`
 }
 
 // AdvanceStep moves a step on; a step that starts draining is the permit, checked against the budget.
@@ -228,6 +244,8 @@
 	Wave     *Wave        `json:",omitempty"`
 	Job      *Job         `json:",omitempty"`
 	Claim    *ClaimResult `json:",omitempty"`
+	// Refused lists the failures of a batch's commands.
+	Refused []Failure `json:",omitempty"`
 }
 
 // Applier is the replicated state: a deterministic function of the commands applied so far.
--- a/pkg/manager/fleet.go
+++ b/pkg/manager/fleet.go
@@ -14,7 +14,9 @@
 
 // States of a VM.
 const (
-	VMRunning   VMState = "running"
+	VMRunning VMState = "running"
+	// VMDraining says that the VM takes no new work and still finishes some.
+	VMDraining  VMState = "draining"
 	VMDrained   VMState = "drained"
 	VMRebooting VMState = "rebooting"
 	VMFailed    VMState = "failed"
@@ -29,6 +31,8 @@
 	PhaseDraining  Phase = "draining"
 	PhaseRebooting Phase = "rebooting"
 	PhaseSettling  Phase = "settling"
+	// PhaseJoining is the settling of a VM in the pool to which it has just moved.
+	PhaseJoining Phase = "joining"
 )
 
 // VM is a VM, the one pool that owns it and what is being done to it.
@@ -44,7 +48,9 @@
 	Wave             WaveID `json:",omitempty"`
 	// MoveTo is the pool to which a drain is meant to bring the VM.
 	MoveTo PoolID `json:",omitempty"`
-	// PhaseSince is the time at which the phase began.
+	// PoolSince is the time at which the VM came to its pool; 0 for the pool of the settings.
+	PoolSince Time `json:",omitempty"`
+	// PhaseSince is the time at which the phase began, or at which a settling VM came back.
 	PhaseSince Time `json:",omitempty"`
 	// Reason says why the VM moves or is quarantined.
 	Reason string `json:",omitempty"`
@@ -55,6 +61,17 @@
 // Available tells whether the VM serves.
 func (v VM) Available() bool { return v.State == VMRunning && v.Phase == PhaseInService }
 
+// Lost tells whether the VM is out of service, or not settled yet, for a reason other than a wave or a move.
+func (v VM) Lost() bool {
+	if v.State == VMFailed {
+		return true
+	}
+	if v.Phase == PhaseInService {
+		return v.State != VMRunning
+	}
+	return v.Phase == PhaseSettling && v.Wave == ""
+}
+
 // WaveState is the state of a wave.
 type WaveState string
 
@@ -80,6 +97,14 @@
 	StepGivenUp   StepState = "given-up"
 )
 
+// Active tells whether the step holds its VM out of service.
+func (s StepState) Active() bool {
+	return s == StepDraining || s == StepRebooting || s == StepSettling
+}
+
+// Ended tells whether the step will not change any more.
+func (s StepState) Ended() bool { return s == StepDone || s == StepGivenUp }
+
 // WaveStep is one VM's maintenance in a wave.
 type WaveStep struct {
 	VM    VMID
@@ -87,12 +112,21 @@
 	State StepState
 	// Batch is the planned group of the step, from 1.
 	Batch int `json:",omitempty"`
+	// StartMs is the planned start, counted from the start of the wave.
+	StartMs Duration `json:",omitempty"`
 	// BudgetLeft is the pool's budget that the plan leaves unspent while the step runs.
 	BudgetLeft int    `json:",omitempty"`
 	Since      Time   `json:",omitempty"`
 	Reason     string `json:",omitempty"`
 }
 
+// WaveBasis is the profile that a plan was made for in one of its pools.
+type WaveBasis struct {
+	Pool    PoolID
+	Profile ProfileID
+	Version Version
+}
+
 // Wave is a maintenance wave over pools.
 type Wave struct {
 	Wave        WaveID
@@ -100,7 +134,13 @@
 	PlanVersion Version
 	State       WaveState
 	// Reason says what a wave that does not advance waits for and which rule holds it.
-	Reason     string `json:",omitempty"`
+	Reason string `json:",omitempty"`
+	// Held says that an operator paused the wave, so that it does not resume by itself.
+	Held bool `json:",omitempty"`
+	// Accepted lists the lost VMs despite which an operator resumed the wave.
+	Accepted []VMID `json:",omitempty"`
+	// Basis is what the plan was made for; the wave may start only while it is still so.
+	Basis      []WaveBasis `json:",omitempty"`
 	Steps      []WaveStep
 	ExpectedMs Duration
 	// BoundMs is the shortest roll-out that budgets and drain times allow.
--- a/pkg/manager/profile.go
+++ b/pkg/manager/profile.go
@@ -32,15 +32,16 @@
 		o.Accelerators <= r.Accelerators
 }
 
-// Budget bounds how many VMs of a pool may be unavailable at once, planned and failed together.
+// Budget bounds how many VMs of a pool, and of all pools of its service together, may be unavailable
+// at once, planned and failed together.
 type Budget struct {
 	// MaxUnavailable is a number of VMs; 0 leaves the bound to the share.
 	MaxUnavailable int `json:",omitempty"`
-	// MaxUnavailablePercent is a share of the pool's VMs, rounded down; 0 leaves the bound to the number.
+	// MaxUnavailablePercent is a share of the VMs, rounded down; 0 leaves the bound to the number.
 	MaxUnavailablePercent Percent `json:",omitempty"`
-	// MaxPerZone bounds the unavailable VMs in one availability zone; 0 sets no bound.
+	// MaxPerZone bounds the unavailable VMs of the service in one availability zone; 0 sets no bound.
 	MaxPerZone int `json:",omitempty"`
-	// MaxPerRack bounds the unavailable VMs in one rack; 0 sets no bound.
+	// MaxPerRack bounds the unavailable VMs of the service in one rack; 0 sets no bound.
 	MaxPerRack int `json:",omitempty"`
 }
 
@@ -74,6 +75,8 @@
 	SettleMs Duration
 	// DrainLimitMs is how long a VM may drain before its maintenance is given up.
 	DrainLimitMs Duration
+	// RebootLimitMs is how long a reboot may take before the VM counts as lost; 0 takes the default.
+	RebootLimitMs Duration `json:",omitempty"`
 	// WindowStartMinute and WindowEndMinute bound the minutes of the day (UTC) in which VMs may be
 	// taken; equal values set no window.
 	WindowStartMinute int `json:",omitempty"`
--- a/pkg/manager/rebalancer/fixed.go
+++ b/pkg/manager/rebalancer/fixed.go
@@ -27,12 +27,7 @@
 
 // Plan returns the commands that start, commit or abandon moves.
 func (r *Fixed) Plan(now manager.Time, f manager.Fleet) []manager.Command {
-	var commands []manager.Command
-	for _, v := range f.VMs {
-		if v.MoveTo != "" && v.State == manager.VMDrained {
-			commands = append(commands, manager.Command{At: now, CommitMove: &manager.CommitMove{VM: v.VM, Epoch: v.Epoch}})
-		}
-	}
+	commands := progress(now, f)
 	size := map[manager.PoolID]int{}
 	for _, v := range f.VMs {
 		if v.MoveTo != "" {
@@ -83,3 +78,24 @@
 	}
 	return manager.Command{}, false
 }
+
+// Reserves returns what each pool holds and is meant to hold, ordered by pool.
+func (r *Fixed) Reserves(_ manager.Time, f manager.Fleet) []manager.PoolReserve {
+	list := make([]manager.PoolReserve, 0, len(f.Pools))
+	for _, p := range f.Pools {
+		x := manager.PoolReserve{Pool: p.Pool, Why: fmt.Sprintf("a fixed share of %d%%", reservePercent)}
+		for _, v := range f.VMs {
+			if (v.Pool == p.Pool && v.MoveTo == "") || v.MoveTo == p.Pool {
+				x.Size++
+			}
+		}
+		if d := r.demand[p.Service]; d.SlotsPerVM > 0 {
+			x.Busy = min(x.Size, (d.BusySlots+d.SlotsPerVM-1)/d.SlotsPerVM)
+		}
+		x.Idle = x.Size - x.Busy
+		x.Need = x.Busy
+		x.ReserveWanted = (x.Size*reservePercent + 99) / 100
+		list = append(list, x)
+	}
+	return list
+}
