--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -170,9 +170,9 @@
 			others = append(others, other)
 		}
 	}
-	peers, err := c.ways(node, others)
-	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: peers}
-	return s, err
+	// Gateways know each other by address, so all must use the same one.
+	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: c.addresses(others)}
+	return s, nil
 }
 
 // Operator returns an operators' client of a gateway.
--- a/pkg/manager/applier/tasks.go
+++ b/pkg/manager/applier/tasks.go
@@ -177,8 +177,8 @@
 
 // placeTasks applies a step of placement; each item is checked like a command of its own.
 func (s *State) placeTasks(b manager.TaskBatch) (manager.Result, *manager.Failure) {
-	if b.Size() > manager.MaxBatch {
-		return manager.Result{}, invalid("PlaceTasks", fmt.Sprintf("must have at most %d items", manager.MaxBatch))
+	if b.Size() > manager.MaxTaskBatch {
+		return manager.Result{}, invalid("PlaceTasks", fmt.Sprintf("must have at most %d items", manager.MaxTaskBatch))
 	}
 	var result manager.Result
 	for _, c := range b.Finish {
