Keep idle connections open while a stop is prepared

Cause: PrepareStop closed idle connections at once; a caller that was sending on one got its connection cut (EOF). Ruled out: the forwarder, as the request never reached it.

Change: while stopping, answers carry Connection: close and idle connections stay until the listener stops, after the balancer has gone elsewhere. Callers of the failure tests can send through a stand-in balancer that asks /readyz.

--- a/internal/checker/callers.go
+++ b/internal/checker/callers.go
@@ -38,6 +38,8 @@
 	Pause time.Duration
 	// Deadline is the deadline that requests carry, in milliseconds.
 	Deadline manager.Duration
+	// Balanced sends through a stand-in for the platform's balancer, which asks /readyz.
+	Balanced bool
 	// MayCut says that connections may break, as when gateways are killed; otherwise that is a violation.
 	MayCut bool
 
@@ -49,6 +51,7 @@
 	work       sync.WaitGroup
 	cancel     context.CancelFunc
 	client     *http.Client
+	balancer   *balancer
 }
 
 // Run starts one caller for each service at each gateway.
@@ -58,6 +61,10 @@
 	c.states = map[manager.RunState]int{}
 	c.latency = hdrhistogram.New(1, highestLatency, latencyDigits)
 	c.client = &http.Client{Timeout: 2 * c.Deadline.Std()}
+	if c.Balanced {
+		c.balancer = newBalancer(c.Gateways)
+		c.work.Go(func() { c.balancer.run(ctx) })
+	}
 	for g := range c.Gateways {
 		for i, s := range c.Services {
 			c.work.Go(func() { c.call(ctx, g, s, i) })
@@ -106,7 +113,7 @@
 		if i > 0 {
 			c.count(func() { c.resends++ })
 		}
-		state, err := c.send(c.Gateways[(g+i)%len(c.Gateways)], e)
+		state, err := c.send(c.pick(g+i), e)
 		if err != nil && !c.MayCut {
 			c.violate("request %s was cut: %v", e.id, err)
 		}
@@ -117,6 +124,13 @@
 	}
 }
 
+func (c *Callers) pick(n int) manager.Address {
+	if c.balancer != nil {
+		return c.balancer.pick()
+	}
+	return c.Gateways[n%len(c.Gateways)]
+}
+
 func (c *Callers) send(g manager.Address, e *exchange) (manager.RunState, error) {
 	url := fmt.Sprintf("http://%s/services/%s/lots/%s", g, e.service, e.id)
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewBufferString(string(e.id)))
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -41,6 +41,7 @@
 	http     *http.Server
 	listener net.Listener
 	inFlight atomic.Int64
+	stopping atomic.Bool
 }
 
 // NewEcho returns an echo instance with the project's error bodies.
@@ -99,18 +100,18 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.Echo.ServeHTTP(w, r)
 }
 
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() manager.Address { return manager.Address(s.listener.Addr().String()) }
 
-// PrepareStop asks clients to open no further requests on their connections.
-func (s *Server) PrepareStop() {
-	if s.http != nil {
-		s.http.SetKeepAlivesEnabled(false)
-	}
-}
+// PrepareStop asks clients to open no further requests on their connections. Idle connections stay
+// open until Stop, as a client may be sending on one of them.
+func (s *Server) PrepareStop() { s.stopping.Store(true) }
 
 // Stop closes the listener and waits for requests in flight until stop is closed.
 func (s *Server) Stop(stop <-chan struct{}) error {
