--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	answer := JobsCancelled{Cancelled: len(change.Jobs) - len(result.Refused), Refused: []manager.JobFailure{}}
-	answer.Refused = append(answer.Refused, result.Refused...)
+	answer := JobsCancelled{Cancelled: len(change.Jobs) - len(result.RefusedJobs), Refused: []manager.JobFailure{}}
+	answer.Refused = append(answer.Refused, result.RefusedJobs...)
 	return c.JSON(http.StatusOK, answer)
 }
--- a/pkg/manager/applier/jobs.go
+++ b/pkg/manager/applier/jobs.go
@@ -107,8 +107,8 @@
 }
 
 func (s *State) cancelJobs(c manager.CancelJobs) (manager.Result, *manager.Failure) {
-	if len(c.Jobs) > manager.MaxBatch {
-		return manager.Result{}, invalid("Jobs", fmt.Sprintf("must name at most %d jobs", manager.MaxBatch))
+	if len(c.Jobs) > manager.MaxTaskBatch {
+		return manager.Result{}, invalid("Jobs", fmt.Sprintf("must name at most %d jobs", manager.MaxTaskBatch))
 	}
 	var result manager.Result
 	for _, id := range c.Jobs {
@@ -121,7 +121,7 @@
 // refuse notes an item of a batch that failed.
 func refuse(r *manager.Result, id manager.JobID, f *manager.Failure) {
 	if f != nil {
-		r.Refused = append(r.Refused, manager.JobFailure{Job: id, Failure: *f})
+		r.RefusedJobs = append(r.RefusedJobs, manager.JobFailure{Job: id, Failure: *f})
 	}
 }
 
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/budgeter"
 )
 
 const (
@@ -34,6 +35,9 @@
 	results  *resultTable
 	claims   *claimTable
 	tasks    *taskIndex
+	// book counts the VMs that do not serve; settling holds those that wait for their settle time.
+	book     *budgeter.Book
+	settling map[manager.VMID]bool
 }
 
 var _ manager.Applier = (*State)(nil)
@@ -49,6 +53,8 @@
 		results:  newResultTable(),
 		claims:   newClaimTable(),
 		tasks:    newTaskIndex(),
+		book:     budgeter.New(),
+		settling: map[manager.VMID]bool{},
 	}
 }
 
@@ -126,6 +132,8 @@
 		return s.setWaveState(*c.SetWaveState)
 	case c.AdvanceStep != nil:
 		return s.advanceStep(*c.AdvanceStep)
+	case c.Batch != nil:
+		return s.applyBatch(*c.Batch)
 	default:
 		return s.applyJobBody(c)
 	}
--- a/pkg/manager/placement.go
+++ b/pkg/manager/placement.go
@@ -11,8 +11,8 @@
 	LeaseMargin = 1 * Second
 	// MaxOvercommit bounds by how much a reservation may be below the declared processors and memory.
 	MaxOvercommit = 4
-	// MaxBatch bounds the items of one batch, so that one log entry stays well below a peer's message.
-	MaxBatch = 2_000
+	// MaxTaskBatch bounds the items of one batch of tasks, so that one log entry stays well below a peer's message.
+	MaxTaskBatch = 2_000
 )
 
 // LeastReservation returns the least that may be reserved for a declared size; accelerators are never
--- a/pkg/manager/placer/adaptive.go
+++ b/pkg/manager/placer/adaptive.go
@@ -250,7 +250,7 @@
 func split(now manager.Time, b manager.TaskBatch) []manager.Command {
 	var commands []manager.Command
 	for b.Size() > 0 {
-		room := manager.MaxBatch
+		room := manager.MaxTaskBatch
 		part := manager.TaskBatch{
 			Finish: take(&b.Finish, &room), Refuse: take(&b.Refuse, &room),
 			Order: take(&b.Order, &room), Start: take(&b.Start, &room),
