--- a/internal/assembler/gateway.go
+++ b/internal/assembler/gateway.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"github.com/google/uuid"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/gateway"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -31,9 +34,10 @@
 func (p *Process) buildGateway() *gateway.Service {
 	cfg := p.Settings.Gateway
 	start := newStart()
+	self, addresses := gatewayIDs(cfg)
 	table := &gateway.LockedRegistrar{Inner: &registrar.Table{Gateway: manager.GatewayID(p.Settings.Node), Start: start}}
 	keeper := &gateway.LockedKeeper{Inner: &lender.Keeper{
-		Self: cfg.Address, Gateways: cfg.Peers, Start: start, Registrar: table, Deadline: cfg.DefaultDeadlineMs,
+		Self: self, Gateways: slices.Sorted(maps.Keys(addresses)), Start: start, Registrar: table, Deadline: cfg.DefaultDeadlineMs,
 	}}
 	return &gateway.Service{
 		Settings:  p.Settings,
@@ -47,12 +51,30 @@
 				Source: rand.New(rand.NewPCG(p.Seed, 1)), AvailabilityZone: p.Settings.AvailabilityZone,
 			},
 		},
-		Retrier: retrier.Once{},
-		Client:  &proposer.Client{Controllers: p.Settings.Controllers, Token: p.Settings.Tokens.Peer, HTTP: newClient()},
-		Peers:   newPeerClient(),
+		Retrier:   retrier.Once{},
+		Client:    &proposer.Client{Controllers: p.Settings.Controllers, Token: p.Settings.Tokens.Peer, HTTP: newClient()},
+		Peers:     newPeerClient(),
+		Addresses: addresses,
 	}
 }
 
+// gatewayIDs returns the names by which the gateways know each other, and the peers' addresses. All
+// must use the same names: those in the settings, or the addresses if none are set.
+func gatewayIDs(cfg *configurer.Gateway) (manager.GatewayID, map[manager.GatewayID]manager.Address) {
+	addresses := make(map[manager.GatewayID]manager.Address, len(cfg.Peers))
+	for i, a := range cfg.Peers {
+		if len(cfg.PeerNames) > 0 {
+			addresses[cfg.PeerNames[i]] = a
+		} else {
+			addresses[manager.GatewayID(a)] = a
+		}
+	}
+	if cfg.Name != "" {
+		return cfg.Name, addresses
+	}
+	return manager.GatewayID(cfg.Address), addresses
+}
+
 // newStart returns an id that no earlier start of this gateway had.
 func newStart() manager.StartID {
 	id := uuid.New()
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -42,7 +42,11 @@
 	Address manager.Address
 	// Peers are the addresses of the other gateways.
 	Peers []manager.Address
-	TLS   *TLS `json:",omitempty"`
+	// Name is how the other gateways name this one, if not by Address.
+	Name manager.GatewayID `json:",omitempty"`
+	// PeerNames are the names of Peers, in the same order; they are needed with Name.
+	PeerNames []manager.GatewayID `json:",omitempty"`
+	TLS       *TLS                `json:",omitempty"`
 	// DefaultDeadlineMs is the deadline of a request that names none.
 	DefaultDeadlineMs manager.Duration `json:",omitempty"`
 	// MaxBodyBytes bounds a request's body.
--- a/internal/configurer/validate.go
+++ b/internal/configurer/validate.go
@@ -81,6 +81,10 @@
 		return invalid("Gateway.DefaultDeadlineMs", "is negative: expected milliseconds")
 	case g.MaxBodyBytes < 0:
 		return invalid("Gateway.MaxBodyBytes", "is negative: expected bytes")
+	case g.Name == "" && len(g.PeerNames) > 0:
+		return invalid("Gateway.Name", "is missing: expected a name beside Gateway.PeerNames")
+	case g.Name != "" && len(g.PeerNames) != len(g.Peers):
+		return invalid("Gateway.PeerNames", "has %d names: expected one for each of Gateway.Peers (%d)", len(g.PeerNames), len(g.Peers))
 	}
 	if err := validateAddress("Gateway.Address", g.Address); err != nil {
 		return err
--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -14,6 +14,7 @@
 
 	mu      sync.Mutex
 	waiting map[manager.RequestID]waiter
+	running map[manager.RequestID]context.CancelFunc
 	demand  demandCounter
 }
 
@@ -57,10 +58,24 @@
 	return manager.Decision{}, ctx.Err()
 }
 
+// Hold returns a context for a dispatched request that ends if the request must end early; the caller
+// calls cancel after the exchange and before Finish.
+func (d *Dispatcher) Hold(ctx context.Context, id manager.RequestID) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == nil {
+		d.running = map[manager.RequestID]context.CancelFunc{}
+	}
+	d.running[id] = cancel
+	return ctx, cancel
+}
+
 // Finish gives a slot back.
 func (d *Dispatcher) Finish(o manager.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.running, o.Request)
 	d.demand.of(o.Service).BusySlots--
 	d.deliver(d.Limiter.Finish(d.Clock.Now(), o))
 }
@@ -74,6 +89,12 @@
 
 func (d *Dispatcher) deliver(decisions []manager.Decision) {
 	for _, decision := range decisions {
+		if decision.Kind == manager.DecisionAbort {
+			if cancel := d.running[decision.Request]; cancel != nil {
+				cancel()
+			}
+			continue
+		}
 		w, ok := d.waiting[decision.Request]
 		if !ok {
 			continue
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -155,7 +155,9 @@
 	}
 	start := f.Clock.Now()
 	ctx, span := tracer.Start(ctx, "gateway attempt", attribute.String("Upstream", string(decision.Member.Upstream)))
-	a, state, err := f.Exchanger.Exchange(ctx, decision.Member.Address, in)
+	held, release := f.Dispatcher.Hold(ctx, r.Request)
+	a, state, err := f.Exchanger.Exchange(held, decision.Member.Address, in)
+	release()
 	tracer.End(span, err)
 	outcome := manager.Outcome{
 		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream,
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -35,7 +35,7 @@
 }
 
 // Gossip returns the message that opens an exchange with a peer.
-func (r *LockedRegistrar) Gossip(now manager.Time, peer manager.Address) manager.GossipMessage {
+func (r *LockedRegistrar) Gossip(now manager.Time, peer manager.GatewayID) manager.GossipMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.Inner.Gossip(now, peer)
@@ -49,7 +49,7 @@
 }
 
 // Merge takes the answer to a message and returns a second message if the two still differ.
-func (r *LockedRegistrar) Merge(now, sent manager.Time, peer manager.Address, m manager.GossipMessage) (manager.GossipMessage, bool) {
+func (r *LockedRegistrar) Merge(now, sent manager.Time, peer manager.GatewayID, m manager.GossipMessage) (manager.GossipMessage, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.Inner.Merge(now, sent, peer, m)
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -31,6 +31,8 @@
 	clock     manager.Clock
 	client    *http.Client
 	token     string
+	// addresses are where the peers are reached.
+	addresses map[manager.GatewayID]manager.Address
 	// changed is called when slots may have come free.
 	changed func()
 
@@ -70,6 +72,9 @@
 		return
 	}
 	if a.Slots != nil {
+		if a.Slots.OtherSet {
+			klog.InfoS("Peer was set up with other gateways", "Peer", e.Peer)
+		}
 		p.slots.Answered(p.clock.Now(), sent, e, *a.Slots)
 	}
 	if a.Membership != nil {
@@ -81,7 +86,7 @@
 }
 
 // merge takes a peer's membership, and sends a second message if the two still differ.
-func (p *peerLoop) merge(ctx context.Context, sent manager.Time, peer manager.Address, m manager.GossipMessage) {
+func (p *peerLoop) merge(ctx context.Context, sent manager.Time, peer manager.GatewayID, m manager.GossipMessage) {
 	next, differs := p.registrar.Merge(p.clock.Now(), sent, peer, m)
 	if !differs {
 		return
@@ -98,13 +103,13 @@
 }
 
 // post sends a message with no more headers than needed, as they make up most of a small one.
-func (p *peerLoop) post(ctx context.Context, peer manager.Address, m manager.PeerMessage) (manager.PeerAnswer, error) {
+func (p *peerLoop) post(ctx context.Context, peer manager.GatewayID, m manager.PeerMessage) (manager.PeerAnswer, error) {
 	var a manager.PeerAnswer
 	body, err := json.Marshal(m)
 	if err != nil {
 		return a, fmt.Errorf("encode message to peer: %w", err)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(peer)+pathPeer, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(p.addresses[peer])+pathPeer, bytes.NewReader(body))
 	if err != nil {
 		return a, fmt.Errorf("create request to peer: %w", err)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -39,6 +39,8 @@
 	Client    *proposer.Client
 	// Peers is the HTTP client for the other gateways.
 	Peers *http.Client
+	// Addresses are where the other gateways are reached.
+	Addresses map[manager.GatewayID]manager.Address
 
 	server        *listener.Server
 	dispatcher    *forwarder.Dispatcher
@@ -68,7 +70,7 @@
 	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
 	s.peers = &peerLoop{
 		registrar: s.Registrar, slots: s.Slots, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer,
-		changed: s.dispatcher.Tick,
+		changed: s.dispatcher.Tick, addresses: s.Addresses,
 	}
 	e := listener.NewEcho()
 	listener.AddHealth(e, s.ready)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -36,11 +36,18 @@
 	k.Inner.Give(now, r)
 }
 
-// Want says that n requests of a service wait for slots that they need until until.
-func (k *LockedKeeper) Want(now manager.Time, s manager.ServiceID, n int, until manager.Time) {
+// Lost returns the running requests that must end now.
+func (k *LockedKeeper) Lost(now manager.Time) []manager.RequestID {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.Inner.Want(now, s, n, until)
+	return k.Inner.Lost(now)
+}
+
+// Want says what a service's queue asks for.
+func (k *LockedKeeper) Want(now manager.Time, w manager.SlotWant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Inner.Want(now, w)
 }
 
 // Due returns the messages to send now.
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -171,7 +171,10 @@
 		}
 	}
 	peers, err := c.ways(node, others)
-	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: peers}
+	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: peers, Name: manager.GatewayID(node)}
+	for _, other := range others {
+		s.Gateway.PeerNames = append(s.Gateway.PeerNames, manager.GatewayID(other))
+	}
 	return s, err
 }
 
--- a/pkg/manager/lender/fixed.go
+++ b/pkg/manager/lender/fixed.go
@@ -10,8 +10,8 @@
 // Static is a SlotSource of fixed shares: a gateway uses the slots whose home it is, and those of a
 // lost gateway stay idle.
 type Static struct {
-	Self     manager.Address
-	Gateways []manager.Address
+	Self     manager.GatewayID
+	Gateways []manager.GatewayID
 
 	shares  *shares
 	counter counter
@@ -66,8 +66,11 @@
 // Give returns a slot.
 func (u *Unshared) Give(_ manager.Time, r manager.RequestID) { u.counter.give(r) }
 
+// Lost returns nothing.
+func (u *Unshared) Lost(manager.Time) []manager.RequestID { return nil }
+
 // Want does nothing.
-func (u *Unshared) Want(manager.Time, manager.ServiceID, int, manager.Time) {}
+func (u *Unshared) Want(manager.Time, manager.SlotWant) {}
 
 // Free returns the slots of this gateway's share that it does not use.
 func (s *Static) Free(_ manager.Time, m manager.Member, _ manager.Time) int {
@@ -89,5 +92,8 @@
 // Give returns a slot.
 func (s *Static) Give(_ manager.Time, r manager.RequestID) { s.counter.give(r) }
 
+// Lost returns nothing.
+func (s *Static) Lost(manager.Time) []manager.RequestID { return nil }
+
 // Want does nothing.
-func (s *Static) Want(manager.Time, manager.ServiceID, int, manager.Time) {}
+func (s *Static) Want(manager.Time, manager.SlotWant) {}
--- a/pkg/manager/lender/keeper.go
+++ b/pkg/manager/lender/keeper.go
@@ -8,54 +8,57 @@
 )
 
 const (
-	// DefaultMaxHold bounds a lease; it must exceed the longest deadline by renewSlack, or a request
-	// with that deadline never gets a slot, and a restarted gateway abstains from votes for this long
-	// if a peer stays silent.
-	DefaultMaxHold = 65 * manager.Second
+	// DefaultDeadline is the deadline that leases cover if the settings name none. Requests with a
+	// longer one run on under renewed leases, and end early if a renewal fails.
+	DefaultDeadline = 10 * manager.Second
 	// exchangePeriod is the pause between two exchanges with a peer, taken in turn; a longer one lets
 	// leases run out before a majority renewed them.
 	exchangePeriod = 500 * manager.Millisecond
 	// renewSlack is added to the longest deadline in use; it must cover the exchanges with a majority,
 	// and a lost gateway's slots stay idle for it.
-	renewSlack = 4 * manager.Second
+	renewSlack = 3500 * manager.Millisecond
 	// burstPause is the least time between two rounds with every peer at once.
 	burstPause = 250 * manager.Millisecond
 	// closeMargin is how long a slot outlives its request: the connection's close and clock drift.
 	closeMargin = 250 * manager.Millisecond
+	// longestMargin is what is added to a deadline before a slot is free for sure: the time that an
+	// upstream takes to stop, and closeMargin.
+	longestMargin = 500 * manager.Millisecond
 	// holdWindow is how long a deadline counts for the length of leases.
 	holdWindow = 30 * manager.Second
 )
 
 // Keeper is the SlotKeeper of one gateway.
 type Keeper struct {
-	Self manager.Address
-	// Gateways are the addresses of all gateways; Self may be among them.
-	Gateways []manager.Address
+	Self manager.GatewayID
+	// Gateways are all gateways; Self may be among them.
+	Gateways []manager.GatewayID
 	// Start is unique to this start of the gateway.
 	Start manager.StartID
 	// Registrar tells which upstreams' slots may be lent.
 	Registrar manager.Registrar
-	// MaxHold bounds a lease in milliseconds.
-	MaxHold manager.Duration
-	// Deadline is the deadline of a request that names none, in milliseconds; leases cover it at first.
+	// Deadline is the longest deadline that a lease covers from the start, in milliseconds. A lost
+	// gateway's slots are idle for at most this long and renewSlack, and a restarted gateway abstains
+	// from votes for as long if a peer stays silent.
 	Deadline   manager.Duration
 	Assignment Assignment
 
 	shares  *shares
 	voter   *voter
-	shards  map[manager.Address]*shard
+	shards  map[manager.GatewayID]*shard
 	book    book
 	lending lending
 	hold    holdTracker
 	source  *rand.Rand
+	maxHold manager.Duration
 
 	number    uint64
-	turn      []manager.Address
+	turn      []manager.GatewayID
 	nextTurn  manager.Time
 	lastBurst manager.Time
-	kept      map[manager.Address]manager.Time
-	failed    map[manager.Address]bool
-	returned  map[manager.Address]manager.Time
+	kept      map[manager.GatewayID]manager.Time
+	failed    map[manager.GatewayID]bool
+	returned  map[manager.GatewayID]manager.Time
 	stopping  bool
 }
 
@@ -65,30 +68,38 @@
 	if k.shares != nil {
 		return
 	}
-	if k.MaxHold == 0 {
-		k.MaxHold = DefaultMaxHold
+	if k.Deadline == 0 {
+		k.Deadline = DefaultDeadline
 	}
+	k.maxHold = k.Deadline + longestMargin + renewSlack
 	k.shares = newShares(append(slices.Clone(k.Gateways), k.Self), k.Assignment)
 	k.voter = &voter{
-		gateways: k.shares.gateways, maxHold: k.MaxHold, started: now,
-		promises: map[manager.Address]promise{}, relied: map[manager.Address]manager.Time{},
+		gateways: k.shares.gateways, maxHold: k.maxHold, started: now,
+		promises: map[manager.GatewayID]promise{}, heard: map[manager.GatewayID]bool{},
 	}
 	k.source = rand.New(rand.NewPCG(startSeed(k.Start, k.Self), 1))
-	k.kept = map[manager.Address]manager.Time{}
-	k.failed = map[manager.Address]bool{}
-	k.returned = map[manager.Address]manager.Time{}
-	k.shards = map[manager.Address]*shard{k.Self: newShard(k.Self)}
+	k.kept = map[manager.GatewayID]manager.Time{}
+	k.failed = map[manager.GatewayID]bool{}
+	k.returned = map[manager.GatewayID]manager.Time{}
+	k.shards = map[manager.GatewayID]*shard{k.Self: newShard(k.Self)}
 	k.book.init()
 	k.lending.init()
-	k.hold.see(now, k.Deadline)
+	k.hold.see(now, k.Deadline+longestMargin)
 	k.lastBurst = now.Add(-burstPause)
 	k.nextTurn = now
-	k.voter.hear(now, k.Self, 0)
+	k.voter.hear(now, reliance{from: k.Self})
+	if !k.contested() {
+		k.shards[k.Self].horizon = forever
+	}
 }
 
+// contested tells whether another gateway could win this one's slots. Of two gateways neither has a
+// majority without the other, so each keeps its own.
+func (k *Keeper) contested() bool { return len(k.shares.gateways) > 2 }
+
 // holdMs is how long leases are asked for.
 func (k *Keeper) holdMs(now manager.Time) manager.Duration {
-	return min(k.hold.longest(now)+renewSlack, k.MaxHold)
+	return min(k.hold.longest(now)+renewSlack, k.maxHold)
 }
 
 // Due returns the messages to send now.
@@ -100,7 +111,7 @@
 		k.nextTurn = now.Add(exchangePeriod)
 		return k.burst(now)
 	}
-	due := k.borrowDue(now)
+	due := append(k.borrowDue(now), k.offersDue(now)...)
 	if now >= k.nextTurn && len(k.shares.gateways) > 1 {
 		k.nextTurn = now.Add(exchangePeriod)
 		due = append(due, k.exchange(now, k.nextPeer()))
@@ -108,12 +119,12 @@
 	return append(due, k.returnsDue(now)...)
 }
 
-func (k *Keeper) peers() []manager.Address {
-	return slices.DeleteFunc(slices.Clone(k.shares.gateways), func(g manager.Address) bool { return g == k.Self })
+func (k *Keeper) peers() []manager.GatewayID {
+	return slices.DeleteFunc(slices.Clone(k.shares.gateways), func(g manager.GatewayID) bool { return g == k.Self })
 }
 
 // nextPeer goes through all peers in a random order before it returns one again.
-func (k *Keeper) nextPeer() manager.Address {
+func (k *Keeper) nextPeer() manager.GatewayID {
 	if len(k.turn) == 0 {
 		k.turn = k.peers()
 		k.source.Shuffle(len(k.turn), func(i, j int) { k.turn[i], k.turn[j] = k.turn[j], k.turn[i] })
@@ -132,7 +143,7 @@
 }
 
 // exchange returns a request that renews all leases; this gateway's own vote counts at once.
-func (k *Keeper) exchange(now manager.Time, peer manager.Address) manager.SlotExchange {
+func (k *Keeper) exchange(now manager.Time, peer manager.GatewayID) manager.SlotExchange {
 	r := k.request(now, peer)
 	r.HoldMs = k.holdMs(now)
 	r.Shards = k.asked(now)
@@ -140,42 +151,65 @@
 	return manager.SlotExchange{Peer: peer, Request: r, Gossip: true}
 }
 
-func (k *Keeper) request(now manager.Time, peer manager.Address) manager.SlotRequest {
+func (k *Keeper) request(now manager.Time, peer manager.GatewayID) manager.SlotRequest {
 	k.number++
 	return manager.SlotRequest{
 		From: k.Self, Start: k.Start, Set: k.shares.digest(), Number: k.number,
-		KeptMs: max(k.kept[peer].Sub(now), 0), Returns: k.lending.takeReturns(peer),
+		KeptMs: max(k.kept[peer].Sub(now), 0), Kept: k.keptOf(now, peer), Returns: k.lending.takeReturns(peer),
 	}
 }
 
+// keptOf returns the shards for which this gateway relies on a peer.
+func (k *Keeper) keptOf(now manager.Time, peer manager.GatewayID) []manager.GatewayID {
+	if k.kept[peer] <= now {
+		return nil
+	}
+	var list []manager.GatewayID
+	for _, g := range k.shares.gateways {
+		if s := k.shards[g]; s != nil && s.grants[peer] > now {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
 // Handle answers a peer's request.
 func (k *Keeper) Handle(now manager.Time, r manager.SlotRequest) manager.SlotAnswer {
 	k.init(now)
 	if r.Set != k.shares.digest() || !slices.Contains(k.shares.gateways, r.From) {
-		return manager.SlotAnswer{Start: k.Start}
+		return manager.SlotAnswer{Start: k.Start, OtherSet: true}
 	}
-	k.hear(now, r.From, r.KeptMs)
+	k.hear(now, reliance{from: r.From, start: r.Start, shards: r.Kept, kept: r.KeptMs})
 	k.book.takeBack(r.From, r.Start, r.Returns)
-	a := manager.SlotAnswer{Start: k.Start, Granted: k.voter.vote(now, r), KeptMs: max(k.kept[r.From].Sub(now), 0)}
+	a := manager.SlotAnswer{
+		Start: k.Start, Granted: k.voter.vote(now, r),
+		KeptMs: max(k.kept[r.From].Sub(now), 0), Kept: k.keptOf(now, r.From),
+	}
 	if r.Borrow != nil {
 		a.Loans = k.lend(now, r)
 	}
+	if r.Offer != "" {
+		k.lending.takeOffer(now, r.From, r.Offer)
+	}
 	return a
 }
 
 // hear notes that a gateway lives.
-func (k *Keeper) hear(now manager.Time, from manager.Address, kept manager.Duration) {
-	k.voter.hear(now, from, kept)
-	delete(k.failed, from)
-	if _, ok := k.shards[from]; ok {
-		k.returned[from] = now
+func (k *Keeper) hear(now manager.Time, r reliance) {
+	k.voter.hear(now, r)
+	delete(k.failed, r.from)
+	if _, ok := k.shards[r.from]; ok {
+		k.returned[r.from] = now
 	}
 }
 
 // Answered takes the answer to a request that was sent at sent.
 func (k *Keeper) Answered(now, sent manager.Time, e manager.SlotExchange, a manager.SlotAnswer) {
 	k.init(now)
-	k.hear(now, e.Peer, a.KeptMs)
+	if a.OtherSet {
+		return
+	}
+	k.hear(now, reliance{from: e.Peer, start: a.Start, shards: a.Kept, kept: a.KeptMs})
 	until := sent.Add(e.Request.HoldMs)
 	for _, s := range a.Granted {
 		k.kept[e.Peer] = max(k.kept[e.Peer], until)
--- a/pkg/manager/lender/lending.go
+++ b/pkg/manager/lender/lending.go
@@ -8,19 +8,30 @@
 
 const (
 	// borrowPause is the least time between two requests for slots of one service.
-	borrowPause = 20 * manager.Millisecond
+	borrowPause = 50 * manager.Millisecond
 	// maxBorrowPause bounds the pause after peers had nothing to lend, doubled each time.
-	maxBorrowPause = 1 * manager.Second
+	maxBorrowPause = 1000 * manager.Millisecond
 	// wantAge is how long a want counts; a gateway that waits for slots lends none of them.
 	wantAge = 200 * manager.Millisecond
+	// wantForget is how long a service's wants are remembered.
+	wantForget = 10 * manager.Second
 	// idleTime is how long a borrowed slot may be idle before it is returned.
 	idleTime = 100 * manager.Millisecond
-	// silentTime is how long a service must be silent here before all its idle slots are lent.
-	silentTime = 500 * manager.Millisecond
+	// offerPause is the least time between two offers of one service's slots.
+	offerPause = 50 * manager.Millisecond
+	// waiterAge is how long a peer that asked in vain is remembered.
+	waiterAge = 1 * manager.Second
+	// waitPercent is how long requests must wait at a peer, compared with here, to get a slot that is
+	// needed here too; a smaller one hands slots to and fro.
+	waitPercent = 150
+	// leastWait is the wait in milliseconds below which slots that are needed are not handed on.
+	leastWait = 200
+	// reserveTime bounds how long a slot is kept for a peer that does not fetch it.
+	reserveTime = 100 * manager.Millisecond
 	// maxLoans bounds the slots in one answer.
 	maxLoans = 64
 	// loanSlack is added to a loan, so that a slot serves several short requests.
-	loanSlack = 1 * manager.Second
+	loanSlack = 3 * manager.Second
 )
 
 // never is a time before every other that is used.
@@ -29,7 +40,7 @@
 // borrowedSlot is a slot that a peer lent to this gateway.
 type borrowedSlot struct {
 	loan   manager.LoanID
-	lender manager.Address
+	lender manager.GatewayID
 	until  manager.Time
 	inUse  bool
 	// idleSince is when it was last given back.
@@ -40,38 +51,86 @@
 type want struct {
 	count  int
 	hold   manager.Duration
+	wait   manager.Duration
 	at     manager.Time
 	next   manager.Time
 	pause  manager.Duration
 	asking bool
-	// lastUse is when a slot of the service was last taken here.
-	lastUse manager.Time
+	// offeredBy is a peer that said it has idle slots, or empty.
+	offeredBy manager.GatewayID
+	// waiters are peers that asked in vain, in the order in which they asked.
+	waiters []waiter
+	// reservedFor is a peer whose requests wait much longer; until reservedUntil the next slot that
+	// comes free is for it.
+	reservedFor   manager.GatewayID
+	reservedUntil manager.Time
+	// nextOffer holds back the next offer.
+	nextOffer manager.Time
+}
+
+// waiter is a peer that asked in vain.
+type waiter struct {
+	peer  manager.GatewayID
+	at    manager.Time
+	least manager.Duration
+}
+
+// waits tells whether requests wait here for slots.
+func (w *want) waits(now manager.Time) bool { return w.count > 0 && now.Sub(w.at) <= wantAge }
+
+// remember notes a peer that asked in vain.
+func (w *want) remember(now manager.Time, peer manager.GatewayID, least manager.Duration) {
+	w.forget(now, peer)
+	w.waiters = append(w.waiters, waiter{peer: peer, at: now, least: least})
+}
+
+// reserve keeps the next free slot for a peer whose requests wait much longer than those here. It
+// tells whether the slots that are free now are that peer's.
+func (w *want) reserve(now manager.Time, r manager.SlotRequest) bool {
+	if now < w.reservedUntil {
+		return w.reservedFor == r.From
+	}
+	if 100*r.Borrow.WaitMs < waitPercent*w.wait || r.Borrow.WaitMs < leastWait {
+		return false
+	}
+	w.reservedFor = r.From
+	w.reservedUntil = now.Add(reserveTime)
+	return true
+}
+
+// forget drops a peer and those that asked long ago.
+func (w *want) forget(now manager.Time, peer manager.GatewayID) {
+	w.waiters = slices.DeleteFunc(w.waiters, func(o waiter) bool { return o.peer == peer || now.Sub(o.at) > waiterAge })
 }
 
 // lending keeps the borrowed slots and what is wanted.
 type lending struct {
 	slots   map[manager.Address][]*borrowedSlot
 	wants   map[manager.ServiceID]*want
-	returns map[manager.Address][]manager.LoanID
+	returns map[manager.GatewayID][]manager.LoanID
 	// sent is when slots were last returned to a peer by a message of their own.
-	sent map[manager.Address]manager.Time
+	sent map[manager.GatewayID]manager.Time
 }
 
 func (l *lending) init() {
 	l.slots = map[manager.Address][]*borrowedSlot{}
 	l.wants = map[manager.ServiceID]*want{}
-	l.returns = map[manager.Address][]manager.LoanID{}
-	l.sent = map[manager.Address]manager.Time{}
+	l.returns = map[manager.GatewayID][]manager.LoanID{}
+	l.sent = map[manager.GatewayID]manager.Time{}
 }
 
 func (l *lending) want(s manager.ServiceID) *want {
 	if l.wants[s] == nil {
-		l.wants[s] = &want{pause: borrowPause, at: never, lastUse: never}
+		l.wants[s] = &want{pause: borrowPause, at: never}
 	}
 	return l.wants[s]
 }
 
-func (l *lending) used(now manager.Time, s manager.ServiceID) { l.want(s).lastUse = now }
+// reserved tells whether the next free slot of a service is a peer's.
+func (l *lending) reserved(now manager.Time, s manager.ServiceID) bool {
+	w := l.wants[s]
+	return w != nil && now < w.reservedUntil
+}
 
 func (l *lending) free(a manager.Address, until manager.Time) int {
 	n := 0
@@ -106,36 +165,83 @@
 	}
 }
 
-// Want says that n requests of a service wait for slots that they need until until.
-func (k *Keeper) Want(now manager.Time, s manager.ServiceID, n int, until manager.Time) {
+// Want says what a service's queue asks for.
+func (k *Keeper) Want(now manager.Time, sw manager.SlotWant) {
 	k.init(now)
-	w := k.lending.want(s)
-	w.count = n
-	w.hold = until.Sub(now)
+	if sw.Count == 0 && k.lending.wants[sw.Service] == nil {
+		return
+	}
+	w := k.lending.want(sw.Service)
+	w.count = sw.Count
+	w.hold = min(sw.Until.Sub(now), k.maxHold-renewSlack)
+	w.wait = sw.WaitMs
 	w.at = now
 }
 
 // borrowDue asks a random peer for slots of each service that waits.
 func (k *Keeper) borrowDue(now manager.Time) []manager.SlotExchange {
-	peers := slices.DeleteFunc(k.peers(), func(p manager.Address) bool { return k.failed[p] })
+	peers := slices.DeleteFunc(k.peers(), func(p manager.GatewayID) bool { return k.failed[p] })
 	if len(peers) == 0 || k.stopping {
 		return nil
 	}
 	var due []manager.SlotExchange
 	for _, s := range k.lending.services() {
 		w := k.lending.wants[s]
-		if now.Sub(w.at) > wantAge || w.count == 0 || w.asking || now < w.next {
+		if !w.waits(now) || w.asking || now < w.next {
 			continue
 		}
 		w.asking = true
-		peer := peers[k.source.IntN(len(peers))]
+		peer := w.offeredBy
+		if peer == "" {
+			peer = peers[k.source.IntN(len(peers))]
+		}
+		w.offeredBy = ""
 		r := k.request(now, peer)
-		r.Borrow = &manager.Borrow{Service: s, Count: min(w.count, maxLoans), HoldMs: w.hold + closeMargin + loanSlack}
+		least := w.hold + closeMargin
+		r.Borrow = &manager.Borrow{Service: s, Count: min(w.count, maxLoans), LeastMs: least, HoldMs: least + loanSlack, WaitMs: w.wait}
 		due = append(due, manager.SlotExchange{Peer: peer, Request: r})
 	}
 	return due
 }
 
+// offersDue tells the peer that waits longest of a service's idle slots.
+func (k *Keeper) offersDue(now manager.Time) []manager.SlotExchange {
+	if k.stopping {
+		return nil
+	}
+	var due []manager.SlotExchange
+	for _, s := range k.lending.services() {
+		w := k.lending.wants[s]
+		w.forget(now, "")
+		reserved := now < w.reservedUntil
+		if len(w.waiters) == 0 || w.waits(now) && !reserved || now < w.nextOffer {
+			continue
+		}
+		i := 0
+		if reserved {
+			i = max(slices.IndexFunc(w.waiters, func(o waiter) bool { return o.peer == w.reservedFor }), 0)
+		}
+		first := w.waiters[i]
+		if _, idle := k.idleSlots(now, s, now.Add(first.least)); idle == 0 {
+			continue
+		}
+		w.nextOffer = now.Add(offerPause)
+		w.waiters = slices.Delete(w.waiters, i, i+1)
+		r := k.request(now, first.peer)
+		r.Offer = s
+		due = append(due, manager.SlotExchange{Peer: first.peer, Request: r})
+	}
+	return due
+}
+
+// takeOffer asks a peer that has idle slots at the next chance.
+func (l *lending) takeOffer(now manager.Time, from manager.GatewayID, s manager.ServiceID) {
+	if w := l.wants[s]; w != nil && w.waits(now) {
+		w.offeredBy = from
+		w.next = now
+	}
+}
+
 func (l *lending) services() []manager.ServiceID {
 	list := make([]manager.ServiceID, 0, len(l.wants))
 	for s := range l.wants {
@@ -169,21 +275,32 @@
 // lend grants loans of idle slots to a peer, from the upstreams with most of them.
 func (k *Keeper) lend(now manager.Time, r manager.SlotRequest) []manager.Loan {
 	w := k.lending.want(r.Borrow.Service)
-	hold := min(r.Borrow.HoldMs, k.MaxHold)
-	if now.Sub(w.at) <= wantAge && w.count > 0 || k.stopping || hold <= 0 {
+	if k.stopping || r.Borrow.LeastMs <= 0 {
 		return nil
 	}
-	idle, total := k.idleSlots(now, r.Borrow.Service, now.Add(hold))
-	if now.Sub(w.lastUse) < silentTime {
-		total /= 2
+	most := min(r.Borrow.Count, maxLoans)
+	if w.waits(now) {
+		if !w.reserve(now, r) {
+			w.remember(now, r.From, r.Borrow.LeastMs)
+			return nil
+		}
+		most = 1
 	}
+	idle, total := k.idleSlots(now, r.Borrow.Service, now.Add(r.Borrow.LeastMs))
 	var loans []manager.Loan
-	for len(loans) < min(r.Borrow.Count, total, maxLoans) {
+	for len(loans) < min(most, total) {
 		i := mostIdle(idle)
 		idle[i].free--
+		hold := min(r.Borrow.HoldMs, k.maxHold, k.shards[idle[i].place.shard].horizon.Sub(now))
 		id := k.book.lend(idle[i].place, r, now.Add(hold))
 		loans = append(loans, manager.Loan{Loan: id, Address: idle[i].place.address, HoldMs: hold})
 	}
+	if len(loans) > 0 && w.reservedFor == r.From {
+		w.reservedUntil = now
+	}
+	if len(loans) < r.Borrow.Count {
+		w.remember(now, r.From, r.Borrow.LeastMs)
+	}
 	return loans
 }
 
@@ -221,6 +338,15 @@
 	return list, total
 }
 
+// sweep forgets what services wanted long ago; callers choose the names.
+func (l *lending) sweep(now manager.Time) {
+	for s, w := range l.wants {
+		if now.Sub(w.at) > wantForget && now >= w.next && !w.asking && len(w.waiters) == 0 {
+			delete(l.wants, s)
+		}
+	}
+}
+
 // collect moves borrowed slots that are idle or ended out of use.
 func (l *lending) collect(now manager.Time) {
 	for _, a := range l.addresses() {
@@ -251,7 +377,7 @@
 	return list
 }
 
-func (l *lending) takeReturns(peer manager.Address) []manager.LoanID {
+func (l *lending) takeReturns(peer manager.GatewayID) []manager.LoanID {
 	loans := l.returns[peer]
 	delete(l.returns, peer)
 	return loans
@@ -260,7 +386,8 @@
 // returnsDue returns idle borrowed slots, several in a message.
 func (k *Keeper) returnsDue(now manager.Time) []manager.SlotExchange {
 	k.lending.collect(now)
-	lenders := make([]manager.Address, 0, len(k.lending.returns))
+	k.lending.sweep(now)
+	lenders := make([]manager.GatewayID, 0, len(k.lending.returns))
 	for p := range k.lending.returns {
 		if now.Sub(k.lending.sent[p]) >= idleTime {
 			lenders = append(lenders, p)
--- a/pkg/manager/lender/shard.go
+++ b/pkg/manager/lender/shard.go
@@ -14,10 +14,13 @@
 	stepBack = 1 * manager.Second
 )
 
+// forever is the horizon of a shard that no other gateway can win.
+const forever = manager.Time(1 << 60)
+
 // shard is the lease of one home gateway's slots that this gateway holds or tries to win.
 type shard struct {
-	home   manager.Address
-	grants map[manager.Address]manager.Time
+	home   manager.GatewayID
+	grants map[manager.GatewayID]manager.Time
 	// horizon is the time until which a majority supports this gateway.
 	horizon manager.Time
 	// dropped says that no request may start on the shard's slots any more.
@@ -28,12 +31,12 @@
 	pauseUntil manager.Time
 }
 
-func newShard(home manager.Address) *shard {
-	return &shard{home: home, grants: map[manager.Address]manager.Time{}}
+func newShard(home manager.GatewayID) *shard {
+	return &shard{home: home, grants: map[manager.GatewayID]manager.Time{}}
 }
 
 // grant takes a gateway's support; it only ever extends the horizon.
-func (s *shard) grant(from manager.Address, until manager.Time, majority int) {
+func (s *shard) grant(from manager.GatewayID, until manager.Time, majority int) {
 	s.grants[from] = max(s.grants[from], until)
 	if len(s.grants) < majority {
 		return
@@ -72,7 +75,7 @@
 	tried := s.horizon <= now && now.Sub(s.since) > attemptTime
 	if tried && !s.dropped {
 		next := newShard(s.home)
-		next.pauseUntil = now.Add(stepBack * manager.Duration(1+k.shares.rank(s.home, k.Self)))
+		next.pauseUntil = now.Add(stepBack * manager.Duration(1+k.shares.rank(string(s.home), k.Self)))
 		next.since = next.pauseUntil
 		k.shards[s.home] = next
 		return
@@ -84,11 +87,11 @@
 }
 
 // heirOf tells whether this gateway is the first to take up a shard, as far as it knows.
-func (k *Keeper) heirOf(home manager.Address) bool {
-	if !k.failed[home] || k.stopping {
+func (k *Keeper) heirOf(home manager.GatewayID) bool {
+	if !k.failed[home] || k.stopping || !k.contested() {
 		return false
 	}
-	for _, g := range k.shares.order(home) {
+	for _, g := range k.shares.order(string(home)) {
 		if g == home || k.failed[g] {
 			continue
 		}
@@ -110,10 +113,15 @@
 }
 
 // asked returns the shards to lease or renew, ordered by home.
-func (k *Keeper) asked(now manager.Time) []manager.Address {
-	var list []manager.Address
+func (k *Keeper) asked(now manager.Time) []manager.GatewayID {
+	var list []manager.GatewayID
 	for _, g := range k.shares.gateways {
-		if s := k.shards[g]; s != nil && !s.dropped && now >= s.pauseUntil {
+		s := k.shards[g]
+		if s == nil || now < s.pauseUntil {
+			continue
+		}
+		// A dropped shard is renewed while one of its requests still runs.
+		if !s.dropped || s.horizon > now && !k.book.idle(now, g) {
 			list = append(list, g)
 		}
 	}
@@ -121,8 +129,8 @@
 }
 
 // releases returns the shards that are given up with nothing in use or lent, ordered by home.
-func (k *Keeper) releases(now manager.Time) []manager.Address {
-	var list []manager.Address
+func (k *Keeper) releases(now manager.Time) []manager.GatewayID {
+	var list []manager.GatewayID
 	for _, g := range k.shares.gateways {
 		s := k.shards[g]
 		if s == nil {
@@ -138,7 +146,7 @@
 
 // urgent tells whether a lease is missing that a round with every peer may bring.
 func (k *Keeper) urgent(now manager.Time) bool {
-	if len(k.shares.gateways) == 1 || k.stopping {
+	if !k.contested() || k.stopping {
 		return false
 	}
 	needed := now.Add(k.hold.longest(now))
--- a/pkg/manager/lender/shares.go
+++ b/pkg/manager/lender/shares.go
@@ -26,17 +26,17 @@
 
 // shares computes the home of each slot; it depends on the set of gateways and the address alone.
 type shares struct {
-	gateways   []manager.Address
+	gateways   []manager.GatewayID
 	assignment Assignment
-	ranks      map[manager.Address]map[manager.Address]int
+	ranks      map[string]map[manager.GatewayID]int
 }
 
-func newShares(gateways []manager.Address, assignment Assignment) *shares {
+func newShares(gateways []manager.GatewayID, assignment Assignment) *shares {
 	sorted := slices.Clone(gateways)
 	slices.Sort(sorted)
 	return &shares{
 		gateways: slices.Compact(sorted), assignment: assignment,
-		ranks: map[manager.Address]map[manager.Address]int{},
+		ranks: map[string]map[manager.GatewayID]int{},
 	}
 }
 
@@ -50,26 +50,26 @@
 	return manager.SetDigest(h.Sum64())
 }
 
-func weight(key, gateway manager.Address) uint64 {
-	return xxhash.Sum64String(string(key) + "|" + string(gateway))
+func weight(key string, gateway manager.GatewayID) uint64 {
+	return xxhash.Sum64String(key + "|" + string(gateway))
 }
 
 // order returns the gateways by their rendezvous weight for key, heaviest first.
-func (s *shares) order(key manager.Address) []manager.Address {
+func (s *shares) order(key string) []manager.GatewayID {
 	list := slices.Clone(s.gateways)
-	slices.SortFunc(list, func(a, b manager.Address) int {
+	slices.SortFunc(list, func(a, b manager.GatewayID) int {
 		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
 	})
 	return list
 }
 
-func (s *shares) rank(key, gateway manager.Address) int {
+func (s *shares) rank(key string, gateway manager.GatewayID) int {
 	ranks, ok := s.ranks[key]
 	if !ok {
 		if len(s.ranks) >= maxCachedRanks {
 			clear(s.ranks)
 		}
-		ranks = make(map[manager.Address]int, len(s.gateways))
+		ranks = make(map[manager.GatewayID]int, len(s.gateways))
 		for i, g := range s.order(key) {
 			ranks[g] = i
 		}
@@ -79,17 +79,17 @@
 }
 
 // of returns how many slots of m have their home in a shard.
-func (s *shares) of(shard manager.Address, m manager.Member) int {
+func (s *shares) of(shard manager.GatewayID, m manager.Member) int {
 	slots := limit(m)
 	if s.assignment == AssignWhole {
-		if s.rank(m.Address, shard) == 0 {
+		if s.rank(string(m.Address), shard) == 0 {
 			return slots
 		}
 		return 0
 	}
 	n := len(s.gateways)
 	share := slots / n
-	if s.rank(m.Address, shard) < slots%n {
+	if s.rank(string(m.Address), shard) < slots%n {
 		share++
 	}
 	return share
@@ -99,7 +99,7 @@
 func limit(m manager.Member) int { return min(int(m.Slots), int(m.Connections)) }
 
 // startSeed mixes a start's id into the seed of its random choices.
-func startSeed(start manager.StartID, self manager.Address) uint64 {
+func startSeed(start manager.StartID, self manager.GatewayID) uint64 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(start))
 	return xxhash.Sum64(append(b[:], self...))
--- a/pkg/manager/lender/voter.go
+++ b/pkg/manager/lender/voter.go
@@ -8,7 +8,7 @@
 
 // promise is the support of one holder for one shard.
 type promise struct {
-	holder manager.Address
+	holder manager.GatewayID
 	start  manager.StartID
 	// number is the request that renewed the promise last.
 	number uint64
@@ -18,35 +18,52 @@
 // voter supports at most one holder of each shard at a time. It keeps nothing on disk: after a start
 // it abstains until every gateway has said what it still relies on, or until no promise can be left.
 type voter struct {
-	gateways []manager.Address
+	gateways []manager.GatewayID
 	maxHold  manager.Duration
 	started  manager.Time
-	promises map[manager.Address]promise
-	// relied is, by gateway, the time until which it relies on a promise made before the start.
-	relied map[manager.Address]manager.Time
+	promises map[manager.GatewayID]promise
+	// heard are the gateways that have said what they rely on.
+	heard  map[manager.GatewayID]bool
 	voting bool
 }
 
-// hear takes what a gateway relies on.
-func (v *voter) hear(now manager.Time, from manager.Address, kept manager.Duration) {
+// reliance is what a gateway says it relies on of an earlier start of this voter.
+type reliance struct {
+	from   manager.GatewayID
+	start  manager.StartID
+	shards []manager.GatewayID
+	kept   manager.Duration
+}
+
+// hear makes the promises anew that a gateway relies on. Should two rely on one shard, neither is
+// supported until both have run out.
+func (v *voter) hear(now manager.Time, r reliance) {
 	if v.voting {
 		return
 	}
-	v.relied[from] = max(v.relied[from], now.Add(max(kept, 0)))
+	v.heard[r.from] = true
+	until := now.Add(min(r.kept, v.maxHold))
+	for _, s := range r.shards {
+		p := v.promises[s]
+		if p.until > now && (p.holder != r.from || p.start != r.start) {
+			v.promises[s] = promise{until: max(p.until, until)}
+			continue
+		}
+		v.promises[s] = promise{holder: r.from, start: r.start, until: max(p.until, until)}
+	}
 }
 
 // ready tells whether the voter may vote.
 func (v *voter) ready(now manager.Time) bool {
-	if v.voting {
-		return true
+	if !v.voting {
+		v.voting = now.Sub(v.started) >= v.maxHold || v.allHeard()
 	}
-	v.voting = now.Sub(v.started) >= v.maxHold || v.allHeard(now)
 	return v.voting
 }
 
-func (v *voter) allHeard(now manager.Time) bool {
+func (v *voter) allHeard() bool {
 	for _, g := range v.gateways {
-		if until, ok := v.relied[g]; !ok || until > now {
+		if !v.heard[g] {
 			return false
 		}
 	}
@@ -54,7 +71,7 @@
 }
 
 // vote returns the shards for which the asking holder is supported.
-func (v *voter) vote(now manager.Time, r manager.SlotRequest) []manager.Address {
+func (v *voter) vote(now manager.Time, r manager.SlotRequest) []manager.GatewayID {
 	for _, s := range r.Release {
 		if p := v.promises[s]; p.holder == r.From && p.start == r.Start && p.number < r.Number {
 			delete(v.promises, s)
@@ -64,7 +81,7 @@
 		return nil
 	}
 	hold := min(r.HoldMs, v.maxHold)
-	var granted []manager.Address
+	var granted []manager.GatewayID
 	for _, s := range r.Shards {
 		if !slices.Contains(v.gateways, s) || hold <= 0 {
 			continue
--- a/pkg/manager/limiter/deadline.go
+++ b/pkg/manager/limiter/deadline.go
@@ -18,7 +18,10 @@
 	tailShare = 0.99
 	// typicalShare is the share of service times for which a request must still have time when it
 	// starts; it is refused otherwise.
-	typicalShare = 0.5
+	typicalShare = 0.9
+	// lingerTime is how long a slot stays taken after an exchange that got no whole answer: the
+	// upstream stops the work when it sees the connection close.
+	lingerTime = 250 * manager.Millisecond
 )
 
 // Deadline is a Limiter whose queues are bounded in time: it refuses at once what would wait too
@@ -36,8 +39,16 @@
 	order    []manager.ServiceID
 	entries  map[manager.RequestID]*entry
 	running  map[manager.RequestID]manager.Member
-	arrived  uint64
-	turn     int
+	// lingering are the slots to give back later, in the order of their times.
+	lingering []lingerer
+	arrived   uint64
+	turn      int
+}
+
+// lingerer is a slot whose request may still run.
+type lingerer struct {
+	request manager.RequestID
+	until   manager.Time
 }
 
 // service is the queue of one service at this gateway.
@@ -154,7 +165,11 @@
 		return nil
 	}
 	delete(l.running, o.Request)
-	l.Slots.Give(now, o.Request)
+	if o.RunState == manager.RunStateUnknown {
+		l.lingering = append(l.lingering, lingerer{request: o.Request, until: now.Add(lingerTime)})
+	} else {
+		l.Slots.Give(now, o.Request)
+	}
 	s := l.of(m.Service)
 	s.running--
 	s.inUse[m.Upstream]--
@@ -180,7 +195,14 @@
 // service each time, so that none is always first.
 func (l *Deadline) Tick(now manager.Time) []manager.Decision {
 	l.init()
+	for len(l.lingering) > 0 && l.lingering[0].until <= now {
+		l.Slots.Give(now, l.lingering[0].request)
+		l.lingering = l.lingering[1:]
+	}
 	var decisions []manager.Decision
+	for _, id := range l.Slots.Lost(now) {
+		decisions = append(decisions, manager.Decision{Request: id, Kind: manager.DecisionAbort})
+	}
 	l.turn++
 	n := len(l.order)
 	for i := range n {
@@ -214,7 +236,9 @@
 		}
 		m, ok := l.pick(now, s, head.request)
 		if !ok {
-			l.Slots.Want(now, s.id, len(s.queue), head.request.Deadline)
+			l.Slots.Want(now, manager.SlotWant{
+				Service: s.id, Count: len(s.queue), Until: head.request.Deadline.Add(lingerTime), WaitMs: s.wait(len(s.queue)),
+			})
 			break
 		}
 		l.drop(s, head)
@@ -222,6 +246,9 @@
 			Request: head.request.Request, Kind: manager.DecisionDispatch, Member: m, WaitedMs: now.Sub(head.since),
 		})
 	}
+	if len(s.queue) == 0 {
+		l.Slots.Want(now, manager.SlotWant{Service: s.id})
+	}
 	return decisions
 }
 
@@ -245,7 +272,7 @@
 func (l *Deadline) pick(now manager.Time, s *service, r manager.Request) (manager.Member, bool) {
 	var free []manager.Candidate
 	for _, m := range l.Registrar.Ready(now, r.Service) {
-		if n := l.Slots.Free(now, m, r.Deadline); n > 0 {
+		if n := l.Slots.Free(now, m, r.Deadline.Add(lingerTime)); n > 0 {
 			inUse := s.inUse[m.Upstream]
 			free = append(free, manager.Candidate{Member: m, InUse: inUse, Share: manager.Slots(inUse + n)})
 		}
@@ -256,7 +283,7 @@
 	}
 	i := slices.IndexFunc(free, func(c manager.Candidate) bool { return c.Member.Upstream == id })
 	m := free[i].Member
-	if !l.Slots.Take(now, r.Request, m, r.Deadline) {
+	if !l.Slots.Take(now, r.Request, m, r.Deadline.Add(lingerTime)) {
 		return manager.Member{}, false
 	}
 	s.running++
--- a/pkg/manager/membership.go
+++ b/pkg/manager/membership.go
@@ -78,12 +78,12 @@
 	// Announce takes what an upstream said directly.
 	Announce(now Time, a Announcement) error
 	// Gossip returns the message that opens an exchange with a peer.
-	Gossip(now Time, peer Address) GossipMessage
+	Gossip(now Time, peer GatewayID) GossipMessage
 	// Answer takes a peer's message and returns the answer.
 	Answer(now Time, m GossipMessage) GossipMessage
 	// Merge takes the answer to a message that was sent at sent, and returns a second message if the
 	// two gateways still differ.
-	Merge(now, sent Time, peer Address, m GossipMessage) (GossipMessage, bool)
+	Merge(now, sent Time, peer GatewayID, m GossipMessage) (GossipMessage, bool)
 	// Ready returns the upstreams of a service that may get new work, ordered by id; the list must
 	// not be changed.
 	Ready(now Time, s ServiceID) []Member
--- a/pkg/manager/registrar/gossip.go
+++ b/pkg/manager/registrar/gossip.go
@@ -51,7 +51,7 @@
 }
 
 // Gossip returns the message that opens an exchange with a peer.
-func (t *Table) Gossip(now manager.Time, peer manager.Address) manager.GossipMessage {
+func (t *Table) Gossip(now manager.Time, peer manager.GatewayID) manager.GossipMessage {
 	t.init()
 	t.forget(now)
 	m := t.message(now)
@@ -133,7 +133,7 @@
 
 // Merge takes the answer to a message that was sent at sent, and returns a second message if the two
 // gateways still differ.
-func (t *Table) Merge(now, sent manager.Time, peer manager.Address, m manager.GossipMessage) (manager.GossipMessage, bool) {
+func (t *Table) Merge(now, sent manager.Time, peer manager.GatewayID, m manager.GossipMessage) (manager.GossipMessage, bool) {
 	t.init()
 	t.echoes[peer] = echo{clock: m.Clock, start: m.Start, at: now}
 	t.accept(now, now.Sub(sent), m)
--- a/pkg/manager/registrar/table.go
+++ b/pkg/manager/registrar/table.go
@@ -45,7 +45,7 @@
 	digest  manager.MembershipDigest
 	version uint64
 	graves  graveyard
-	echoes  map[manager.Address]echo
+	echoes  map[manager.GatewayID]echo
 	rumors  []rumor
 	views   map[manager.ServiceID]view
 }
@@ -72,7 +72,7 @@
 		return
 	}
 	t.members = map[manager.UpstreamID]*record{}
-	t.echoes = map[manager.Address]echo{}
+	t.echoes = map[manager.GatewayID]echo{}
 	t.views = map[manager.ServiceID]view{}
 	t.graves.init()
 	if t.MaxMembers == 0 {
--- a/pkg/manager/request.go
+++ b/pkg/manager/request.go
@@ -87,6 +87,8 @@
 const (
 	DecisionDispatch DecisionKind = iota + 1
 	DecisionRefuse
+	// DecisionAbort ends a running request: its slot may be another gateway's soon.
+	DecisionAbort
 )
 
 // Decision is the limiter's answer for one request.
--- a/pkg/manager/slots.go
+++ b/pkg/manager/slots.go
@@ -11,29 +11,45 @@
 
 // SlotRequest asks a peer to support leases, to lend slots and to take slots back.
 type SlotRequest struct {
-	From  Address
+	From  GatewayID
 	Start StartID
 	Set   SetDigest
 	// Number counts the requests of a start, so that a late release frees nothing leased since.
 	Number uint64
 	// Shards are the home gateways whose slots the sender holds or wants to hold.
-	Shards []Address `json:",omitempty"`
+	Shards []GatewayID `json:",omitempty"`
 	// HoldMs is how long the support is asked for.
 	HoldMs Duration `json:",omitempty"`
 	// Release names shards that the sender gave up with nothing in use.
-	Release []Address `json:",omitempty"`
-	// KeptMs is how long the sender still relies on an earlier support of the receiver.
-	KeptMs  Duration `json:",omitempty"`
-	Returns []LoanID `json:",omitempty"`
-	Borrow  *Borrow  `json:",omitempty"`
+	Release []GatewayID `json:",omitempty"`
+	// KeptMs is how long the sender still relies on an earlier support of the receiver for Kept.
+	KeptMs  Duration    `json:",omitempty"`
+	Kept    []GatewayID `json:",omitempty"`
+	Returns []LoanID    `json:",omitempty"`
+	Borrow  *Borrow     `json:",omitempty"`
+	// Offer names a service whose slots the receiver asked for in vain and that now has idle ones.
+	Offer ServiceID `json:",omitempty"`
 }
 
 // Borrow asks for slots of a service.
 type Borrow struct {
 	Service ServiceID
 	Count   int
-	// HoldMs is how long the slots are needed.
-	HoldMs Duration
+	// LeastMs is how long the slots are needed at the least, and HoldMs how long they are of use.
+	LeastMs Duration
+	HoldMs  Duration
+	// WaitMs is how long the last of the waiting requests is expected to wait.
+	WaitMs Duration `json:",omitempty"`
+}
+
+// SlotWant is what a service's queue asks for; a count of 0 says that nothing waits any more.
+type SlotWant struct {
+	Service ServiceID
+	Count   int
+	// Until is the time until which the first request needs its slot.
+	Until Time
+	// WaitMs is how long the last request is expected to wait.
+	WaitMs Duration
 }
 
 // Loan is the right to use one slot at an address, counted from the sending of the request for it.
@@ -47,15 +63,19 @@
 type SlotAnswer struct {
 	Start StartID
 	// Granted are the shards that the answering gateway supports the asking one for.
-	Granted []Address `json:",omitempty"`
-	// KeptMs is how long the answering gateway still relies on an earlier support of the asking one.
-	KeptMs Duration `json:",omitempty"`
-	Loans  []Loan   `json:",omitempty"`
+	Granted []GatewayID `json:",omitempty"`
+	// KeptMs is how long the answering gateway still relies on an earlier support of the asking one
+	// for Kept.
+	KeptMs Duration    `json:",omitempty"`
+	Kept   []GatewayID `json:",omitempty"`
+	// OtherSet says that the answering gateway was set up with other gateways, so that it supports none.
+	OtherSet bool   `json:",omitempty"`
+	Loans    []Loan `json:",omitempty"`
 }
 
 // SlotExchange is a message that a gateway shall send to a peer now.
 type SlotExchange struct {
-	Peer    Address
+	Peer    GatewayID
 	Request SlotRequest
 	// Gossip says that the exchange shall carry membership too.
 	Gossip bool
@@ -65,12 +85,15 @@
 type SlotSource interface {
 	// Free returns how many requests may start at m now and hold their slots until until.
 	Free(now Time, m Member, until Time) int
-	// Take uses a slot until Give or until, whichever comes first.
+	// Take uses a slot until Give or until, whichever comes first, unless Lost names the request.
 	Take(now Time, r RequestID, m Member, until Time) bool
 	// Give returns the slot of a request.
 	Give(now Time, r RequestID)
-	// Want says that n requests of a service wait for slots that they need until until.
-	Want(now Time, s ServiceID, n int, until Time)
+	// Lost returns the running requests whose slots may be another gateway's soon, so that they must
+	// end now; each is named once.
+	Lost(now Time) []RequestID
+	// Want says what a service's queue asks for.
+	Want(now Time, w SlotWant)
 }
 
 // SlotKeeper is a SlotSource that agrees with its peers by messages.
