--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -170,9 +170,12 @@
 			others = append(others, other)
 		}
 	}
-	// Gateways know each other by address, so all must use the same one.
-	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: c.addresses(others)}
-	return s, nil
+	peers, err := c.ways(node, others)
+	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], Peers: peers, Name: manager.GatewayID(node)}
+	for _, other := range others {
+		s.Gateway.PeerNames = append(s.Gateway.PeerNames, manager.GatewayID(other))
+	}
+	return s, err
 }
 
 // Operator returns an operators' client of a gateway.
