--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/budgeter"
 )
 
 const (
@@ -33,6 +34,10 @@
 	jobs     map[manager.JobID]manager.Job
 	results  *resultTable
 	claims   *claimTable
+	tasks    *taskIndex
+	// book counts the VMs that do not serve; settling holds those that wait for their settle time.
+	book     *budgeter.Book
+	settling map[manager.VMID]bool
 }
 
 var _ manager.Applier = (*State)(nil)
@@ -47,6 +52,9 @@
 		jobs:     map[manager.JobID]manager.Job{},
 		results:  newResultTable(),
 		claims:   newClaimTable(),
+		tasks:    newTaskIndex(),
+		book:     budgeter.New(),
+		settling: map[manager.VMID]bool{},
 	}
 }
 
@@ -124,6 +132,8 @@
 		return s.setWaveState(*c.SetWaveState)
 	case c.AdvanceStep != nil:
 		return s.advanceStep(*c.AdvanceStep)
+	case c.Batch != nil:
+		return s.applyBatch(*c.Batch)
 	default:
 		return s.applyJobBody(c)
 	}
@@ -146,7 +156,7 @@
 		w.Steps = slices.Clone(w.Steps)
 		f.Waves = append(f.Waves, w)
 	}
-	f.Jobs = values(s.jobs)
+	f.Jobs = s.jobView()
 	return f
 }
 
