Forward over own connections, bound memory in flight, stop promptly

Cause: exchanges went over net/http's client; bodies were held without a common bound; a refusal of a later attempt could say not-run although an earlier one may have run; a stop waited 5 s for each client connection on which nothing was ever sent. Change: the forwarder uses internal/connector, streams what it can't hold and cuts the caller's connection with a cut answer, refuses with 400, 408, 413, 431 and 503 as JSON, strips what only a gateway may say, lets a non-idempotent exchange go on when its caller is gone, and the listener ends silent connections after 100 ms.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -17,6 +17,11 @@
 // check connections at each slow answer.
 const leastSilence = 50 * time.Millisecond
 
+// sent is the end of writing a request.
+type sent struct {
+	err error
+}
+
 // exchange is one request on its way.
 type exchange struct {
 	ctx       context.Context
@@ -26,7 +31,7 @@
 	lift      func() bool
 	watch     *time.Timer
 	// written is closed when a large request is written, or nil for a small one.
-	written chan error
+	written chan sent
 	// limit is how long the upstream keeps the connection idle, or 0 if it did not say.
 	limit manager.Duration
 }
@@ -83,15 +88,15 @@
 	})
 }
 
-func (e *exchange) roundTrip(r *http.Request, body []byte) (*http.Response, error) {
+func (e *exchange) roundTrip(r *http.Request, body []byte) (*incoming, error) {
 	if len(body) <= inlineBytes {
 		if err := e.link.send(r, body); err != nil {
 			return nil, err
 		}
 		return e.link.reader.next(r)
 	}
-	e.written = make(chan error, 1)
-	go func() { e.written <- e.link.send(r, body) }()
+	e.written = make(chan sent, 1)
+	go func() { e.written <- sent{err: e.link.send(r, body)} }()
 	return e.link.reader.next(r)
 }
 
@@ -120,7 +125,7 @@
 }
 
 // answer holds the body as far as memory allows.
-func (e *exchange) answer(response *http.Response, grow func(int64) bool) (*Answer, error) {
+func (e *exchange) answer(response *incoming, grow func(int64) bool) (*Answer, error) {
 	a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	body, err := readHeld(response, grow)
 	if err != nil {
@@ -139,12 +144,12 @@
 }
 
 // done ends an exchange whose answer was read to its end.
-func (e *exchange) done(response *http.Response) {
+func (e *exchange) done(response *incoming) {
 	limit, keep := keepAlive(response)
 	if e.written != nil {
 		select {
-		case err := <-e.written:
-			keep = keep && err == nil
+		case s := <-e.written:
+			keep = keep && s.err == nil
 			e.written = nil
 		default:
 			keep = false
@@ -184,7 +189,7 @@
 // rest is the part of a body that was too large to hold.
 type rest struct {
 	exchange *exchange
-	response *http.Response
+	response *incoming
 	ended    bool
 }
 
@@ -219,7 +224,7 @@
 }
 
 // readHeld reads a body as long as grow gives memory for it.
-func readHeld(response *http.Response, grow func(int64) bool) (held, error) {
+func readHeld(response *incoming, grow func(int64) bool) (held, error) {
 	if response.Body == http.NoBody {
 		return held{}, nil
 	}
@@ -255,7 +260,7 @@
 }
 
 // keepAlive tells whether the upstream keeps the connection, and for how long at the least.
-func keepAlive(r *http.Response) (manager.Duration, bool) {
+func keepAlive(r *incoming) (manager.Duration, bool) {
 	// margin is the time that a request may be on its way while the upstream's time runs out.
 	const margin = 1 * manager.Second
 	if r.Close {
--- a/internal/connector/head.go
+++ b/internal/connector/head.go
@@ -76,8 +76,13 @@
 	body   *bufio.Reader
 }
 
+// incoming is an answer whose body ends with its exchange.
+type incoming struct {
+	*http.Response
+}
+
 // next reads the head of the next answer, skipping interim ones.
-func (r *reader) next(request *http.Request) (*http.Response, error) {
+func (r *reader) next(request *http.Request) (*incoming, error) {
 	for range maxInterim {
 		head, err := readHead(r.source)
 		if err != nil {
@@ -87,7 +92,7 @@
 			return nil, err
 		}
 		r.body.Reset(io.MultiReader(bytes.NewReader(head), r.source))
-		response, err := http.ReadResponse(r.body, request)
+		response, err := http.ReadResponse(r.body, request) //nolint:bodyclose // The exchange ends it with its connection.
 		if err != nil {
 			return nil, fmt.Errorf("parse headers: %w", errors.Join(ErrFraming, err))
 		}
@@ -95,7 +100,7 @@
 			return nil, ErrSwitch
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return &incoming{Response: response}, nil
 		}
 		if r.body.Buffered() > 0 {
 			return nil, fmt.Errorf("interim answer with a body: %w", ErrFraming)
--- a/internal/connector/main_test.go
+++ b/internal/connector/main_test.go
@@ -51,10 +51,10 @@
 	body       string
 }
 
-func newStandIn(t testing.TB, answer func(turn) bool) *standIn {
-	t.Helper()
+func newStandIn(tb testing.TB, answer func(turn) bool) *standIn {
+	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	s := &standIn{address: manager.Address(l.Addr().String()), l: l}
 	s.work.Go(func() {
 		for {
@@ -70,7 +70,7 @@
 			s.work.Go(func() { s.serve(conn, n, answer) })
 		}
 	})
-	t.Cleanup(s.close)
+	tb.Cleanup(s.close)
 	return s
 }
 
@@ -127,11 +127,11 @@
 	return err == nil
 }
 
-func newConnector(t testing.TB) *connector.Connector {
-	t.Helper()
+func newConnector(tb testing.TB) *connector.Connector {
+	tb.Helper()
 	c := &connector.Connector{Clock: timekeeper.New()}
 	c.Start()
-	t.Cleanup(c.Stop)
+	tb.Cleanup(c.Stop)
 	return c
 }
 
--- a/internal/connector/transport.go
+++ b/internal/connector/transport.go
@@ -69,7 +69,7 @@
 		return nil, ErrExchange{RunState: state, Stage: "send", Err: err}
 	}
 	defer response.Body.Close()
-	body, err := readHeld(response, r.Grow)
+	body, err := readHeld(&incoming{Response: response}, r.Grow)
 	if err != nil || body.rest {
 		return nil, ErrExchange{RunState: manager.RunStateUnknown, Stage: "answer", Err: fmt.Errorf("read answer: %w", err)}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"strconv"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -12,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/connector"
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -30,7 +28,11 @@
 	Dispatcher *Dispatcher
 	Retrier    manager.Retrier
 	Claims     Proposer
-	Exchanger  *Exchanger
+	Exchanger  connector.Exchanger
+	// Gateways is how many gateways share the upstreams' connections.
+	Gateways int
+	// Memory bounds what requests in flight hold.
+	Memory Memory
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// DefaultDeadline is the deadline of a request that names none, in milliseconds.
@@ -41,41 +43,21 @@
 	counter atomic.Uint64
 }
 
-// reply is what the caller gets: an upstream's answer or a refusal.
-type reply struct {
-	state   manager.RunState
-	answer  answer
-	status  int
-	refusal *manager.Refusal
-}
-
-func refuse(status int, r manager.Refusal) reply {
-	return reply{state: r.RunState, status: status, refusal: &r}
-}
-
-func notRun(code manager.RefusalCode, message string) reply {
-	const retryAfter = 1 * manager.Second
-	return refuse(http.StatusServiceUnavailable, manager.Refusal{
-		Code: code, Message: message, RunState: manager.RunStateNotRun, RetryAfterMs: retryAfter,
-	})
-}
-
 // Handle answers one request of a caller.
 func (f *Forwarder) Handle(c echo.Context) error {
 	r := c.Request()
 	start := f.Clock.Now()
-	in, err := readRequest(c, f.MaxBodyBytes, f.DefaultDeadline)
+	in, err := f.read(c)
+	defer in.memory.free()
 	if err != nil {
-		return f.write(c, in, refuse(http.StatusBadRequest, manager.Refusal{
-			Code: manager.RefusalBadRequest, Message: err.Error(), RunState: manager.RunStateNotRun,
-		}))
+		return f.write(c, in, refuseRequest(err))
 	}
-	ctx, cancel := context.WithTimeout(tracer.Extract(r.Context(), r.Header), in.deadlineMs.Std())
+	ctx, cancel := context.WithDeadline(tracer.Extract(r.Context(), r.Header), in.until)
 	defer cancel()
 	ctx, span := tracer.Start(ctx, "gateway request", attribute.String("Service", string(in.service)), attribute.String("Request", string(in.id)))
+	defer span.End()
 	out := f.serve(ctx, in, start.Add(in.deadlineMs))
 	span.SetAttributes(attribute.String("Run-State", string(out.state)))
-	span.End()
 	meter.Requests(in.service, out.state).Inc()
 	meter.RequestSeconds(in.service).Update(f.Clock.Now().Sub(start).Std().Seconds())
 	return f.write(c, in, out)
@@ -107,8 +89,22 @@
 	case result.Claim.State != manager.ClaimGranted:
 		return refuse(claimer.Refusal(result.Claim.State))
 	}
+	if ctx.Err() != nil {
+		f.record(ctx, in, attempt, notRun(manager.RefusalDeadline, ""))
+		return notRun(manager.RefusalDeadline, "the deadline passed while the request was claimed")
+	}
 	out := f.attempts(ctx, in, deadline)
-	f.record(ctx, in, attempt, out)
+	if out.ended == nil {
+		f.record(ctx, in, attempt, out)
+		return out
+	}
+	ended := out.ended
+	out.ended = func(whole bool) {
+		ended(whole)
+		if whole {
+			f.record(ctx, in, attempt, out)
+		}
+	}
 	return out
 }
 
@@ -125,78 +121,3 @@
 		klog.V(2).InfoS("Answer not recorded", "Request", in.id, "Error", err)
 	}
 }
-
-// attempts runs the request until an attempt ends it.
-func (f *Forwarder) attempts(ctx context.Context, in *request, deadline manager.Time) reply {
-	r := manager.Request{Service: in.service, Idempotent: in.idempotent, Deadline: deadline}
-	f.Retrier.Start(f.Clock.Now(), r)
-	for attempt := 1; ; attempt++ {
-		// The caller's id may arrive twice at once, so the limiter gets one of the gateway's own.
-		r.Request = manager.RequestID(strconv.FormatUint(f.counter.Add(1), 10))
-		out, outcome := f.attempt(ctx, in, r)
-		if !outcome.Failed {
-			return out
-		}
-		next := f.Retrier.Failed(f.Clock.Now(), r, outcome, attempt)
-		if !next.Again {
-			return out
-		}
-	}
-}
-
-func (f *Forwarder) attempt(ctx context.Context, in *request, r manager.Request) (reply, manager.Outcome) {
-	decision, err := f.Dispatcher.Admit(ctx, r)
-	if err != nil {
-		return notRun(manager.RefusalDeadline, "the deadline passed while waiting"), manager.Outcome{}
-	}
-	if decision.Kind == manager.DecisionRefuse {
-		meter.Refusals(decision.Refusal.Code).Inc()
-		return refuse(http.StatusServiceUnavailable, decision.Refusal), manager.Outcome{}
-	}
-	start := f.Clock.Now()
-	ctx, span := tracer.Start(ctx, "gateway attempt", attribute.String("Upstream", string(decision.Member.Upstream)))
-	a, state, err := f.Exchanger.Exchange(ctx, decision.Member.Address, in)
-	tracer.End(span, err)
-	outcome := manager.Outcome{
-		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream,
-		RunState: state, DurationMs: f.Clock.Now().Sub(start), Failed: err != nil,
-	}
-	f.Dispatcher.Finish(outcome)
-	if err != nil {
-		return f.failure(ctx, decision.Member, state, err), outcome
-	}
-	return reply{state: state, answer: a}, outcome
-}
-
-func (f *Forwarder) failure(ctx context.Context, m manager.Member, state manager.RunState, err error) reply {
-	klog.V(2).InfoS("Attempt failed", "Upstream", m.Upstream, "RunState", state, "Error", err.Error())
-	if state == manager.RunStateNotRun {
-		return notRun(manager.RefusalUpstreamFailed, "the upstream could not be reached")
-	}
-	if ctx.Err() != nil {
-		return refuse(http.StatusGatewayTimeout, manager.Refusal{
-			Code: manager.RefusalUpstreamTimeout, Message: "the upstream did not answer in time", RunState: state,
-		})
-	}
-	return refuse(http.StatusBadGateway, manager.Refusal{
-		Code: manager.RefusalUpstreamFailed, Message: "the upstream's answer was not whole", RunState: state,
-	})
-}
-
-func (f *Forwarder) write(c echo.Context, in *request, out reply) error {
-	h := c.Response().Header()
-	if out.refusal == nil {
-		copyHeader(h, out.answer.header)
-	}
-	h.Set(headerRequestID, string(in.id))
-	h.Set(headerRunState, string(out.state))
-	if out.refusal != nil {
-		return c.JSON(out.status, out.refusal)
-	}
-	h.Set("Content-Length", strconv.Itoa(len(out.answer.body)))
-	c.Response().WriteHeader(out.answer.status)
-	if _, err := c.Response().Write(out.answer.body); err != nil {
-		return fmt.Errorf("write answer: %w", err)
-	}
-	return nil
-}
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -4,17 +4,18 @@
 	"net/http"
 	"slices"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/connector"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/applier"
 )
 
 // toRecord returns an answer as it is kept for resends.
-func toRecord(a answer) *manager.RecordedAnswer {
-	if len(a.body) > applier.MaxAnswerBytes {
-		return &manager.RecordedAnswer{Status: a.status, TooLarge: true}
+func toRecord(a *connector.Answer) *manager.RecordedAnswer {
+	if !a.Whole() || len(a.Body) > applier.MaxAnswerBytes {
+		return &manager.RecordedAnswer{Status: a.Status, TooLarge: true}
 	}
-	record := &manager.RecordedAnswer{Status: a.status, Body: a.body}
-	h := forwardedHeader(a.header)
+	record := &manager.RecordedAnswer{Status: a.Status, Body: a.Body}
+	h := forwardedHeader(a.Header)
 	names := make([]string, 0, len(h))
 	for name := range h {
 		names = append(names, name)
@@ -28,16 +29,17 @@
 	return record
 }
 
-func fromRecord(r manager.RecordedAnswer) answer {
+func fromRecord(r manager.RecordedAnswer) *connector.Answer {
 	h := http.Header{}
 	for _, line := range r.Headers {
 		h.Add(line.Name, line.Value)
 	}
-	return answer{status: r.Status, header: h, body: r.Body}
+	return &connector.Answer{Status: r.Status, Header: h, Body: r.Body, Length: int64(len(r.Body))}
 }
 
 func copyHeader(to, from http.Header) {
 	for name, values := range forwardedHeader(from) {
 		to[name] = values
 	}
+	to.Del("Content-Length")
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/connector"
 	"github.com/mulberryhaven/mulberryhaven/internal/forwarder"
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 	"github.com/mulberryhaven/mulberryhaven/internal/operator"
@@ -42,6 +43,7 @@
 
 	server        *listener.Server
 	dispatcher    *forwarder.Dispatcher
+	connector     *connector.Connector
 	configuration *configurationKeeper
 	peers         *peerLoop
 	stopping      chan struct{}
@@ -65,6 +67,8 @@
 func (s *Service) Start(*supervisor.Registry) error {
 	s.stopping = make(chan struct{})
 	s.dispatcher = &forwarder.Dispatcher{Clock: s.Clock, Limiter: s.Limiter}
+	s.connector = &connector.Connector{Clock: s.Clock}
+	s.connector.Start()
 	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
 	s.peers = &peerLoop{
 		registrar: s.Registrar, slots: s.Slots, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer,
@@ -76,6 +80,7 @@
 	cfg := s.Settings.Gateway
 	s.server = &listener.Server{Address: cfg.Address, TLS: cfg.TLS, Echo: e}
 	if err := s.server.Start(); err != nil {
+		s.connector.Stop()
 		return fmt.Errorf("serve gateway: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,7 +100,8 @@
 		Dispatcher:      s.dispatcher,
 		Retrier:         s.Retrier,
 		Claims:          s.Client,
-		Exchanger:       forwarder.NewExchanger(),
+		Exchanger:       s.connector,
+		Gateways:        len(cfg.Peers) + 1,
 		MaxBodyBytes:    cfg.MaxBodyBytes,
 		DefaultDeadline: cfg.DefaultDeadlineMs,
 		Ready:           s.accepting,
@@ -158,6 +164,9 @@
 		s.cancel()
 	}
 	s.loops.Wait()
+	if s.connector != nil {
+		s.connector.Stop()
+	}
 	if s.peers != nil {
 		s.peers.stop()
 	}
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -41,6 +41,7 @@
 	http     *http.Server
 	listener net.Listener
 	inFlight atomic.Int64
+	silent   silentConnections
 	stopping atomic.Bool
 }
 
@@ -88,9 +89,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.silent.note,
 	}
 	go func() {
-		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "Listener failed", "Address", s.Address)
 		}
 	}()
@@ -109,8 +111,8 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() manager.Address { return manager.Address(s.listener.Addr().String()) }
 
-// PrepareStop asks clients to open no further requests on their connections. Idle connections stay
-// open until Stop, as a client may be sending on one of them.
+// PrepareStop asks clients, with each answer, to open no further requests on their connections. Idle
+// ones stay open meanwhile, as a request may be on its way on them.
 func (s *Server) PrepareStop() { s.stopping.Store(true) }
 
 // Stop closes the listener and waits for requests in flight until stop is closed.
@@ -118,6 +120,10 @@
 	if s.http == nil {
 		return nil
 	}
+	if err := s.listener.Close(); err != nil {
+		klog.V(2).InfoS("Listener closed already", "Address", s.Address, "Error", err.Error())
+	}
+	s.silent.end()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/pkg/manager/request.go
+++ b/pkg/manager/request.go
@@ -30,6 +30,7 @@
 	RefusalStopping         RefusalCode = "Stopping"
 	RefusalStale            RefusalCode = "ConfigurationStale"
 	RefusalTooLarge         RefusalCode = "TooLarge"
+	RefusalHeadersTooLarge  RefusalCode = "HeadersTooLarge"
 	RefusalBadRequest       RefusalCode = "BadRequest"
 )
 
@@ -48,6 +49,8 @@
 	Idempotent bool
 	// Deadline is the local time after which the answer is of no use.
 	Deadline Time
+	// Avoid is the upstream that failed the attempt before, or empty.
+	Avoid UpstreamID
 }
 
 // Router chooses the upstream of a request.
