Show what a profile change would do and why a VM is where it is

Cause: operators could neither try a profile change nor ask why a VM moved, and could not pause or resume a wave.

Wave, profile and VM handlers stand in files of their own.

--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -44,9 +44,10 @@
 		platform, worker = p.settingsPlatform()
 	}
 	if platform != nil {
-		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
+		c.Maintenance = &controller.MaintenanceLoop{
 			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: demand,
-		})
+		}
+		c.Loops = append(c.Loops, c.Maintenance)
 	}
 	if worker != nil {
 		c.Loops = append(c.Loops, &controller.PlacementLoop{Worker: worker, Placer: &placer.FirstFit{}})
--- a/internal/commander/profile.go
+++ b/internal/commander/profile.go
@@ -61,6 +61,7 @@
 
 func newProfileApply(o *options) *cobra.Command {
 	var file, command string
+	var dryRun bool
 	cmd := &cobra.Command{
 		Use:   "apply --file FILE",
 		Short: "Store an edited profile; its Version must be the one that was read",
@@ -70,6 +71,9 @@
 			if err != nil {
 				return errUsage{err}
 			}
+			if dryRun {
+				return previewProfile(cmd, o, p)
+			}
 			change := operator.ProfileChange{Change: newChange(command), Profile: p}
 			var stored manager.Profile
 			if err := o.client().Post(cmd.Context(), "/api/profiles", change, &stored); err != nil {
@@ -79,11 +83,33 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "file", "", "the profile as JSON")
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "only show what would change and move")
 	addCommandID(cmd, &command)
 	_ = cmd.MarkFlagRequired("file")
 	return cmd
 }
 
+func previewProfile(cmd *cobra.Command, o *options, p manager.Profile) error {
+	var preview manager.ProfilePreview
+	if err := o.client().Post(cmd.Context(), "/api/profiles/preview", p, &preview); err != nil {
+		return fmt.Errorf("dry run: %w", err)
+	}
+	t := table{header: []string{"Object", "Name", "Change"}}
+	for _, c := range preview.Changes {
+		t.add("field", c.Field, fmt.Sprintf("%s to %s", c.From, c.To))
+	}
+	for _, c := range preview.Pools {
+		t.add("pool", c.Pool, fmt.Sprintf("budget %d to %d of %d VMs, %d unavailable", c.BudgetFrom, c.BudgetTo, c.VMs, c.Unavailable))
+	}
+	for _, c := range preview.Waves {
+		t.add("wave", c.Wave, fmt.Sprintf("%s: %s", c.State, c.Effect))
+	}
+	for _, m := range preview.Moves {
+		t.add("move", m.VM, fmt.Sprintf("to pool %q: %s", m.To, m.Reason))
+	}
+	return o.print(preview, t)
+}
+
 func readProfile(file string) (manager.Profile, error) {
 	var p manager.Profile
 	f, err := os.Open(file)
--- a/internal/commander/wave.go
+++ b/internal/commander/wave.go
@@ -12,7 +12,7 @@
 
 func newWave(o *options) *cobra.Command {
 	return newGroup("wave", "Plan, approve and watch maintenance waves",
-		newWavePlan(o), newWaveApprove(o), newWaveStatus(o), newWaveCancel(o))
+		newWavePlan(o), newWaveApprove(o), newWaveStatus(o), newWavePause(o), newWaveResume(o), newWaveCancel(o))
 }
 
 func wavePath(id, action string) string {
@@ -20,13 +20,13 @@
 }
 
 func waveTable(w manager.Wave) table {
-	t := table{header: []string{"VM", "Pool", "Batch", "State", "BudgetLeft", "Reason"}}
+	t := table{header: []string{"VM", "Pool", "Batch", "StartMs", "State", "BudgetLeft", "Reason"}}
 	for _, s := range w.Steps {
-		t.add(s.VM, s.Pool, s.Batch, s.State, s.BudgetLeft, s.Reason)
+		t.add(s.VM, s.Pool, s.Batch, s.StartMs, s.State, s.BudgetLeft, s.Reason)
 	}
-	t.add("", "", "", "", "", "")
-	t.add("wave", w.Wave, fmt.Sprintf("plan %d", w.PlanVersion), w.State, "", w.Reason)
-	t.add("expected", fmt.Sprintf("%d ms", w.ExpectedMs), "bound", fmt.Sprintf("%d ms", w.BoundMs), "", "")
+	t.add("", "", "", "", "", "", "")
+	t.add("wave", w.Wave, fmt.Sprintf("plan %d", w.PlanVersion), "", w.State, "", w.Reason)
+	t.add("expected", fmt.Sprintf("%d ms", w.ExpectedMs), "bound", fmt.Sprintf("%d ms", w.BoundMs), "", "", "")
 	return t
 }
 
@@ -66,12 +66,25 @@
 }
 
 func newWaveCancel(o *options) *cobra.Command {
+	return newWaveChange(o, "cancel", "Cancel a wave; VMs that drain return to service")
+}
+
+func newWavePause(o *options) *cobra.Command {
+	return newWaveChange(o, "pause", "Let a wave take no more VMs until it is resumed")
+}
+
+func newWaveResume(o *options) *cobra.Command {
+	return newWaveChange(o, "resume", "Let a wave go on, despite the VMs that are lost now")
+}
+
+// newWaveChange returns a command that changes a wave's state by an action of its path.
+func newWaveChange(o *options, action, short string) *cobra.Command {
 	var command string
 	cmd := &cobra.Command{
-		Use: "cancel WAVE", Short: "Cancel a wave; VMs that drain return to service", Args: exactly(1),
+		Use: action + " WAVE", Short: short, Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			change := newChange(command)
-			return changeWave(cmd, o, wavePath(args[0], "/cancel"), change, change)
+			return changeWave(cmd, o, wavePath(args[0], "/"+action), change, change)
 		},
 	}
 	addCommandID(cmd, &command)
--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -17,6 +17,8 @@
 	// quietPeriod is the pause between two looks at a fleet in which nothing is under way; a failure
 	// is seen that much later.
 	quietPeriod = 1 * manager.Second
+	// repeatPeriod is the pause after which an order that shows no effect is given again.
+	repeatPeriod = 2 * manager.Second
 	// orderTimeout bounds one call of the platform, so that a silent one does not hold up the others.
 	orderTimeout = 2 * manager.Second
 	// DefaultMaxOrders is how many calls of the platform run at once; a slow platform with fewer
@@ -24,6 +26,14 @@
 	DefaultMaxOrders = 16
 )
 
+// sentOrder is the latest order to a VM.
+type sentOrder struct {
+	epoch manager.Epoch
+	phase manager.Phase
+	state manager.VMState
+	at    manager.Time
+}
+
 // MaintenanceLoop runs waves and moves: it records what the platform says, lets the decision parts
 // propose and gives the platform the orders that the state calls for.
 type MaintenanceLoop struct {
@@ -39,6 +49,7 @@
 	busy       bool
 	observedAt manager.Time
 	balancedAt manager.Time
+	sent       map[manager.VMID]sentOrder
 }
 
 // Name is used in logs.
@@ -57,7 +68,7 @@
 	f, observeErr := l.observe(ctx, now, s, f)
 	commands := append(l.Maintainer.Step(now, f), l.rebalance(now, f)...)
 	f, proposeErr := proposeFor(ctx, s, f, commands)
-	return errors.Join(observeErr, proposeErr, l.order(ctx, f))
+	return errors.Join(observeErr, proposeErr, l.order(ctx, now, f))
 }
 
 // proposeFor proposes commands and returns the fleet after them.
@@ -128,8 +139,8 @@
 	return proposeFor(ctx, s, f, commands)
 }
 
-// order repeats the order that each VM's phase calls for; the platform ignores what it has done already.
-func (l *MaintenanceLoop) order(ctx context.Context, f manager.Fleet) error {
+// order gives, and repeats, the order that each VM's phase calls for; the platform ignores what it has done already.
+func (l *MaintenanceLoop) order(ctx context.Context, now manager.Time, f manager.Fleet) error {
 	var mu sync.Mutex
 	var failures []error
 	var g errgroup.Group
@@ -138,7 +149,7 @@
 	for _, v := range f.VMs {
 		l.busy = l.busy || v.Phase != manager.PhaseInService || v.State != manager.VMRunning
 		order := l.orderFor(v)
-		if order == nil {
+		if order == nil || !l.due(now, v) {
 			continue
 		}
 		g.Go(func() error {
@@ -156,6 +167,21 @@
 	return errors.Join(failures...)
 }
 
+// due tells whether an order to a VM is new or was given too long ago without effect.
+func (l *MaintenanceLoop) due(now manager.Time, v manager.VM) bool {
+	if l.sent == nil {
+		l.sent = map[manager.VMID]sentOrder{}
+	}
+	last := l.sent[v.VM]
+	next := sentOrder{epoch: v.Epoch, phase: v.Phase, state: v.State, at: last.at}
+	if last == next && now.Sub(last.at) < repeatPeriod {
+		return false
+	}
+	next.at = now
+	l.sent[v.VM] = next
+	return true
+}
+
 // orderFor returns the call that a VM's phase asks for; nil if none. A VM that drains while the state
 // wants it in service, as after a late order, is restored too.
 func (l *MaintenanceLoop) orderFor(v manager.VM) func(context.Context) error {
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -34,6 +34,8 @@
 	g.GET("/history", s.history)
 	g.GET("/gateways", s.gateways)
 	g.POST("/plan", s.plan)
+	g.POST("/preview", s.preview)
+	g.GET("/reserves", s.reserves)
 	g.POST("/configuration", s.configuration)
 	g.POST("/demand", s.demand)
 }
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -22,6 +22,8 @@
 	// Loops are what the leader repeats, such as maintenance and placement.
 	Loops      []Loop
 	Maintainer manager.Maintainer
+	// Maintenance answers questions on reserves and moves; nil on a controller without a platform.
+	Maintenance *MaintenanceLoop
 	// Demand collects what the gateways report.
 	Demand *DemandTable
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -36,6 +36,10 @@
 	// restarts replaces the leader after so many proposals; 0 keeps it.
 	restarts  int
 	proposals int
+	// unchecked leaves out the checks of each command, which a long run can't afford.
+	unchecked bool
+	// moves counts the VMs that changed pool.
+	moves int
 }
 
 // tenant drains a VM in a fixed time; a stuck VM never drains.
@@ -114,12 +118,29 @@
 
 func (w *world) apply(c manager.Command) manager.Result {
 	c.At = w.clock.Now()
+	w.countMoves(c)
+	if w.unchecked {
+		return w.state.Apply(c)
+	}
 	before := w.state.Fleet()
 	result := w.state.Apply(c)
 	checkChange(w.t, before, w.state.Fleet())
 	return result
 }
 
+// countMoves counts the moves that a command commits; the loop proposes only those of drained VMs.
+func (w *world) countMoves(c manager.Command) {
+	if c.CommitMove != nil {
+		w.moves++
+	}
+	if c.Batch == nil {
+		return
+	}
+	for _, member := range c.Batch.Commands {
+		w.countMoves(member)
+	}
+}
+
 func (w *world) plan(id manager.WaveID, pools ...manager.PoolID) manager.Wave {
 	plan, err := w.loop.Maintainer.Plan(w.clock.Now(), w.state.Fleet(), manager.WaveSpec{Wave: id, Pools: pools})
 	require.NoError(w.t, err)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/http"
@@ -15,7 +13,6 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
-	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -35,25 +32,6 @@
 	CommandID manager.CommandID `json:"Command-Id"`
 }
 
-// ProfileChange stores a profile; its Version is the one that was read.
-type ProfileChange struct {
-	Change
-	Profile manager.Profile
-}
-
-// WaveChange plans a wave.
-type WaveChange struct {
-	Change
-	Wave  manager.WaveID
-	Pools []manager.PoolID
-}
-
-// WaveApproval approves the plan of a wave.
-type WaveApproval struct {
-	Change
-	PlanVersion manager.Version
-}
-
 // JobChange submits a job.
 type JobChange struct {
 	Change
@@ -67,12 +45,17 @@
 	g.GET("/profiles/:Profile", a.getProfile)
 	g.GET("/profiles/:Profile/history", a.profileHistory)
 	g.POST("/profiles", a.applyProfile)
+	g.POST("/profiles/preview", a.previewProfile)
 	g.GET("/pools", a.listPools)
+	g.GET("/pools/reserves", a.listReserves)
 	g.GET("/vms", a.listVMs)
+	g.GET("/vms/:VM", a.explainVM)
 	g.GET("/waves", a.listWaves)
 	g.GET("/waves/:Wave", a.getWave)
 	g.POST("/waves", a.planWave)
 	g.POST("/waves/:Wave/approve", a.approveWave)
+	g.POST("/waves/:Wave/pause", a.pauseWave)
+	g.POST("/waves/:Wave/resume", a.resumeWave)
 	g.POST("/waves/:Wave/cancel", a.cancelWave)
 	g.GET("/jobs", a.listJobs)
 	g.GET("/jobs/:Job", a.getJob)
@@ -160,114 +143,11 @@
 func (a *API) listWaves(c echo.Context) error    { return list(a, c, waves) }
 func (a *API) listJobs(c echo.Context) error     { return list(a, c, jobs) }
 
-func (a *API) getProfile(c echo.Context) error {
-	id := manager.ProfileID(c.Param("Profile"))
-	return get(a, c, "profile", string(id), profiles, func(p manager.Profile) bool { return p.Profile == id })
-}
-
-func (a *API) getWave(c echo.Context) error {
-	id := manager.WaveID(c.Param("Wave"))
-	return get(a, c, "wave", string(id), waves, func(w manager.Wave) bool { return w.Wave == id })
-}
-
 func (a *API) getJob(c echo.Context) error {
 	id := manager.JobID(c.Param("Job"))
 	return get(a, c, "job", string(id), jobs, func(j manager.Job) bool { return j.Job == id })
 }
 
-func (a *API) profileHistory(c echo.Context) error {
-	h, err := a.Client.History(c.Request().Context(), manager.ProfileID(c.Param("Profile")))
-	if err != nil {
-		return fmt.Errorf("read history: %w", err)
-	}
-	return c.JSON(http.StatusOK, h.Profiles)
-}
-
-func (a *API) applyProfile(c echo.Context) error {
-	var change ProfileChange
-	if err := decode(c, &change); err != nil {
-		return err
-	}
-	result, err := a.propose(c, change.Change, manager.Command{ApplyProfile: &manager.ApplyProfile{Profile: change.Profile}})
-	if manager.IsErrConflict(err) {
-		return a.answerConflict(c, change.Profile.Profile, err)
-	}
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Profile)
-}
-
-// answerConflict answers a lost race with the profile that won it.
-func (a *API) answerConflict(c echo.Context, id manager.ProfileID, err error) error {
-	status, body := translator.FromError(err)
-	f, readErr := a.fleet(c.Request().Context())
-	if readErr != nil {
-		return errors.Join(err, readErr)
-	}
-	for _, p := range f.Profiles {
-		if p.Profile == id {
-			body.Current = &p
-		}
-	}
-	return c.JSON(status, body)
-}
-
-func (a *API) planWave(c echo.Context) error {
-	var change WaveChange
-	if err := decode(c, &change); err != nil {
-		return err
-	}
-	if change.Wave == "" {
-		return manager.ErrInvalid{Field: "Wave", Reason: "is missing"}
-	}
-	spec := manager.WaveSpec{Wave: change.Wave, Pools: change.Pools}
-	w, err := a.Client.Plan(c.Request().Context(), spec)
-	if err != nil {
-		return fmt.Errorf("plan wave: %w", err)
-	}
-	result, err := a.propose(c, change.Change, manager.Command{PlanWave: &manager.PlanWave{Wave: w}, Digest: specDigest(spec)})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Wave)
-}
-
-// specDigest stands for what an operator asked, as the plan made from it changes with the fleet.
-func specDigest(spec manager.WaveSpec) string {
-	h := sha256.New()
-	fmt.Fprintf(h, "%q %q", spec.Wave, spec.Pools)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
-func (a *API) approveWave(c echo.Context) error {
-	var approval WaveApproval
-	if err := decode(c, &approval); err != nil {
-		return err
-	}
-	result, err := a.propose(c, approval.Change, manager.Command{ApproveWave: &manager.ApproveWave{
-		Wave: manager.WaveID(c.Param("Wave")), PlanVersion: approval.PlanVersion,
-	}})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Wave)
-}
-
-func (a *API) cancelWave(c echo.Context) error {
-	var change Change
-	if err := decode(c, &change); err != nil {
-		return err
-	}
-	result, err := a.propose(c, change, manager.Command{SetWaveState: &manager.SetWaveState{
-		Wave: manager.WaveID(c.Param("Wave")), State: manager.WaveCancelled, Reason: "cancelled by an operator",
-	}})
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, result.Wave)
-}
-
 func (a *API) submitJob(c echo.Context) error {
 	var change JobChange
 	if err := decode(c, &change); err != nil {
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -82,6 +82,20 @@
 	return w, err
 }
 
+// Preview asks what a profile change would do.
+func (c *Client) Preview(ctx context.Context, p manager.Profile) (manager.ProfilePreview, error) {
+	var preview manager.ProfilePreview
+	err := c.post(ctx, PathPreview, p, &preview)
+	return preview, err
+}
+
+// Reserves reads what each pool holds and is meant to hold.
+func (c *Client) Reserves(ctx context.Context) ([]manager.PoolReserve, error) {
+	var list []manager.PoolReserve
+	err := c.read(ctx, PathReserves, &list)
+	return list, err
+}
+
 // Configuration asks for a newer configuration.
 func (c *Client) Configuration(ctx context.Context, r ConfigurationRequest) (Configuration, error) {
 	var cfg Configuration
--- a/internal/proposer/messages.go
+++ b/internal/proposer/messages.go
@@ -8,6 +8,8 @@
 	PathFleet         = "/control/fleet"
 	PathHistory       = "/control/history"
 	PathPlan          = "/control/plan"
+	PathPreview       = "/control/preview"
+	PathReserves      = "/control/reserves"
 	PathConfiguration = "/control/configuration"
 	PathDemand        = "/control/demand"
 	PathGateways      = "/control/gateways"
--- a/pkg/manager/applier/profiles.go
+++ b/pkg/manager/applier/profiles.go
@@ -18,8 +18,7 @@
 	}
 	current := s.currentVersion(p.Profile)
 	if p.Version != current {
-		reason := fmt.Sprintf("version %d was read but %d is current", p.Version, current)
-		return manager.Result{}, conflict("profile", string(p.Profile), reason)
+		return manager.Result{}, staleVersion(p, current)
 	}
 	if f := s.checkBudgetChange(p); f != nil {
 		return manager.Result{}, f
--- a/pkg/manager/rebalancer/learner.go
+++ b/pkg/manager/rebalancer/learner.go
@@ -9,10 +9,11 @@
 const (
 	// bucketMs is the resolution at which demand is averaged.
 	bucketMs = 1 * manager.Second
-	// windowBuckets is the time over which demand is averaged, in buckets. It is about the time that a
-	// request may wait: a pool that keeps up over the window answers in time. A shorter window sizes
-	// pools for peaks that queues absorb, a longer one refuses requests.
-	windowBuckets = 10
+	// windowBuckets is the time over which demand is averaged, in buckets. A pool that keeps up over the
+	// window works off a surge within it: with the callers' usual deadline of 10 s, any surge of 2 s or
+	// more is answered in time. A shorter window sizes pools for peaks that queues absorb, a longer one
+	// lets requests wait past their deadline.
+	windowBuckets = 12
 	// slotMs is the time of which the highest demand is kept as one value.
 	slotMs = 1 * manager.Minute
 	// horizonSlots is how long a peak is remembered, in slots; a queue that surges less often than this
--- a/pkg/manager/rebalancer/survey.go
+++ b/pkg/manager/rebalancer/survey.go
@@ -180,8 +180,7 @@
 		if !p.learned {
 			continue
 		}
-		held := min(p.size, p.least)
-		left := held - p.perDomain[domain]*held/max(1, p.size)
+		left := p.size - p.perDomain[domain]
 		atMean := max(0, p.mean-left)
 		mean += atMean
 		extra = max(extra, max(0, p.least-left)-atMean)
