--- a/pkg/manager/applier/moves.go
+++ b/pkg/manager/applier/moves.go
@@ -49,6 +49,9 @@
 	if v.MoveTo == "" || v.State != manager.VMDrained {
 		return manager.Result{}, conflict("VM", string(c.VM), "is not drained for a move")
 	}
+	if f := s.checkEmpty(c.VM); f != nil {
+		return manager.Result{}, f
+	}
 	v.Epoch++
 	v.Pool = v.MoveTo
 	v.PoolSince = s.now
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -34,6 +34,7 @@
 	jobs     map[manager.JobID]manager.Job
 	results  *resultTable
 	claims   *claimTable
+	tasks    *taskIndex
 	// book counts the VMs that do not serve; settling holds those that wait for their settle time.
 	book     *budgeter.Book
 	settling map[manager.VMID]bool
@@ -51,6 +52,7 @@
 		jobs:     map[manager.JobID]manager.Job{},
 		results:  newResultTable(),
 		claims:   newClaimTable(),
+		tasks:    newTaskIndex(),
 		book:     budgeter.New(),
 		settling: map[manager.VMID]bool{},
 	}
@@ -154,7 +156,7 @@
 		w.Steps = slices.Clone(w.Steps)
 		f.Waves = append(f.Waves, w)
 	}
-	f.Jobs = values(s.jobs)
+	f.Jobs = s.jobView()
 	return f
 }
 
--- a/pkg/manager/applier/steps.go
+++ b/pkg/manager/applier/steps.go
@@ -116,6 +116,9 @@
 	if v.State != manager.VMDrained {
 		return conflict("VM", string(v.VM), fmt.Sprintf("is %s, not drained", v.State))
 	}
+	if f := s.checkEmpty(v.VM); f != nil {
+		return f
+	}
 	v.Epoch++
 	s.setPhase(v, manager.PhaseRebooting)
 	return nil
--- a/pkg/manager/applier/vms.go
+++ b/pkg/manager/applier/vms.go
@@ -109,6 +109,9 @@
 	if !ok {
 		return manager.Result{}, notExist("VM", string(c.VM))
 	}
+	if f := s.checkQuarantine(v); c.Quarantined && f != nil {
+		return manager.Result{}, f
+	}
 	v.Quarantined = c.Quarantined
 	v.Reason = c.Reason
 	s.putVM(v)
