--- a/internal/proposer/messages.go
+++ b/internal/proposer/messages.go
@@ -9,6 +9,8 @@
 	PathHistory       = "/control/history"
 	PathJob           = "/control/job"
 	PathPlan          = "/control/plan"
+	PathPreview       = "/control/preview"
+	PathReserves      = "/control/reserves"
 	PathConfiguration = "/control/configuration"
 	PathDemand        = "/control/demand"
 	PathGateways      = "/control/gateways"
