--- a/internal/controller/maintenance_test.go
+++ b/internal/controller/maintenance_test.go
@@ -2,33 +2,15 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/goleak"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/maintainer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/rebalancer"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "40"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	code := m.Run()
-	if err := goleak.Find(); err != nil && code == 0 {
-		os.Stderr.WriteString(err.Error())
-		code = 1
-	}
-	os.Exit(code)
-}
-
 var (
 	realParts = parts{
 		maintainer: func() manager.Maintainer { return maintainer.Pipelined{} },
