--- a/pkg/manager/lender/keeper.go
+++ b/pkg/manager/lender/keeper.go
@@ -56,7 +56,8 @@
 	turn      []manager.GatewayID
 	nextTurn  manager.Time
 	lastBurst manager.Time
-	kept      map[manager.GatewayID]manager.Time
+	starts    map[manager.GatewayID]peerStart
+	greet     []manager.GatewayID
 	failed    map[manager.GatewayID]bool
 	returned  map[manager.GatewayID]manager.Time
 	stopping  bool
@@ -78,7 +79,7 @@
 		promises: map[manager.GatewayID]promise{}, heard: map[manager.GatewayID]bool{},
 	}
 	k.source = rand.New(rand.NewPCG(startSeed(k.Start, k.Self), 1))
-	k.kept = map[manager.GatewayID]manager.Time{}
+	k.starts = map[manager.GatewayID]peerStart{}
 	k.failed = map[manager.GatewayID]bool{}
 	k.returned = map[manager.GatewayID]manager.Time{}
 	k.shards = map[manager.GatewayID]*shard{k.Self: newShard(k.Self)}
@@ -87,7 +88,7 @@
 	k.hold.see(now, k.Deadline+longestMargin)
 	k.lastBurst = now.Add(-burstPause)
 	k.nextTurn = now
-	k.voter.hear(now, reliance{from: k.Self})
+	k.voter.adopt(now, k.Self, nil)
 	if !k.contested() {
 		k.shards[k.Self].horizon = forever
 	}
@@ -109,9 +110,14 @@
 	if k.urgent(now) && now.Sub(k.lastBurst) >= burstPause {
 		k.lastBurst = now
 		k.nextTurn = now.Add(exchangePeriod)
+		k.greet = nil
 		return k.burst(now)
 	}
 	due := append(k.borrowDue(now), k.offersDue(now)...)
+	for _, p := range k.greet {
+		due = append(due, k.exchange(now, p))
+	}
+	k.greet = nil
 	if now >= k.nextTurn && len(k.shares.gateways) > 1 {
 		k.nextTurn = now.Add(exchangePeriod)
 		due = append(due, k.exchange(now, k.nextPeer()))
@@ -154,36 +160,26 @@
 func (k *Keeper) request(now manager.Time, peer manager.GatewayID) manager.SlotRequest {
 	k.number++
 	return manager.SlotRequest{
-		From: k.Self, Start: k.Start, Set: k.shares.digest(), Number: k.number,
-		KeptMs: max(k.kept[peer].Sub(now), 0), Kept: k.keptOf(now, peer), Returns: k.lending.takeReturns(peer),
+		From: k.Self, Start: k.Start, To: k.starts[peer].start, Set: k.shares.digest(), Number: k.number,
+		Voting: k.voter.ready(now), Promised: k.promisedTo(now, peer), Returns: k.lending.takeReturns(peer),
 	}
 }
 
-// keptOf returns the shards for which this gateway relies on a peer.
-func (k *Keeper) keptOf(now manager.Time, peer manager.GatewayID) []manager.GatewayID {
-	if k.kept[peer] <= now {
-		return nil
-	}
-	var list []manager.GatewayID
-	for _, g := range k.shares.gateways {
-		if s := k.shards[g]; s != nil && s.grants[peer] > now {
-			list = append(list, g)
-		}
-	}
-	return list
-}
-
 // Handle answers a peer's request.
 func (k *Keeper) Handle(now manager.Time, r manager.SlotRequest) manager.SlotAnswer {
 	k.init(now)
 	if r.Set != k.shares.digest() || !slices.Contains(k.shares.gateways, r.From) {
 		return manager.SlotAnswer{Start: k.Start, OtherSet: true}
 	}
-	k.hear(now, reliance{from: r.From, start: r.Start, shards: r.Kept, kept: r.KeptMs})
+	k.meet(r.From, r.Start)
+	k.hear(now, r.From, r.To, r.Promised)
 	k.book.takeBack(r.From, r.Start, r.Returns)
 	a := manager.SlotAnswer{
-		Start: k.Start, Granted: k.voter.vote(now, r),
-		KeptMs: max(k.kept[r.From].Sub(now), 0), Kept: k.keptOf(now, r.From),
+		Start: k.Start, To: k.starts[r.From].start, Granted: k.voter.vote(now, r),
+		Voting: k.voter.ready(now),
+	}
+	if !r.Voting {
+		a.Promised = k.promisedTo(now, r.From)
 	}
 	if r.Borrow != nil {
 		a.Loans = k.lend(now, r)
@@ -194,25 +190,28 @@
 	return a
 }
 
-// hear notes that a gateway lives.
-func (k *Keeper) hear(now manager.Time, r reliance) {
-	k.voter.hear(now, r)
-	delete(k.failed, r.from)
-	if _, ok := k.shards[r.from]; ok {
-		k.returned[r.from] = now
+// hear notes that a gateway lives. The promises that it knows of count only if it knows this start:
+// only then does it accept no support of an earlier one any more.
+func (k *Keeper) hear(now manager.Time, from manager.GatewayID, to manager.StartID, promises []manager.SlotPromise) {
+	if to == k.Start {
+		k.voter.adopt(now, from, promises)
+	}
+	delete(k.failed, from)
+	if _, ok := k.shards[from]; ok {
+		k.returned[from] = now
 	}
 }
 
 // Answered takes the answer to a request that was sent at sent.
 func (k *Keeper) Answered(now, sent manager.Time, e manager.SlotExchange, a manager.SlotAnswer) {
 	k.init(now)
-	if a.OtherSet {
+	if a.OtherSet || !k.learn(now, sent, e.Peer, a.Start) {
 		return
 	}
-	k.hear(now, reliance{from: e.Peer, start: a.Start, shards: a.Kept, kept: a.KeptMs})
+	k.starts[e.Peer] = k.starts[e.Peer].vote(a.Voting)
+	k.hear(now, e.Peer, a.To, a.Promised)
 	until := sent.Add(e.Request.HoldMs)
 	for _, s := range a.Granted {
-		k.kept[e.Peer] = max(k.kept[e.Peer], until)
 		if held := k.shards[s]; held != nil && !held.dropped && sent >= held.since {
 			held.grant(e.Peer, until, k.majority())
 		}
--- a/pkg/manager/lender/voter.go
+++ b/pkg/manager/lender/voter.go
@@ -27,30 +27,35 @@
 	voting bool
 }
 
-// reliance is what a gateway says it relies on of an earlier start of this voter.
-type reliance struct {
-	from   manager.GatewayID
-	start  manager.StartID
-	shards []manager.GatewayID
-	kept   manager.Duration
-}
-
-// hear makes the promises anew that a gateway relies on. Should two rely on one shard, neither is
-// supported until both have run out.
-func (v *voter) hear(now manager.Time, r reliance) {
+// adopt takes the promises that a gateway knows of, its own reliance among them. Should two of one
+// shard differ, nobody is supported until both have run out.
+func (v *voter) adopt(now manager.Time, from manager.GatewayID, promises []manager.SlotPromise) {
 	if v.voting {
 		return
 	}
-	v.heard[r.from] = true
-	until := now.Add(min(r.kept, v.maxHold))
-	for _, s := range r.shards {
-		p := v.promises[s]
-		if p.until > now && (p.holder != r.from || p.start != r.start) {
-			v.promises[s] = promise{until: max(p.until, until)}
+	v.heard[from] = true
+	for _, a := range promises {
+		known := v.promises[a.Shard]
+		until := max(known.until, now.Add(min(a.ForMs, v.maxHold)))
+		if known.until > now && (known.holder != a.Holder || known.start != a.Start) {
+			v.promises[a.Shard] = promise{until: until}
 			continue
 		}
-		v.promises[s] = promise{holder: r.from, start: r.start, until: max(p.until, until)}
+		v.promises[a.Shard] = promise{holder: a.Holder, start: a.Start, number: max(known.number, a.Number), until: until}
+	}
+}
+
+// promised returns the promises that still hold, ordered by shard.
+func (v *voter) promised(now manager.Time) []manager.SlotPromise {
+	var list []manager.SlotPromise
+	for _, s := range v.gateways {
+		if p := v.promises[s]; p.until > now {
+			list = append(list, manager.SlotPromise{
+				Shard: s, Holder: p.holder, Start: p.start, Number: p.number, ForMs: p.until.Sub(now),
+			})
+		}
 	}
+	return list
 }
 
 // ready tells whether the voter may vote.
--- a/pkg/manager/slots.go
+++ b/pkg/manager/slots.go
@@ -13,7 +13,9 @@
 type SlotRequest struct {
 	From  GatewayID
 	Start StartID
-	Set   SetDigest
+	// To is the receiver's start that the sender knows of; it is 0 if none answered yet.
+	To  StartID `json:",omitempty"`
+	Set SetDigest
 	// Number counts the requests of a start, so that a late release frees nothing leased since.
 	Number uint64
 	// Shards are the home gateways whose slots the sender holds or wants to hold.
@@ -22,15 +24,27 @@
 	HoldMs Duration `json:",omitempty"`
 	// Release names shards that the sender gave up with nothing in use.
 	Release []GatewayID `json:",omitempty"`
-	// KeptMs is how long the sender still relies on an earlier support of the receiver for Kept.
-	KeptMs  Duration    `json:",omitempty"`
-	Kept    []GatewayID `json:",omitempty"`
-	Returns []LoanID    `json:",omitempty"`
-	Borrow  *Borrow     `json:",omitempty"`
+	// Voting says that the sender may vote.
+	Voting bool `json:",omitempty"`
+	// Promised is what a receiver that may not vote yet must not vote against.
+	Promised []SlotPromise `json:",omitempty"`
+	Returns  []LoanID      `json:",omitempty"`
+	Borrow   *Borrow       `json:",omitempty"`
 	// Offer names a service whose slots the receiver asked for in vain and that now has idle ones.
 	Offer ServiceID `json:",omitempty"`
 }
 
+// SlotPromise is the support of one holder for one shard.
+type SlotPromise struct {
+	Shard  GatewayID
+	Holder GatewayID
+	Start  StartID
+	// Number is the holder's request that the promise answered.
+	Number uint64
+	// ForMs is how long the promise still holds.
+	ForMs Duration
+}
+
 // Borrow asks for slots of a service.
 type Borrow struct {
 	Service ServiceID
@@ -62,12 +76,14 @@
 // SlotAnswer is a peer's answer to a SlotRequest.
 type SlotAnswer struct {
 	Start StartID
+	// To is the asking gateway's start that the answering one knows of.
+	To StartID `json:",omitempty"`
 	// Granted are the shards that the answering gateway supports the asking one for.
 	Granted []GatewayID `json:",omitempty"`
-	// KeptMs is how long the answering gateway still relies on an earlier support of the asking one
-	// for Kept.
-	KeptMs Duration    `json:",omitempty"`
-	Kept   []GatewayID `json:",omitempty"`
+	// Voting says that the answering gateway may vote.
+	Voting bool `json:",omitempty"`
+	// Promised is what an asking gateway that may not vote yet must not vote against.
+	Promised []SlotPromise `json:",omitempty"`
 	// OtherSet says that the answering gateway was set up with other gateways, so that it supports none.
 	OtherSet bool   `json:",omitempty"`
 	Loans    []Loan `json:",omitempty"`
