Commit claims in batches, bind their memory to ids with a time, keep retries in a budget

Cause: every claim was a command and a sync of its own; ids without a time could run again after the window; an expired id was refused as not-run although its work may have run; recorded answers were bounded only each; a failed pool got twice its load by retries.

--- a/internal/assembler/gateway.go
+++ b/internal/assembler/gateway.go
@@ -47,7 +47,7 @@
 				Source: rand.New(rand.NewPCG(p.Seed, 1)), AvailabilityZone: p.Settings.AvailabilityZone,
 			},
 		},
-		Retrier: retrier.Once{},
+		Retrier: &retrier.Budget{Source: rand.New(rand.NewPCG(p.Seed, 2))},
 		Client:  &proposer.Client{Controllers: p.Settings.Controllers, Token: p.Settings.Tokens.Peer, HTTP: newClient()},
 		Peers:   newPeerClient(),
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,7 +21,7 @@
 // refusal may say that it did not.
 func (f *Forwarder) attempts(ctx context.Context, in *request, deadline manager.Time) reply {
 	r := manager.Request{Service: in.service, Idempotent: in.idempotent, Deadline: deadline}
-	f.Retrier.Start(f.Clock.Now(), r)
+	f.countFirst(r)
 	var doubtful *reply
 	for attempt := 1; ; attempt++ {
 		// The caller's id may arrive twice at once, so the limiter gets one of the gateway's own.
@@ -37,7 +37,7 @@
 		if outcome.RunState == manager.RunStateUnknown {
 			doubtful = &out
 		}
-		next := f.Retrier.Failed(f.Clock.Now(), r, outcome, attempt)
+		next := f.decideRetry(r, outcome, attempt)
 		if !next.Again || !pause(ctx, next.DelayMs) {
 			return out
 		}
@@ -46,6 +46,18 @@
 	}
 }
 
+func (f *Forwarder) countFirst(r manager.Request) {
+	f.retries.Lock()
+	defer f.retries.Unlock()
+	f.Retrier.Start(f.Clock.Now(), r)
+}
+
+func (f *Forwarder) decideRetry(r manager.Request, o manager.Outcome, attempt int) manager.RetryDecision {
+	f.retries.Lock()
+	defer f.retries.Unlock()
+	return f.Retrier.Failed(f.Clock.Now(), r, o, attempt)
+}
+
 // pause waits for d; it returns false if ctx ended first.
 func pause(ctx context.Context, d manager.Duration) bool {
 	t := time.NewTimer(d.Std())
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -9,9 +9,9 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/applier"
 )
 
-// toRecord returns an answer as it is kept for resends.
+// toRecord returns an answer as it is kept for resends; one that can't be kept whole is left out.
 func toRecord(a *connector.Answer) *manager.RecordedAnswer {
-	if !a.Whole() || len(a.Body) > applier.MaxAnswerBytes {
+	if !a.Whole() || len(a.Trailer) > 0 || len(a.Body) > applier.MaxAnswerBytes {
 		return &manager.RecordedAnswer{Status: a.Status, TooLarge: true}
 	}
 	record := &manager.RecordedAnswer{Status: a.Status, Body: a.Body}
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -61,7 +61,7 @@
 	}
 	h.Set(headerRequestID, string(in.id))
 	h.Set(headerRunState, string(out.state))
-	if len(c.Request().TransferEncoding) > 0 {
+	if len(c.Request().TransferEncoding) > 0 || in.unread {
 		// A balancer that saw another length would take the rest of the body for a request.
 		h.Set("Connection", "close")
 	}
@@ -93,12 +93,21 @@
 	if out.ended != nil {
 		stream(c, out)
 	}
-	for name, values := range a.Trailer {
+	writeTrailer(c, a.Trailer)
+	return nil
+}
+
+// writeTrailer passes trailers on; the flush keeps the library from giving a length instead.
+func writeTrailer(c echo.Context, trailer http.Header) {
+	if len(trailer) == 0 || !c.Request().ProtoAtLeast(1, 1) {
+		return
+	}
+	c.Response().Flush()
+	for name, values := range trailer {
 		if !trusted(name) {
-			h[http.TrailerPrefix+name] = values
+			c.Response().Header()[http.TrailerPrefix+name] = values
 		}
 	}
-	return nil
 }
 
 // keepLength passes on the length that an answer without a body speaks of.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -30,6 +30,8 @@
 	// maxCallerHeaderBytes bounds a caller's headers; it is below the listener's limit, which has no
 	// JSON answer.
 	maxCallerHeaderBytes = 32 << 10
+	// maxDrainBytes bounds what is read of a refused body; callers that send more are cut off.
+	maxDrainBytes = 8 << 20
 	// headerRunState is the header in which run states travel.
 	headerRunState = "Run-State"
 	// headerRequestID is the header of the caller's request id.
@@ -82,6 +84,8 @@
 	until  time.Time
 	digest manager.ClaimDigest
 	memory share
+	// unread says that the body was not read to its end, so that no request can follow it.
+	unread bool
 }
 
 // read reads a caller's request; the returned request is never nil.
@@ -104,6 +108,7 @@
 		return in, errMemory
 	}
 	if err := in.readBody(c, f.MaxBodyBytes); err != nil {
+		in.unread = !in.drain(c)
 		return in, err
 	}
 	in.digest = claimer.Digest(claimer.Identity{
@@ -145,6 +150,21 @@
 	return nil
 }
 
+// drain reads a refused body, before the deadline, so that its caller is not cut off while it sends
+// instead of reading the refusal. It tells whether the body came to its end.
+func (in *request) drain(c echo.Context) bool {
+	r := c.Request()
+	if r.Header.Get("Expect") != "" {
+		return false
+	}
+	controller := http.NewResponseController(c.Response())
+	// Connections that know no deadlines are bounded by the listener.
+	_ = controller.SetReadDeadline(in.until)
+	n, err := io.CopyN(io.Discard, r.Body, maxDrainBytes)
+	_ = controller.SetReadDeadline(time.Time{})
+	return n < maxDrainBytes && errors.Is(err, io.EOF)
+}
+
 // refuseRequest returns the refusal of a request that could not be taken; nothing of it ran.
 func refuseRequest(err error) reply {
 	if e, ok := errors.AsType[errTooLarge](err); ok {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -44,6 +44,7 @@
 	server        *listener.Server
 	dispatcher    *forwarder.Dispatcher
 	connector     *connector.Connector
+	claims        *forwarder.ClaimQueue
 	configuration *configurationKeeper
 	peers         *peerLoop
 	stopping      chan struct{}
@@ -69,6 +70,7 @@
 	s.dispatcher = &forwarder.Dispatcher{Clock: s.Clock, Limiter: s.Limiter}
 	s.connector = &connector.Connector{Clock: s.Clock}
 	s.connector.Start()
+	s.claims = &forwarder.ClaimQueue{Proposer: s.Client}
 	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
 	s.peers = &peerLoop{
 		registrar: s.Registrar, slots: s.Slots, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer,
@@ -99,7 +101,7 @@
 		Clock:           s.Clock,
 		Dispatcher:      s.dispatcher,
 		Retrier:         s.Retrier,
-		Claims:          s.Client,
+		Claims:          s.claims,
 		Exchanger:       s.connector,
 		Gateways:        len(cfg.Peers) + 1,
 		MaxBodyBytes:    cfg.MaxBodyBytes,
@@ -166,6 +168,7 @@
 	s.loops.Wait()
 	if s.connector != nil {
 		s.connector.Stop()
+		s.claims.Stop()
 	}
 	if s.peers != nil {
 		s.peers.stop()
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -41,7 +41,7 @@
 func (c *Client) Propose(ctx context.Context, command manager.Command) (manager.Result, error) {
 	var result manager.Result
 	call := call{method: http.MethodPost, path: PathPropose, body: command, answer: &result}
-	call.repeatable = command.Command != "" || command.MakeClaim != nil || command.RecordAnswer != nil
+	call.repeatable = command.Command != "" || command.MakeClaim != nil || command.RecordAnswer != nil || command.ClaimBatch != nil
 	if err := c.do(ctx, call); err != nil {
 		if errors.Is(err, errLost) {
 			return result, errors.Join(manager.ErrOutcomeUnknown{Command: command.Command}, err)
--- a/pkg/manager/applier/claims.go
+++ b/pkg/manager/applier/claims.go
@@ -1,78 +1,78 @@
 package applier
 
-import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+import (
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/claimer"
+)
 
 const (
-	// ClaimWindow is how long a claim is kept; a resend after it is refused as expired.
-	ClaimWindow = 10 * manager.Minute
+	// ClaimWindow is how long a claim is kept, from the time in its id on; a resend after it is
+	// refused as expired.
+	ClaimWindow = 5 * manager.Minute
+	// MaxClaimAhead bounds how far an id's time may be ahead of the state's, or claims stay longer.
+	MaxClaimAhead = 1 * manager.Minute
 	// MaxClaims bounds the claims kept; with more in one window, new ones are refused.
-	MaxClaims = 200_000
+	MaxClaims = 100_000
+	// MaxUntimed bounds the ids without a time, which have to be remembered for ever; with more, new
+	// ones are refused.
+	MaxUntimed = 250_000
 	// MaxAnswerBytes bounds a recorded answer's body; a resend of a larger one gets unknown.
 	MaxAnswerBytes = 64 * 1024
+	// MaxAnswersBytes bounds all recorded answers together; the oldest are forgotten first, and a
+	// resend of one of those gets unknown.
+	MaxAnswersBytes = 8 << 20
 )
 
-// claimRecord is a claim and the answer it led to.
-type claimRecord struct {
-	Request manager.RequestID
-	Digest  manager.ClaimDigest
-	Attempt string
-	At      manager.Time
-	Answer  *manager.RecordedAnswer
-}
-
-// claimTable keeps claims in the order in which they were made.
-type claimTable struct {
-	order []*claimRecord
-	index map[manager.RequestID]*claimRecord
-}
-
-func newClaimTable() *claimTable {
-	return &claimTable{index: map[manager.RequestID]*claimRecord{}}
-}
-
-// expire forgets the claims that were made before the window.
-func (t *claimTable) expire(now manager.Time) {
-	n := 0
-	for n < len(t.order) && now.Sub(t.order[n].At) > ClaimWindow {
-		t.remove(t.order[n])
-		n++
-	}
-	t.order = t.order[n:]
-}
-
-func (t *claimTable) add(r *claimRecord) {
-	t.order = append(t.order, r)
-	t.index[r.Request] = r
-}
-
-// remove forgets a claim unless a newer one has its id.
-func (t *claimTable) remove(r *claimRecord) {
-	if t.index[r.Request] == r {
-		delete(t.index, r.Request)
-	}
-}
-
 func (s *State) applyClaim(c manager.Command) manager.Result {
 	s.claims.expire(s.now)
-	if c.MakeClaim != nil {
+	switch {
+	case c.MakeClaim != nil:
 		result := s.makeClaim(*c.MakeClaim)
 		return manager.Result{Revision: s.revision, Claim: &result}
+	case c.RecordAnswer != nil:
+		return s.recordAnswer(*c.RecordAnswer)
+	default:
+		return s.applyClaimBatch(*c.ClaimBatch)
 	}
-	return s.recordAnswer(*c.RecordAnswer)
+}
+
+// applyClaimBatch records answers first, so that a claim that one of them frees can be made.
+func (s *State) applyClaimBatch(b manager.ClaimBatch) manager.Result {
+	if len(b.Claims)+len(b.Answers) > manager.MaxBatch {
+		return s.fail(*invalid("ClaimBatch", "has too many parts"))
+	}
+	result := manager.Result{Revision: s.revision, Claims: make([]manager.ClaimResult, 0, len(b.Claims))}
+	for _, a := range b.Answers {
+		// One that comes too late has no effect, and nobody waits for its result.
+		s.recordAnswer(a)
+	}
+	for _, c := range b.Claims {
+		result.Claims = append(result.Claims, s.makeClaim(c))
+	}
+	return result
 }
 
 func (s *State) makeClaim(c manager.MakeClaim) manager.ClaimResult {
-	old, ok := s.claims.index[c.Request]
-	if ok {
+	if old, ok := s.claims.index[c.Request]; ok {
 		return resendResult(old, c)
 	}
-	if s.now.Sub(c.MadeAt) > ClaimWindow {
-		return manager.ClaimResult{State: manager.ClaimExpired}
+	made, timed := claimer.MadeAt(c.Request)
+	if !timed {
+		made = s.now
 	}
-	if len(s.claims.index) >= MaxClaims {
+	switch {
+	case s.now.Sub(made) > ClaimWindow || !timed && s.claims.isSpent(c.Request):
+		return manager.ClaimResult{State: manager.ClaimExpired}
+	case made.Sub(s.now) > MaxClaimAhead:
+		return manager.ClaimResult{State: manager.ClaimAhead}
+	case !timed && s.claims.untimed+len(s.claims.spent) >= MaxUntimed:
+		return manager.ClaimResult{State: manager.ClaimUntimed}
+	case len(s.claims.index) >= MaxClaims:
 		return manager.ClaimResult{State: manager.ClaimFull}
 	}
-	s.claims.add(&claimRecord{Request: c.Request, Digest: c.Digest, Attempt: c.Attempt, At: s.now})
+	s.claims.add(&claimRecord{
+		Request: c.Request, Digest: c.Digest, Attempt: c.Attempt, Until: made.Add(ClaimWindow), Untimed: !timed,
+	})
 	return manager.ClaimResult{State: manager.ClaimGranted}
 }
 
@@ -82,6 +82,8 @@
 		return manager.ClaimResult{State: manager.ClaimMismatch}
 	case old.Answer != nil:
 		return manager.ClaimResult{State: manager.ClaimAnswered, Answer: old.Answer}
+	case old.Answered > 0:
+		return manager.ClaimResult{State: manager.ClaimForgotten}
 	case old.Attempt == c.Attempt:
 		return manager.ClaimResult{State: manager.ClaimGranted}
 	default:
@@ -91,13 +93,13 @@
 
 func (s *State) recordAnswer(c manager.RecordAnswer) manager.Result {
 	old, ok := s.claims.index[c.Request]
-	if !ok || old.Attempt != c.Attempt {
+	if !ok || old.Attempt != c.Attempt || old.Answered > 0 {
 		return s.fail(*conflict("claim", string(c.Request), "is not held by this attempt"))
 	}
 	if c.NotRun {
 		s.claims.remove(old)
 		return manager.Result{Revision: s.revision}
 	}
-	old.Answer = c.Answer
+	s.claims.answer(old, c.Answer)
 	return manager.Result{Revision: s.revision}
 }
--- a/pkg/manager/applier/snapshot.go
+++ b/pkg/manager/applier/snapshot.go
@@ -27,6 +27,8 @@
 	Jobs      []manager.Job
 	Results   []resultRecord
 	Claims    []*claimRecord
+	// Spent are the ids without a time that were claimed once.
+	Spent []fingerprint `json:",omitempty"`
 }
 
 // Snapshot encodes the whole state.
@@ -35,7 +37,7 @@
 		Format: SnapshotFormat, Revision: s.revision, Now: s.now, NextLease: s.nextID,
 		Profiles: values(s.profiles), Pools: values(s.pools), VMs: values(s.vms),
 		Waves: values(s.waves), Jobs: values(s.jobs),
-		Results: s.results.order, Claims: s.claims.live(),
+		Results: s.results.order, Claims: s.claims.live(), Spent: s.claims.spentIDs(),
 	}
 	data, err := json.Marshal(snap)
 	if err != nil {
@@ -44,17 +46,6 @@
 	return data, nil
 }
 
-// live returns the claims that are still in force, oldest first.
-func (t *claimTable) live() []*claimRecord {
-	list := make([]*claimRecord, 0, len(t.index))
-	for _, r := range t.order {
-		if t.index[r.Request] == r {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 // Restore replaces the state by a snapshot.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
@@ -90,6 +81,9 @@
 	for _, r := range snap.Claims {
 		fresh.claims.add(r)
 	}
+	for _, id := range snap.Spent {
+		fresh.claims.spent[id] = struct{}{}
+	}
 	*s = *fresh
 	return nil
 }
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -94,7 +94,7 @@
 }
 
 func (s *State) applyNew(c manager.Command) manager.Result {
-	if c.MakeClaim != nil || c.RecordAnswer != nil {
+	if c.MakeClaim != nil || c.RecordAnswer != nil || c.ClaimBatch != nil {
 		return s.applyClaim(c)
 	}
 	before := s.revision
--- a/pkg/manager/claim.go
+++ b/pkg/manager/claim.go
@@ -18,6 +18,12 @@
 	ClaimMismatch ClaimState = "mismatch"
 	// ClaimExpired says that the id is older than the window in which claims are kept.
 	ClaimExpired ClaimState = "expired"
+	// ClaimForgotten says that the work ran but its answer is no longer kept.
+	ClaimForgotten ClaimState = "forgotten"
+	// ClaimAhead says that the time in the id is in the future, so that nothing was claimed.
+	ClaimAhead ClaimState = "ahead"
+	// ClaimUntimed says that no more ids without a time can be remembered, so that nothing was claimed.
+	ClaimUntimed ClaimState = "untimed"
 	// ClaimFull says that the memory for claims is used up, so that nothing was claimed.
 	ClaimFull ClaimState = "full"
 )
@@ -42,3 +48,9 @@
 	State  ClaimState
 	Answer *RecordedAnswer
 }
+
+// ClaimBatch records answers and then makes claims, in order, under one entry of the log.
+type ClaimBatch struct {
+	Answers []RecordAnswer `json:",omitempty"`
+	Claims  []MakeClaim    `json:",omitempty"`
+}
--- a/pkg/manager/claimer/outcome.go
+++ b/pkg/manager/claimer/outcome.go
@@ -12,10 +12,26 @@
 			Message: "this Request-Id was used by another caller or with another body",
 		}
 	case manager.ClaimExpired:
-		return 503, manager.Refusal{
-			Code: manager.RefusalRequestExpired, RunState: manager.RunStateNotRun,
+		// An earlier attempt may have run and be forgotten.
+		return 504, manager.Refusal{
+			Code: manager.RefusalRequestExpired, RunState: manager.RunStateUnknown,
 			Message: "this Request-Id is older than the window in which resends are recognised",
 		}
+	case manager.ClaimAnswered, manager.ClaimForgotten:
+		return 504, manager.Refusal{
+			Code: manager.RefusalAnswerForgotten, RunState: manager.RunStateUnknown,
+			Message: "the request ran, but its answer was too large or too old to keep",
+		}
+	case manager.ClaimAhead:
+		return 400, manager.Refusal{
+			Code: manager.RefusalRequestAhead, RunState: manager.RunStateNotRun,
+			Message: "Request-Id: its time is in the future",
+		}
+	case manager.ClaimUntimed:
+		return 400, manager.Refusal{
+			Code: manager.RefusalRequestUntimed, RunState: manager.RunStateNotRun,
+			Message: "Request-Id: must carry its time (UUIDv7), as no more other ids can be remembered",
+		}
 	case manager.ClaimFull:
 		return 503, manager.Refusal{
 			Code: manager.RefusalClaimUnavailable, RunState: manager.RunStateNotRun, RetryAfterMs: retryAfter,
--- a/pkg/manager/command.go
+++ b/pkg/manager/command.go
@@ -31,6 +31,7 @@
 	CancelJobs   *CancelJobs   `json:",omitempty"`
 	MakeClaim    *MakeClaim    `json:",omitempty"`
 	RecordAnswer *RecordAnswer `json:",omitempty"`
+	ClaimBatch   *ClaimBatch   `json:",omitempty"`
 	Batch        *Batch        `json:",omitempty"`
 }
 
@@ -231,8 +232,6 @@
 	Gateway GatewayID
 	// Attempt tells the resend of this command from a resend of the request.
 	Attempt string
-	// MadeAt is when the request was first seen, from the id or the gateway's wall clock.
-	MadeAt Time
 }
 
 // RecordAnswer ends a claim with the answer, or frees it if the work certainly did not run.
@@ -287,6 +286,8 @@
 	Wave     *Wave        `json:",omitempty"`
 	Job      *Job         `json:",omitempty"`
 	Claim    *ClaimResult `json:",omitempty"`
+	// Claims are the results of a batch's claims in their order.
+	Claims []ClaimResult `json:",omitempty"`
 	// RefusedJobs lists the items of a batch that were refused.
 	RefusedJobs []JobFailure `json:",omitempty"`
 	// Refused lists the failures of a batch's commands.
