--- a/internal/controller/placement_test.go
+++ b/internal/controller/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -29,6 +30,8 @@
 // TestPlacementHoldsUnderFaults drives random jobs and faults; check asserts the invariants after each
 // step, and at the end every job must have come to an end that is right for it.
 func TestPlacementHoldsUnderFaults(t *testing.T) {
+	setRapid(t, "rapid.checks", "100")
+	setRapid(t, "rapid.steps", "60")
 	rapid.Check(t, func(rt *rapid.T) {
 		quotas := []manager.Quota{{Team: "desk", Resources: size(100, 200)}, {Team: "ledger", Resources: size(40, 80)}}
 		f := cathode.fleet(16, 2, manager.Profile{Quotas: quotas, Spread: manager.Spread{MaxPerRack: 20}})
@@ -60,6 +63,14 @@
 	})
 }
 
+// setRapid changes a setting of the property tests for one test.
+func setRapid(t *testing.T, name, value string) {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	require.NoError(t, flag.Set(name, value))
+	t.Cleanup(func() { require.NoError(t, flag.Set(name, old)) })
+}
+
 // faults are the actions of the property test.
 type faults struct {
 	*simulation
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"testing"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/goleak"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/faker"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -17,19 +13,6 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/placer"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.steps", "60")
-	_ = flag.Set("rapid.nofailfile", "true")
-	code := m.Run()
-	if err := goleak.Find(); code == 0 && err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		code = 1
-	}
-	os.Exit(code)
-}
-
 // memoryStore applies commands at once.
 type memoryStore struct {
 	state    *applier.State
--- a/pkg/manager/applier/jobs_test.go
+++ b/pkg/manager/applier/jobs_test.go
@@ -176,14 +176,14 @@
 		Refuse: []manager.RefuseJob{{Job: "three", Reason: "too large"}},
 	}
 	r := apply(t, s, manager.Command{PlaceTasks: &batch})
-	require.Len(t, r.Refused, 1)
-	require.Equal(t, manager.JobID("none"), r.Refused[0].Job)
+	require.Len(t, r.RefusedJobs, 1)
+	require.Equal(t, manager.JobID("none"), r.RefusedJobs[0].Job)
 	renew := manager.TaskBatch{Renew: &manager.RenewLeases{All: true, AllExcept: []manager.LeaseID{2}, Until: start.Add(20 * manager.Second)}}
 	apply(t, s, manager.Command{PlaceTasks: &renew})
 	jobs := s.Fleet().Jobs
 	require.Equal(t, start.Add(20*manager.Second), jobs[4].Lease.Until, "one is renewed")
 	require.Equal(t, start.Add(10*manager.Second), jobs[6].Lease.Until, "two is left out")
-	require.NotNil(t, s.Apply(manager.Command{PlaceTasks: &manager.TaskBatch{Refuse: make([]manager.RefuseJob, manager.MaxBatch+1)}}).Failure)
+	require.NotNil(t, s.Apply(manager.Command{PlaceTasks: &manager.TaskBatch{Refuse: make([]manager.RefuseJob, manager.MaxTaskBatch+1)}}).Failure)
 }
 
 // TestJobsAreBounded keeps the jobs that ended last and the same ones after a snapshot.
