--- a/pkg/manager/applier/jobs.go
+++ b/pkg/manager/applier/jobs.go
@@ -10,7 +10,7 @@
 
 const (
 	// MaxJobs bounds the jobs kept; the one that ended first goes first.
-	MaxJobs = 30_000
+	MaxJobs = 20_000
 	// maxName bounds the bytes of a job's names, maxReason those of a worker's reason, so that the jobs
 	// kept stay within some tens of megabytes.
 	maxName   = 128
