--- a/internal/controller/placement_test.go
+++ b/internal/controller/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -29,6 +30,8 @@
 // TestPlacementHoldsUnderFaults drives random jobs and faults; check asserts the invariants after each
 // step, and at the end every job must have come to an end that is right for it.
 func TestPlacementHoldsUnderFaults(t *testing.T) {
+	setRapid(t, "rapid.checks", "100")
+	setRapid(t, "rapid.steps", "60")
 	rapid.Check(t, func(rt *rapid.T) {
 		quotas := []manager.Quota{{Team: "desk", Resources: size(100, 200)}, {Team: "ledger", Resources: size(40, 80)}}
 		f := cathode.fleet(16, 2, manager.Profile{Quotas: quotas, Spread: manager.Spread{MaxPerRack: 20}})
@@ -60,6 +63,14 @@
 	})
 }
 
+// setRapid changes a setting of the property tests for one test.
+func setRapid(t *testing.T, name, value string) {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	require.NoError(t, flag.Set(name, value))
+	t.Cleanup(func() { require.NoError(t, flag.Set(name, old)) })
+}
+
 // faults are the actions of the property test.
 type faults struct {
 	*simulation
@@ -281,6 +292,23 @@
 	}
 }
 
+// TestLateReportEndsDoubt heals a worker whose non-idempotent task had been taken for lost.
+func TestLateReportEndsDoubt(t *testing.T) {
+	s := newSimulation(t, cathode.fleet(2, 1, manager.Profile{}), adaptive)
+	once := newJob("once", "steady", size(2, 2), 10*manager.Second)
+	once.Idempotent = false
+	s.submit(once)
+	s.run(4*manager.Second, nil)
+	v := s.job("once").Lease.VM
+	s.worker.Cut(v)
+	s.run(15*manager.Second, nil)
+	require.Equal(t, manager.JobUnknown, s.job("once").State)
+	s.worker.Heal(v)
+	s.run(2*manager.Second, nil)
+	require.Equal(t, manager.JobDone, s.job("once").State)
+	require.Equal(t, 1, s.worker.Runs("once"))
+}
+
 // TestDrainEmptiesVM has every kind of task on a VM that drains for a move.
 func TestDrainEmptiesVM(t *testing.T) {
 	f := cathode.fleet(8, 2, manager.Profile{})
