--- a/internal/controller/loops.go
+++ b/internal/controller/loops.go
@@ -12,9 +12,6 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// loopPeriod is the pause between two steps of the leader's loops; urgent work waits at least this long.
-const loopPeriod = 100 * manager.Millisecond
-
 func sleep(ctx context.Context, d manager.Duration) {
 	t := time.NewTimer(d.Std())
 	defer t.Stop()
--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// maintenancePeriod is the pause between two steps; each VM of a wave waits for it at each of its
+	// few states, so a much longer one shows in the roll-out time.
+	maintenancePeriod = 500 * manager.Millisecond
 	// quietPeriod is the pause between two looks at a fleet in which nothing is under way; a failure
 	// is seen that much later.
 	quietPeriod = 1 * manager.Second
@@ -49,6 +52,8 @@
 	busy       bool
 	observedAt manager.Time
 	balancedAt manager.Time
+	stepped    manager.Revision
+	steppedAt  manager.Time
 	sent       map[manager.VMID]sentOrder
 }
 
@@ -56,7 +61,7 @@
 func (l *MaintenanceLoop) Name() string { return "maintenance" }
 
 // Period is the pause between two steps.
-func (l *MaintenanceLoop) Period() manager.Duration { return loopPeriod }
+func (l *MaintenanceLoop) Period() manager.Duration { return maintenancePeriod }
 
 // Step does what the state calls for now. What fails does not stop the rest: a platform that can't be
 // observed still gets its orders, and a refused order leaves the other VMs alone.
@@ -66,7 +71,7 @@
 		return err
 	}
 	f, observeErr := l.observe(ctx, now, s, f)
-	commands := append(l.Maintainer.Step(now, f), l.rebalance(now, f)...)
+	commands := append(l.maintain(now, f), l.rebalance(now, f)...)
 	f, proposeErr := proposeFor(ctx, s, f, commands)
 	return errors.Join(observeErr, proposeErr, l.order(ctx, now, f))
 }
@@ -84,6 +89,16 @@
 	return after, proposeErr
 }
 
+// maintain returns what the waves call for; while the state stays as it is, only the time can call for
+// something, so that a look once in a quiet period is enough.
+func (l *MaintenanceLoop) maintain(now manager.Time, f manager.Fleet) []manager.Command {
+	if f.Revision == l.stepped && now.Sub(l.steppedAt) < quietPeriod {
+		return nil
+	}
+	l.stepped, l.steppedAt = f.Revision, now
+	return l.Maintainer.Step(now, f)
+}
+
 // rebalance takes the demand and returns the moves that it calls for, once in a quiet period.
 func (l *MaintenanceLoop) rebalance(now manager.Time, f manager.Fleet) []manager.Command {
 	l.mu.Lock()
--- a/pkg/manager/budgeter/check.go
+++ b/pkg/manager/budgeter/check.go
@@ -18,31 +18,61 @@
 	return limit - lossReserve
 }
 
+// scope is the group of VMs that a rule bounds.
+type scope int
+
+const (
+	scopePool scope = iota
+	scopeService
+	scopeZone
+	scopeRack
+)
+
 // rule is one bound of a budget on one group of VMs.
 type rule struct {
-	name  string
+	scope scope
 	limit int
 	used  int
 }
 
+// name returns the words for the group of VMs that v shares the rule with.
+func (r rule) name(b *Book, v manager.VM) string {
+	service := b.Service(v.Pool)
+	switch r.scope {
+	case scopeService:
+		return fmt.Sprintf("service %q", service)
+	case scopeZone:
+		return fmt.Sprintf("service %q in availability zone %q", service, v.AvailabilityZone)
+	case scopeRack:
+		return fmt.Sprintf("service %q in rack %q", service, v.Rack)
+	default:
+		return fmt.Sprintf("pool %q", v.Pool)
+	}
+}
+
+// maxRules is the number of scopes.
+const maxRules = 4
+
 // rules returns the bounds that a VM of a pool is under; the per-domain ones only where they are set.
-func (b *Book) rules(v manager.VM) []rule {
+func (b *Book) rules(v manager.VM) ([maxRules]rule, int) {
 	pool := b.pools[v.Pool]
-	count := b.byPool[v.Pool]
-	list := make([]rule, 0, 4)
-	list = append(list, rule{fmt.Sprintf("pool %q", v.Pool), b.poolLimit(v.Pool), count.unavailable})
 	service := b.byService[pool.Service]
+	list := [maxRules]rule{{scopePool, b.poolLimit(v.Pool), b.byPool[v.Pool].unavailable}}
+	n := 1
 	if len(b.members[pool.Service]) > 1 {
-		list = append(list, rule{fmt.Sprintf("service %q", pool.Service), b.serviceLimit(pool.Service), service.unavailable})
+		list[n] = rule{scopeService, b.serviceLimit(pool.Service), service.unavailable}
+		n++
 	}
 	perZone, perRack := b.domainLimits(pool.Service)
 	if perZone > 0 {
-		list = append(list, rule{fmt.Sprintf("service %q in availability zone %q", pool.Service, v.AvailabilityZone), perZone, service.perZone[v.AvailabilityZone]})
+		list[n] = rule{scopeZone, perZone, service.perZone[v.AvailabilityZone]}
+		n++
 	}
 	if perRack > 0 {
-		list = append(list, rule{fmt.Sprintf("service %q in rack %q", pool.Service, v.Rack), perRack, service.perRack[v.Rack]})
+		list[n] = rule{scopeRack, perRack, service.perRack[v.Rack]}
+		n++
 	}
-	return list
+	return list, n
 }
 
 func (b *Book) poolLimit(id manager.PoolID) int {
@@ -85,26 +115,42 @@
 	return b.check(v, func(limit int) int { return limit })
 }
 
+// Allows tells whether Check finds no rule against taking a VM, without the cost of naming one.
+func (b *Book) Allows(v manager.VM) bool {
+	_, broken := b.broken(v, Spendable)
+	return !broken
+}
+
 func (b *Book) check(v manager.VM, spendable func(int) int) string {
 	if _, ok := b.pools[v.Pool]; !ok {
 		return fmt.Sprintf("pool %q does not exist", v.Pool)
 	}
-	for _, r := range b.rules(v) {
+	r, broken := b.broken(v, spendable)
+	if !broken {
+		return ""
+	}
+	return r.refusal(r.name(b, v))
+}
+
+// broken returns the first rule that forbids to take a VM.
+func (b *Book) broken(v manager.VM, spendable func(int) int) (rule, bool) {
+	rules, n := b.rules(v)
+	for _, r := range rules[:n] {
 		if r.used >= spendable(r.limit) {
-			return r.refusal()
+			return r, true
 		}
 	}
-	return ""
+	return rule{}, false
 }
 
-func (r rule) refusal() string {
+func (r rule) refusal(name string) string {
 	if r.limit == 0 {
-		return fmt.Sprintf("budget of %s allows no VM to be unavailable", r.name)
+		return fmt.Sprintf("budget of %s allows no VM to be unavailable", name)
 	}
 	if r.used < r.limit {
-		return fmt.Sprintf("budget of %s is spent: %d of %d unavailable, and %d is kept for an unplanned loss", r.name, r.used, r.limit, lossReserve)
+		return fmt.Sprintf("budget of %s is spent: %d of %d unavailable, and %d is kept for an unplanned loss", name, r.used, r.limit, lossReserve)
 	}
-	return fmt.Sprintf("budget of %s is spent: %d of %d unavailable", r.name, r.used, r.limit)
+	return fmt.Sprintf("budget of %s is spent: %d of %d unavailable", name, r.used, r.limit)
 }
 
 // Full tells whether no VM of a pool may be taken now, whatever its zone and rack are.
--- a/pkg/manager/maintainer/bound.go
+++ b/pkg/manager/maintainer/bound.go
@@ -4,8 +4,8 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// group is a set of VMs of which only so many may be out of service at once.
-type group struct {
+// bounded is a set of VMs of which only so many may be out of service at once.
+type bounded struct {
 	size  int
 	limit int
 	rules manager.WaveRules
@@ -23,7 +23,7 @@
 
 // shortest returns the time that a group takes if each place is filled as soon as it is free and the
 // window is open.
-func (g group) shortest(start manager.Time) manager.Duration {
+func (g bounded) shortest(start manager.Time) manager.Duration {
 	now := start
 	for range rounds(g.size, g.limit) {
 		now = g.rules.NextOpen(now).Add(expectedTime(g.rules))
@@ -32,9 +32,9 @@
 }
 
 // groups returns the pools, zones and racks of a service's wave with their limits.
-func (p *planner) groups(s manager.ServiceID) []group {
+func (p *planner) groups(s manager.ServiceID) []bounded {
 	type domain struct{ kind, name string }
-	groups := map[domain]*group{}
+	groups := map[domain]*bounded{}
 	var order []domain
 	add := func(d domain, v manager.VM, limit int) {
 		if limit <= 0 {
@@ -42,7 +42,7 @@
 		}
 		g, ok := groups[d]
 		if !ok {
-			g = &group{limit: limit, rules: p.profiles[v.Pool].Wave}
+			g = &bounded{limit: limit, rules: p.profiles[v.Pool].Wave}
 			groups[d] = g
 			order = append(order, d)
 		}
@@ -58,7 +58,7 @@
 		add(domain{"zone", string(v.AvailabilityZone)}, v, limits.PerZone)
 		add(domain{"rack", string(v.Rack)}, v, limits.PerRack)
 	}
-	list := make([]group, 0, len(order))
+	list := make([]bounded, 0, len(order))
 	for _, d := range order {
 		list = append(list, *groups[d])
 	}
--- a/pkg/manager/maintainer/pipelined.go
+++ b/pkg/manager/maintainer/pipelined.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/budgeter"
@@ -15,12 +16,14 @@
 
 // Step returns the commands that the waves call for now.
 func (Pipelined) Step(now manager.Time, f manager.Fleet) []manager.Command {
+	if !slices.ContainsFunc(f.Waves, unfinished) {
+		return settled(now, f)
+	}
 	r := &round{view: newView(now, f), book: budgeter.FromFleet(f)}
 	for _, w := range f.Waves {
-		if w.State == manager.WavePlanned || w.State == manager.WaveDone {
-			continue
+		if unfinished(w) {
+			r.stepWave(w)
 		}
-		r.stepWave(w)
 	}
 	if len(r.commands) == 0 {
 		return settled(now, f)
@@ -28,6 +31,18 @@
 	return r.commands
 }
 
+// unfinished tells whether a wave may call for a command.
+func unfinished(w manager.Wave) bool {
+	switch w.State {
+	case manager.WaveRunning, manager.WavePaused:
+		return true
+	case manager.WaveCancelled:
+		return slices.ContainsFunc(w.Steps, func(step manager.WaveStep) bool { return step.State.Active() })
+	default:
+		return false
+	}
+}
+
 // round is one call of Step; its book counts what it has proposed so far.
 type round struct {
 	*view
@@ -93,9 +108,9 @@
 	if w.State != manager.WaveRunning {
 		return
 	}
-	if reason := r.refusal(w, v, p); reason != "" {
+	if !r.allows(w, v, p) {
 		if p.blocked == "" {
-			p.blocked = reason
+			p.blocked = r.refusal(w, v, p)
 		}
 		return
 	}
@@ -105,6 +120,15 @@
 	p.taken++
 }
 
+// allows tells whether refusal finds no rule, without the cost of naming one.
+func (r *round) allows(w manager.Wave, v manager.VM, p *progress) bool {
+	rules := r.profiles[v.Pool].Wave
+	if !v.Available() || p.held[v.Pool] >= rules.MaxAtOnce || !rules.Open(r.now) {
+		return false
+	}
+	return r.book.Allows(v) || r.refusal(w, v, p) == ""
+}
+
 // refusal returns the rule that holds a VM back; it is empty if the VM may be taken now.
 func (r *round) refusal(w manager.Wave, v manager.VM, p *progress) string {
 	rules := r.profiles[v.Pool].Wave
--- a/pkg/manager/maintainer/simulation.go
+++ b/pkg/manager/maintainer/simulation.go
@@ -14,17 +14,16 @@
 
 // run plans the VMs of one service; no budget spans two services, so that each is planned by itself.
 func (p *planner) run(s manager.ServiceID) error {
-	waiting := slices.Clone(p.all[s])
+	q := newQueue(p.all[s])
 	now := p.start
 	var running []maintenance
-	for len(waiting) > 0 {
+	for q.size > 0 {
 		running = p.end(now, running)
-		left, started := p.take(now, waiting, &running)
-		waiting = left
+		started := p.take(now, q, &running)
 		p.record(now, started)
-		next, ok := p.next(now, waiting, running)
+		next, ok := p.next(now, q, running)
 		if !ok {
-			v := waiting[0]
+			v := q.first()
 			return manager.ErrConflict{Kind: "pool", Name: string(v.Pool), Reason: p.book.Check(v)}
 		}
 		now = next
@@ -48,60 +47,70 @@
 	})
 }
 
-// take starts every VM that the rules allow now and returns those that wait on.
-func (p *planner) take(now manager.Time, waiting []manager.VM, running *[]maintenance) (left, started []manager.VM) {
+// take starts every VM that the rules allow now.
+func (p *planner) take(now manager.Time, q *queue, running *[]maintenance) []manager.VM {
 	held := map[manager.PoolID]int{}
 	for _, m := range *running {
 		held[m.vm.Pool]++
 	}
-	for len(waiting) > 0 {
-		i := p.pick(now, waiting, held)
-		if i < 0 {
-			break
+	var started []manager.VM
+	for {
+		v, ok := p.pick(now, q, held)
+		if !ok {
+			return started
 		}
-		v := waiting[i]
-		waiting = slices.Delete(waiting, i, i+1)
 		p.book.Take(v)
 		held[v.Pool]++
 		*running = append(*running, maintenance{vm: v, end: now.Add(expectedTime(p.profiles[v.Pool].Wave))})
 		started = append(started, v)
 	}
-	return waiting, started
 }
 
-// pick returns the VM to start next, or -1. A failure domain that would need the whole remaining time
-// by itself goes first, as the roll-out would otherwise end by waiting for that domain alone.
-func (p *planner) pick(now manager.Time, waiting []manager.VM, held map[manager.PoolID]int) int {
-	critical := p.criticalZones(waiting)
-	first := -1
-	for i, v := range waiting {
-		rules := p.profiles[v.Pool].Wave
-		if !rules.Open(now) || held[v.Pool] >= rules.MaxAtOnce || p.book.Full(v.Pool) || p.book.Check(v) != "" {
+// pick takes the VM to start next from the queue. A failure domain that would need the whole remaining
+// time by itself goes first, as the roll-out would otherwise end by waiting for that domain alone.
+func (p *planner) pick(now manager.Time, q *queue, held map[manager.PoolID]int) (manager.VM, bool) {
+	if q.size == 0 {
+		return manager.VM{}, false
+	}
+	critical := p.criticalZones(q)
+	var best *group
+	bestAt := 0
+	for _, g := range q.groups {
+		rules := p.profiles[g.pool].Wave
+		if !rules.Open(now) || held[g.pool] >= rules.MaxAtOnce || p.book.Full(g.pool) {
 			continue
 		}
-		if critical[v.AvailabilityZone] {
-			return i
+		at := slices.IndexFunc(g.waiting, func(i int) bool { return p.book.Allows(q.vms[i]) })
+		if at < 0 {
+			continue
 		}
-		if first < 0 {
-			first = i
+		if best == nil || before(critical, g, g.waiting[at], best, best.waiting[bestAt]) {
+			best, bestAt = g, at
 		}
 	}
-	return first
+	if best == nil {
+		return manager.VM{}, false
+	}
+	return q.remove(best, bestAt), true
+}
+
+// before tells whether VM i of group a starts before VM j of group b.
+func before(critical map[manager.AvailabilityZone]bool, a *group, i int, b *group, j int) bool {
+	if critical[a.zone] != critical[b.zone] {
+		return critical[a.zone]
+	}
+	return i < j
 }
 
 // criticalZones returns the zones whose own bound is as long as that of the whole service.
-func (p *planner) criticalZones(waiting []manager.VM) map[manager.AvailabilityZone]bool {
-	limits := p.book.SpendableLimits(waiting[0].Pool)
+func (p *planner) criticalZones(q *queue) map[manager.AvailabilityZone]bool {
+	limits := p.book.SpendableLimits(q.first().Pool)
 	if limits.PerZone == 0 {
 		return nil
 	}
-	perZone := map[manager.AvailabilityZone]int{}
-	for _, v := range waiting {
-		perZone[v.AvailabilityZone]++
-	}
-	total := rounds(len(waiting), limits.Service)
+	total := rounds(q.size, limits.Service)
 	critical := map[manager.AvailabilityZone]bool{}
-	for zone, n := range perZone {
+	for zone, n := range q.perZone {
 		if rounds(n, limits.PerZone) >= total {
 			critical[zone] = true
 		}
@@ -118,20 +127,20 @@
 }
 
 // next returns when something may start after now: a VM has settled or a window opens.
-func (p *planner) next(now manager.Time, waiting []manager.VM, running []maintenance) (manager.Time, bool) {
+func (p *planner) next(now manager.Time, q *queue, running []maintenance) (manager.Time, bool) {
 	var next manager.Time
 	for _, m := range running {
 		if next == 0 || m.end < next {
 			next = m.end
 		}
 	}
-	for _, v := range waiting {
-		opens := p.profiles[v.Pool].Wave.NextOpen(now)
-		if opens > now && (next == 0 || opens < next) {
+	for _, g := range q.groups {
+		opens := p.profiles[g.pool].Wave.NextOpen(now)
+		if len(g.waiting) > 0 && opens > now && (next == 0 || opens < next) {
 			next = opens
 		}
 	}
-	return next, len(waiting) == 0 || next > now
+	return next, q.size == 0 || next > now
 }
 
 // record adds the steps that start at now with the budget that is left once all of them have started.
--- a/pkg/manager/rebalancer/choice.go
+++ b/pkg/manager/rebalancer/choice.go
@@ -112,7 +112,7 @@
 
 func (t *survey) movable(v manager.VM, to *poolView) bool {
 	settled := v.PoolSince == 0 || t.now.Sub(v.PoolSince) >= residence
-	return v.Available() && settled && !t.inWave[v.VM] && v.Capacity.Fits(to.profile.Capacity) && t.book.Check(v) == ""
+	return v.Available() && settled && !t.inWave[v.VM] && v.Capacity.Fits(to.profile.Capacity) && t.book.Allows(v)
 }
 
 // start returns the command and counts the VM as one of its new pool.
--- a/pkg/manager/rebalancer/learner.go
+++ b/pkg/manager/rebalancer/learner.go
@@ -107,17 +107,16 @@
 // highest returns the slots that the highest demand of the horizon asked for; pools never shrink below it.
 func (l *learner) highest() float64 { return slices.Max(l.peaks) }
 
-// recurring returns the slots that at least two slots of the horizon asked for; pools grow only for
-// demand that came back, as a single surge is over before a move ends.
+// recurring returns the slots that demand asked for at two times apart; pools grow only for demand that
+// came back, as a single surge is over before a move ends. Neighbours of the highest slot are left out,
+// as one surge may reach into them.
 func (l *learner) recurring() float64 {
-	first, second := 0.0, 0.0
-	for _, x := range l.peaks {
-		switch {
-		case x > first:
-			first, second = x, first
-		case x > second:
-			second = x
+	highest := slices.Index(l.peaks, l.highest())
+	again := 0.0
+	for i, x := range l.peaks {
+		if i < highest-1 || i > highest+1 {
+			again = max(again, x)
 		}
 	}
-	return second
+	return again
 }
