--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -7,7 +7,6 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/controller"
 	"github.com/mulberryhaven/mulberryhaven/internal/faker"
-	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/maintainer"
@@ -17,9 +16,9 @@
 
 func (p *Process) buildController() (*controller.Service, error) {
 	cfg := p.Settings.Controller
-	store := &storer.Single{
-		Address: cfg.Address,
-		Journal: &journaler.Journal{Folder: filepath.Join(cfg.DataFolder, "log")},
+	store := &storer.Replicated{
+		Clock: p.Clock, Replica: cfg.Replica, Initial: initialMembers(cfg.Replicas),
+		Folder: filepath.Join(cfg.DataFolder, "replica"), Token: p.Settings.Tokens.Peer, HTTP: newClient(), Seed: p.Seed,
 	}
 	if err := store.Open(); err != nil {
 		return nil, fmt.Errorf("open store: %w", err)
@@ -36,6 +35,14 @@
 	return c, nil
 }
 
+func initialMembers(replicas []configurer.Replica) []manager.ReplicaMember {
+	list := make([]manager.ReplicaMember, 0, len(replicas))
+	for _, r := range replicas {
+		list = append(list, manager.ReplicaMember{Replica: r.Replica, Address: r.Address, AvailabilityZone: r.AvailabilityZone})
+	}
+	return list
+}
+
 // addPlatform adds the loops that act on VMs and workers.
 func (p *Process) addPlatform(c *controller.Service, demand *controller.DemandTable) {
 	platform, worker := p.Platform, p.Worker
--- a/internal/controller/loops.go
+++ b/internal/controller/loops.go
@@ -37,10 +37,21 @@
 	return nil
 }
 
+// readFleet reads the state for a loop. It may be an election time-out old: whatever the loop
+// proposes is checked again when it is applied.
 func readFleet(ctx context.Context, s storer.Store) (manager.Fleet, error) {
 	var f manager.Fleet
-	if err := s.Read(ctx, func(a manager.Applier) { f = a.Fleet() }); err != nil {
+	if err := storer.Recent(ctx, s, func(a manager.Applier) { f = a.Fleet() }); err != nil {
 		return f, fmt.Errorf("read fleet: %w", err)
 	}
 	return f, nil
 }
+
+// readLatest reads the state for an operator, who must see what was accepted before.
+func readLatest(ctx context.Context, s storer.Store) (manager.Fleet, error) {
+	var f manager.Fleet
+	if err := s.Read(ctx, func(a manager.Applier) { f = a.Fleet() }); err != nil {
+		return f, fmt.Errorf("read latest fleet: %w", err)
+	}
+	return f, nil
+}
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -12,17 +11,11 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
-	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
 const (
-	// configurationLease is how long a gateway may use a configuration after it asked for it; it
-	// bounds the time in which an accepted change is not in force at a gateway that was cut off.
-	configurationLease = 4 * manager.Second
-	// maxWait bounds how long a request for a newer configuration is held.
-	maxWait = 1 * manager.Second
 	// maxMessageBytes bounds a peer's message.
 	maxMessageBytes = 32 << 20
 )
@@ -36,6 +29,7 @@
 	g.POST("/plan", s.plan)
 	g.POST("/configuration", s.configuration)
 	g.POST("/demand", s.demand)
+	s.addPeerRoutes(g)
 }
 
 // trace wraps each call in a span that continues the caller's trace.
@@ -84,7 +78,7 @@
 }
 
 func (s *Service) fleet(c echo.Context) error {
-	f, err := readFleet(c.Request().Context(), s.Store)
+	f, err := readLatest(c.Request().Context(), s.Store)
 	if err != nil {
 		return err
 	}
@@ -116,7 +110,7 @@
 	if err := decode(c, &spec); err != nil {
 		return err
 	}
-	f, err := readFleet(c.Request().Context(), s.Store)
+	f, err := readLatest(c.Request().Context(), s.Store)
 	if err != nil {
 		return err
 	}
@@ -127,34 +121,6 @@
 	return c.JSON(http.StatusOK, w)
 }
 
-func (s *Service) configuration(c echo.Context) error {
-	var r proposer.ConfigurationRequest
-	if err := decode(c, &r); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), min(r.WaitMs, maxWait).Std())
-	defer cancel()
-	s.Store.Wait(ctx, r.After)
-	cfg, err := readConfiguration(c.Request().Context(), s.Store)
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, cfg)
-}
-
-func readConfiguration(ctx context.Context, s storer.Store) (proposer.Configuration, error) {
-	f, err := readFleet(ctx, s)
-	if err != nil {
-		return proposer.Configuration{}, err
-	}
-	return proposer.Configuration{
-		Revision: f.Revision,
-		LeaseMs:  configurationLease,
-		Profiles: f.Profiles,
-		Pools:    f.Pools,
-	}, nil
-}
-
 func (s *Service) demand(c echo.Context) error {
 	var r proposer.DemandReport
 	if err := decode(c, &r); err != nil {
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -51,7 +51,7 @@
 // Start serves the controller's endpoints and starts the loops.
 func (s *Service) Start(*supervisor.Registry) error {
 	e := listener.NewEcho()
-	listener.AddHealth(e, func() error { return nil })
+	listener.AddHealth(e, s.ready)
 	s.addRoutes(e.Group("/control", listener.Bearer(s.Settings.Tokens.Peer)))
 	cfg := s.Settings.Controller
 	s.server = &listener.Server{Address: cfg.Address, TLS: cfg.TLS, Echo: e}
@@ -73,6 +73,7 @@
 		s.cancel()
 	}
 	s.loops.Wait()
+	s.stepDown(stop)
 	if s.server != nil {
 		if err := s.server.Stop(stop); err != nil {
 			return fmt.Errorf("stop controller's listener: %w", err)
@@ -84,6 +85,35 @@
 	return nil
 }
 
+// ready tells why this controller can't take part, such as a lost disk.
+func (s *Service) ready() error {
+	if p, ok := s.Store.(storer.Peer); ok {
+		return p.Ready()
+	}
+	return nil
+}
+
+// stepDownLimit bounds the hand-over of leadership at a planned stop; after it the others elect.
+const stepDownLimit = 2 * manager.Second
+
+// stepDown hands leadership over while the listener still serves the other replicas.
+func (s *Service) stepDown(stop <-chan struct{}) {
+	p, ok := s.Store.(storer.Peer)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stepDownLimit.Std())
+	defer cancel()
+	go func() {
+		select {
+		case <-stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	p.StepDown(ctx)
+}
+
 // loadFleet proposes the settings' fleet until it is committed; what the state knows already stays.
 func (s *Service) loadFleet(ctx context.Context) {
 	fleet := s.Settings.Controller.Fleet
@@ -95,13 +125,19 @@
 		if err == nil && result.Failure != nil {
 			klog.ErrorS(result.Failure.Err(), "Fleet of the settings was refused")
 		}
-		if err == nil || manager.IsErrNotLeader(err) {
+		if err == nil || s.otherLeads() {
 			return
 		}
 		sleep(ctx, manager.Second)
 	}
 }
 
+// otherLeads tells whether another controller leads, which then loads its own settings' fleet.
+func (s *Service) otherLeads() bool {
+	a, leads := s.Store.Leader()
+	return a != "" && !leads
+}
+
 func (s *Service) runLoop(ctx context.Context, l Loop) {
 	for ctx.Err() == nil {
 		if _, leads := s.Store.Leader(); leads {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -16,6 +16,9 @@
 	// configurationWait is how long a controller holds the request for a newer configuration; it
 	// must be well under the lease, or the lease ends between two requests.
 	configurationWait = 1 * manager.Second
+	// maxLease bounds a lease, whatever a controller grants; an accepted change must be in force
+	// everywhere within 5 s.
+	maxLease = 4 * manager.Second
 	// configurationPause is the pause after a failed request.
 	configurationPause = 100 * time.Millisecond
 )
@@ -40,8 +43,8 @@
 	}
 }
 
-// renew asks for a newer configuration; the lease counts from before the request, so that the
-// controller's answer can't be older than the lease says.
+// renew asks for a newer configuration. The lease counts from before the request, plus the time that
+// the controller held it before it confirmed that it leads.
 func (k *configurationKeeper) renew(ctx context.Context) error {
 	asked := k.clock.Now()
 	cfg, err := k.client.Configuration(ctx, proposer.ConfigurationRequest{
@@ -50,14 +53,24 @@
 	if err != nil {
 		return err
 	}
+	k.take(asked, cfg)
+	return nil
+}
+
+// take brings a configuration into force unless a newer one is; an answer that took longer to
+// arrive than its lease lasts changes nothing.
+func (k *configurationKeeper) take(asked manager.Time, cfg proposer.Configuration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if cfg.Revision >= k.current.Revision {
+	if cfg.Revision < k.current.Revision || cfg.Unchanged && cfg.Revision != k.current.Revision {
+		return
+	}
+	if !cfg.Unchanged {
 		k.current = cfg
-		k.until = max(k.until, asked.Add(cfg.LeaseMs))
 		meter.ConfigurationRevision().Set(uint64(cfg.Revision))
 	}
-	return nil
+	confirmed := min(asked.Add(max(cfg.HeldMs, 0)), k.clock.Now())
+	k.until = max(k.until, confirmed.Add(min(cfg.LeaseMs, maxLease)))
 }
 
 func (k *configurationKeeper) revision() manager.Revision {
--- /dev/null
+++ b/internal/journaler/disk.go
@@ -0,0 +1,89 @@
+package journaler
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/google/renameio/v2"
+)
+
+// Disk is what a Log does to its folder; tests replace it to make writes and syncs fail.
+type Disk interface {
+	// Write appends to an open file.
+	Write(f *os.File, data []byte) error
+	// Sync returns once the file's content lasts.
+	Sync(f *os.File) error
+	// Replace writes a whole file so that either the old or the new content lasts.
+	Replace(name string, data []byte) error
+	// FreeBytes returns the room that is left for the folder.
+	FreeBytes(folder string) (uint64, error)
+}
+
+// RealDisk is the machine's disk.
+type RealDisk struct{}
+
+var _ Disk = RealDisk{}
+
+// Write appends to an open file.
+func (RealDisk) Write(f *os.File, data []byte) error {
+	if _, err := f.Write(data); err != nil {
+		return fmt.Errorf("write %s: %w", f.Name(), err)
+	}
+	return nil
+}
+
+// Sync returns once the file's content lasts.
+func (RealDisk) Sync(f *os.File) error {
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", f.Name(), err)
+	}
+	return nil
+}
+
+// Replace writes a temporary file, syncs it, renames it and syncs the folder.
+func (RealDisk) Replace(name string, data []byte) error {
+	if err := renameio.WriteFile(name, data, fileMode); err != nil {
+		return fmt.Errorf("replace %s: %w", name, err)
+	}
+	return syncFolder(filepath.Dir(name))
+}
+
+// FreeBytes returns the room that is left for the folder.
+func (RealDisk) FreeBytes(folder string) (uint64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(folder, &s); err != nil {
+		return 0, fmt.Errorf("read free space of %s: %w", folder, err)
+	}
+	return s.Bavail * uint64(s.Bsize), nil
+}
+
+// syncFolder makes the names in a folder last.
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("open folder: %w", err)
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync folder %s: %w", folder, err)
+	}
+	return nil
+}
+
+// isFull tells a full disk from other failures.
+func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
+
+// cutBack takes back what a failed write left behind.
+func cutBack(f *os.File, to int64) error {
+	if err := f.Truncate(to); err != nil {
+		return fmt.Errorf("take back a failed write: %w", err)
+	}
+	if _, err := f.Seek(to, io.SeekStart); err != nil {
+		return fmt.Errorf("seek after a failed write: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/journaler/folder.go
@@ -0,0 +1,239 @@
+package journaler
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+const (
+	snapshotName  = "snapshot"
+	identityName  = "identity.json"
+	segmentPrefix = "segment-"
+)
+
+// TornRecord is an unfinished last record; opening the log cuts it off.
+type TornRecord struct {
+	File   string
+	Offset int64
+}
+
+// Content is what a data folder holds.
+type Content struct {
+	Stored       replicator.Stored
+	SnapshotData []byte
+	Torn         *TornRecord
+	// Files and Bytes count the segments.
+	Files int
+	Bytes int64
+
+	segments []segment
+}
+
+func (c *Content) nextSegment() uint64 {
+	if len(c.segments) == 0 {
+		return 1
+	}
+	return c.segments[len(c.segments)-1].number + 1
+}
+
+func segmentName(folder string, number uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("%s%016d", segmentPrefix, number))
+}
+
+// ReadFolder reads a data folder without changing it; damage is reported with its file and offset.
+func ReadFolder(folder string) (Content, error) {
+	var c Content
+	if err := c.readSnapshot(filepath.Join(folder, snapshotName)); err != nil {
+		return c, err
+	}
+	numbers, err := listSegments(folder)
+	if err != nil {
+		return c, err
+	}
+	for i, number := range numbers {
+		if i > 0 && number != numbers[i-1]+1 {
+			return c, fmt.Errorf("%s is missing: %w", segmentName(folder, numbers[i-1]+1), ErrDamaged)
+		}
+		if err := c.readSegment(folder, number, i == len(numbers)-1); err != nil {
+			return c, err
+		}
+	}
+	return c, c.checkContinuity(folder)
+}
+
+func listSegments(folder string) ([]uint64, error) {
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, fmt.Errorf("list data folder: %w", err)
+	}
+	var numbers []uint64
+	for _, f := range files {
+		name, ok := strings.CutPrefix(f.Name(), segmentPrefix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(name, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("segment %q: %w", f.Name(), err)
+		}
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func (c *Content) readSnapshot(name string) error {
+	b, err := os.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read snapshot: %w", err)
+	}
+	meta, n, ok := readFrame(b)
+	if !ok {
+		return fmt.Errorf("%s: offset 0: %w", name, ErrDamaged)
+	}
+	for n < len(b) {
+		data, size, ok := readFrame(b[n:])
+		if !ok {
+			return fmt.Errorf("%s: offset %d: %w", name, n, ErrDamaged)
+		}
+		c.SnapshotData = append(c.SnapshotData, data...)
+		n += size
+	}
+	if err := json.Unmarshal(meta, &c.Stored.Snapshot); err != nil {
+		return fmt.Errorf("%s: offset 0: %w", name, errors.Join(ErrDamaged, err))
+	}
+	if c.Stored.Snapshot.Bytes != int64(len(c.SnapshotData)) {
+		return fmt.Errorf("%s: offset %d: the end is missing: %w", name, n, ErrDamaged)
+	}
+	return nil
+}
+
+func (c *Content) readSegment(folder string, number uint64, last bool) error {
+	name := segmentName(folder, number)
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("read segment: %w", err)
+	}
+	s := segment{number: number}
+	end, err := readFrames(b, func(_ int, data []byte) error { return c.takeRecord(&s, data) })
+	switch {
+	case errors.Is(err, ErrTorn) && last:
+		c.Torn = &TornRecord{File: name, Offset: int64(end)}
+	case errors.Is(err, ErrTorn):
+		return fmt.Errorf("%s: %w", name, errors.Join(ErrDamaged, err))
+	case err != nil:
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	c.segments = append(c.segments, s)
+	c.Files++
+	c.Bytes += int64(len(b))
+	return nil
+}
+
+func (c *Content) takeRecord(s *segment, data []byte) error {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return fmt.Errorf("decode: %w", errors.Join(ErrDamaged, err))
+	}
+	if r.HardState != nil {
+		c.Stored.HardState = *r.HardState
+	}
+	if r.Reset {
+		c.Stored.Entries = nil
+	}
+	if len(r.Entries) == 0 {
+		return nil
+	}
+	s.last = max(s.last, r.Entries[len(r.Entries)-1].Index)
+	c.Stored.Entries = replaceTail(c.Stored.Entries, r.Entries)
+	return nil
+}
+
+// replaceTail drops the entries from the first new one on and appends the new ones.
+func replaceTail(list, add []manager.Entry) []manager.Entry {
+	first := add[0].Index
+	if n := len(list); n > 0 && list[n-1].Index >= first {
+		keep := max(int(first)-int(list[0].Index), 0)
+		list = list[:keep]
+	}
+	return append(list, add...)
+}
+
+// checkContinuity refuses a log with a gap inside it or after the snapshot. Entries from before a
+// snapshot that replaced the log are left out.
+func (c *Content) checkContinuity(folder string) error {
+	s := c.Stored.Snapshot
+	list := c.Stored.Entries
+	for i := len(list) - 1; i > 0; i-- {
+		if list[i].Index != list[i-1].Index+1 {
+			list = list[i:]
+			break
+		}
+	}
+	if len(list) > 0 && (list[len(list)-1].Index < s.Index || replaced(list, s)) {
+		list = nil
+	}
+	if len(list) > 0 && list[0].Index > s.Index+1 {
+		return fmt.Errorf("%s: entries %d to %d are missing: %w", folder, s.Index+1, list[0].Index-1, ErrDamaged)
+	}
+	c.Stored.Entries = list
+	return nil
+}
+
+// replaced tells whether the snapshot came from a leader whose log differs from this one.
+func replaced(list []manager.Entry, s manager.SnapshotMeta) bool {
+	if list[0].Index > s.Index {
+		return false
+	}
+	return list[s.Index-list[0].Index].Term != s.Term
+}
+
+// ReadIdentity returns the identity in a data folder, or false if there is none.
+func ReadIdentity(folder string) (manager.ReplicaIdentity, bool, error) {
+	var id manager.ReplicaIdentity
+	name := filepath.Join(folder, identityName)
+	data, err := os.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return id, false, nil
+	}
+	if err != nil {
+		return id, false, fmt.Errorf("read identity: %w", err)
+	}
+	if err := json.Unmarshal(data, &id); err != nil {
+		return id, false, fmt.Errorf("%s: %w", name, errors.Join(ErrDamaged, err))
+	}
+	return id, true, nil
+}
+
+// WriteIdentity stores the identity of a data folder.
+func WriteIdentity(folder string, id manager.ReplicaIdentity) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("create data folder: %w", err)
+	}
+	data, err := json.Marshal(id)
+	if err != nil {
+		return fmt.Errorf("encode identity: %w", err)
+	}
+	return RealDisk{}.Replace(filepath.Join(folder, identityName), append(data, '\n'))
+}
+
+// ReadSnapshot returns the latest snapshot.
+func (l *Log) ReadSnapshot() (manager.SnapshotMeta, []byte, error) {
+	var c Content
+	if err := c.readSnapshot(filepath.Join(l.Folder, snapshotName)); err != nil {
+		return manager.SnapshotMeta{}, nil, err
+	}
+	return c.Stored.Snapshot, c.SnapshotData, nil
+}
--- /dev/null
+++ b/internal/journaler/log.go
@@ -0,0 +1,276 @@
+package journaler
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+// ErrFull reports a disk without room; what was to be written was not, and may be written later.
+var ErrFull = eris.New("the disk is full")
+
+const (
+	// segmentBytes is the size after which a new segment begins; only whole segments are deleted.
+	segmentBytes = 8 << 20
+	// snapshotFrameBytes is the size of a snapshot's frames; it must stay under maxFrameBytes.
+	snapshotFrameBytes = 16 << 20
+	// MinFreeBytes is the room below which no change is taken, so that terms, votes and a snapshot
+	// still fit on the disk.
+	MinFreeBytes = 64 << 20
+)
+
+// record is one batch in a segment; it was written and synced as a whole.
+type record struct {
+	HardState *manager.HardState `json:",omitempty"`
+	// Reset drops everything before, as a snapshot from the leader replaced the log.
+	Reset bool `json:",omitempty"`
+	// Entries replace everything from the first one's index on.
+	Entries []manager.Entry `json:",omitempty"`
+}
+
+// Log keeps a replica's hard state, log and snapshot in a folder.
+type Log struct {
+	Folder string
+	// Disk is RealDisk unless a test replaces it.
+	Disk Disk
+	// SegmentBytes is the size after which a new segment begins; 0 stands for 8 MiB.
+	SegmentBytes int64
+
+	mu       sync.Mutex
+	hard     manager.HardState
+	segments []segment
+	file     *os.File
+	size     int64
+	// failed keeps the first failure; nothing may be written after it.
+	failed error
+}
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	// last is the highest entry in the segment.
+	last manager.Index
+}
+
+func (l *Log) disk() Disk {
+	if l.Disk == nil {
+		return RealDisk{}
+	}
+	return l.Disk
+}
+
+// Open reads the folder, cuts a torn last record and opens the log for appending.
+func (l *Log) Open() (replicator.Stored, []byte, error) {
+	if err := os.MkdirAll(l.Folder, folderMode); err != nil {
+		return replicator.Stored{}, nil, fmt.Errorf("create data folder: %w", err)
+	}
+	c, err := ReadFolder(l.Folder)
+	if err != nil {
+		return c.Stored, nil, err
+	}
+	l.hard, l.segments = c.Stored.HardState, c.segments
+	if c.Torn != nil {
+		if err := cutTorn(*c.Torn); err != nil {
+			return c.Stored, nil, err
+		}
+	}
+	if err := l.openSegment(c.nextSegment()); err != nil {
+		return c.Stored, nil, err
+	}
+	return c.Stored, c.SnapshotData, nil
+}
+
+func cutTorn(t TornRecord) error {
+	f, err := os.OpenFile(t.File, os.O_RDWR, fileMode)
+	if err != nil {
+		return fmt.Errorf("open torn segment: %w", err)
+	}
+	defer f.Close()
+	if err := f.Truncate(t.Offset); err != nil {
+		return fmt.Errorf("cut torn record: %w", err)
+	}
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync after cutting: %w", err)
+	}
+	return nil
+}
+
+// openSegment begins a new segment, whose first record repeats the hard state.
+func (l *Log) openSegment(number uint64) error {
+	f, err := os.OpenFile(segmentName(l.Folder, number), os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	if err != nil {
+		return fmt.Errorf("create segment: %w", err)
+	}
+	h := l.hard
+	data, err := encode(record{HardState: &h})
+	if err != nil {
+		return errors.Join(err, f.Close())
+	}
+	for _, step := range []func() error{
+		func() error { return l.disk().Write(f, data) },
+		func() error { return l.disk().Sync(f) },
+		func() error { return syncFolder(l.Folder) },
+	} {
+		if err := step(); err != nil {
+			return errors.Join(err, f.Close(), os.Remove(f.Name()))
+		}
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file, l.size = f, int64(len(data))
+	l.segments = append(l.segments, segment{number: number})
+	return nil
+}
+
+func encode(r record) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	if len(data) > maxFrameBytes {
+		return nil, manager.ErrInvalid{Field: "record", Reason: "is too large for the log"}
+	}
+	return appendFrame(nil, data), nil
+}
+
+// Save writes and syncs one batch. After ErrFull the same batch may be tried again; after any other
+// failure the disk can't be trusted and everything is refused.
+func (l *Log) Save(h *manager.HardState, entries []manager.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return l.failed
+	}
+	data, err := encode(record{HardState: h, Entries: entries})
+	if err != nil {
+		return err
+	}
+	if err := l.write(data); err != nil {
+		return err
+	}
+	if h != nil {
+		l.hard = *h
+	}
+	if n := len(entries); n > 0 {
+		l.segments[len(l.segments)-1].last = max(l.segments[len(l.segments)-1].last, entries[n-1].Index)
+	}
+	return l.rotate()
+}
+
+func (l *Log) write(data []byte) error {
+	if err := l.disk().Write(l.file, data); err != nil {
+		cut := cutBack(l.file, l.size)
+		if isFull(err) && cut == nil {
+			return errors.Join(ErrFull, err)
+		}
+		l.failed = errors.Join(err, cut)
+		return l.failed
+	}
+	if err := l.disk().Sync(l.file); err != nil {
+		l.failed = err
+		return l.failed
+	}
+	l.size += int64(len(data))
+	return nil
+}
+
+// rotate begins a new segment once the current one is large enough; a full disk only delays it.
+func (l *Log) rotate() error {
+	limit := l.SegmentBytes
+	if limit == 0 {
+		limit = segmentBytes
+	}
+	if l.size < limit {
+		return nil
+	}
+	err := l.openSegment(l.segments[len(l.segments)-1].number + 1)
+	if err != nil && !isFull(err) {
+		l.failed = err
+		return err
+	}
+	return nil
+}
+
+// SaveSnapshot stores a snapshot and deletes what it replaces; the entries after keepFrom stay.
+func (l *Log) SaveSnapshot(s replicator.Snapshot, keepFrom manager.Index) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return l.failed
+	}
+	meta, err := json.Marshal(s.Meta)
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	data := appendFrame(nil, meta)
+	for piece := range slices.Chunk(s.Data, snapshotFrameBytes) {
+		data = appendFrame(data, piece)
+	}
+	if err := l.disk().Replace(filepath.Join(l.Folder, snapshotName), data); err != nil {
+		if isFull(err) {
+			return errors.Join(ErrFull, err)
+		}
+		l.failed = err
+		return err
+	}
+	return l.deleteSegments(keepFrom)
+}
+
+// Install stores a leader's snapshot in place of the whole log.
+func (l *Log) Install(s replicator.Snapshot) error {
+	if err := l.SaveSnapshot(s, 0); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	data, err := encode(record{Reset: true})
+	if err != nil {
+		return err
+	}
+	return l.write(data)
+}
+
+// deleteSegments deletes the oldest segments that hold no entry after keepFrom.
+func (l *Log) deleteSegments(keepFrom manager.Index) error {
+	for len(l.segments) > 1 && l.segments[0].last <= keepFrom {
+		if err := os.Remove(segmentName(l.Folder, l.segments[0].number)); err != nil {
+			return fmt.Errorf("delete segment: %w", err)
+		}
+		l.segments = l.segments[1:]
+	}
+	return nil
+}
+
+// HasRoom tells whether the disk has room for further changes.
+func (l *Log) HasRoom() bool {
+	free, err := l.disk().FreeBytes(l.Folder)
+	return err == nil && free >= MinFreeBytes
+}
+
+// Close closes the log.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.file == nil {
+		return nil
+	}
+	err := l.file.Close()
+	l.file = nil
+	if l.failed == nil {
+		l.failed = os.ErrClosed
+	}
+	if err != nil {
+		return fmt.Errorf("close log: %w", err)
+	}
+	return nil
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -12,6 +12,7 @@
 
 // Status is the answer of /api/status.
 type Status struct {
+	// Revision is the one of the configuration; each gateway says which one it has in force.
 	Revision  manager.Revision
 	Gateways  []proposer.GatewayStatus
 	Pools     []PoolStatus
@@ -39,7 +40,7 @@
 		return fmt.Errorf("read gateways: %w", err)
 	}
 	return c.JSON(http.StatusOK, Status{
-		Revision: f.Revision, Gateways: gateways, Pools: poolStatus(f), Waves: unfinished(f.Waves), Upstreams: len(a.Upstreams()),
+		Revision: f.Configuration, Gateways: gateways, Pools: poolStatus(f), Waves: unfinished(f.Waves), Upstreams: len(a.Upstreams()),
 	})
 }
 
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -155,9 +155,12 @@
 
 // final tells whether another try makes no sense or could do harm.
 func final(err error, call call) bool {
-	if errors.Is(err, errLost) {
+	if errors.Is(err, errLost) || manager.IsErrOutcomeUnknown(err) {
 		return !call.repeatable
 	}
+	if e, ok := errors.AsType[manager.ErrUnavailable](err); ok && e.Part == manager.PartDisk {
+		return true
+	}
 	return !manager.IsErrNotLeader(err) && !manager.IsErrUnavailable(err) && !errors.Is(err, errNotSent)
 }
 
--- a/internal/proposer/messages.go
+++ b/internal/proposer/messages.go
@@ -11,6 +11,7 @@
 	PathConfiguration = "/control/configuration"
 	PathDemand        = "/control/demand"
 	PathGateways      = "/control/gateways"
+	PathReplicas      = "/control/replicas"
 )
 
 // ConfigurationRequest asks for a configuration newer than the one that a gateway has.
@@ -21,12 +22,17 @@
 	WaitMs manager.Duration
 }
 
-// Configuration is what gateways need of the state; it may be used for LeaseMs from the request on.
+// Configuration is what gateways need of the state; it may be used for LeaseMs, counted from HeldMs
+// after the request was sent.
 type Configuration struct {
 	Revision manager.Revision
 	LeaseMs  manager.Duration
-	Profiles []manager.Profile
-	Pools    []manager.Pool
+	// HeldMs is how long the controller held the request before it confirmed that it leads.
+	HeldMs manager.Duration
+	// Unchanged says that the gateway has this revision already, so that the lists are left out.
+	Unchanged bool `json:",omitempty"`
+	Profiles  []manager.Profile
+	Pools     []manager.Pool
 }
 
 // DemandReport is what one gateway saw of each service's queue.
@@ -51,3 +57,11 @@
 	// HeardMsAgo is the time since its last report.
 	HeardMsAgo manager.Duration
 }
+
+// Replicas are the controllers of the group as the leader knows them.
+type Replicas struct {
+	Leader   manager.ReplicaID
+	Term     manager.Term
+	Commit   manager.Index
+	Replicas []manager.ReplicaMember
+}
--- /dev/null
+++ b/internal/storer/peers.go
@@ -0,0 +1,233 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/translator"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+// Paths of the endpoints between replicas.
+const (
+	PathReplicate = "/control/replicate"
+	PathProbe     = "/control/probe"
+)
+
+const (
+	// exchangeTimeout bounds one exchange with a peer; it must be well under the election time-out,
+	// or one silent connection costs the leader its followers.
+	exchangeTimeout = 600 * manager.Millisecond
+	// maxQueuedMessages bounds the messages that wait for one peer; the oldest are dropped.
+	maxQueuedMessages = 256
+	// maxExchangeBytes bounds a peer's answer.
+	maxExchangeBytes = 32 << 20
+)
+
+// Exchange is the body of a call between replicas and of its answer.
+type Exchange struct {
+	From     manager.ReplicaID        `json:",omitempty"`
+	Messages []manager.ReplicaMessage `json:",omitempty"`
+}
+
+// peerSet sends messages to the other replicas, one exchange at a time to each.
+type peerSet struct {
+	store  *Replicated
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[manager.ReplicaID]*peer
+	piece snapshotCache
+}
+
+// peer is the queue to one replica.
+type peer struct {
+	queue []manager.ReplicaMessage
+	busy  bool
+}
+
+// snapshotCache holds the snapshot that is being sent.
+type snapshotCache struct {
+	mu    sync.Mutex
+	index manager.Index
+	data  []byte
+}
+
+func newPeerSet(r *Replicated) *peerSet {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &peerSet{store: r, ctx: ctx, cancel: cancel, peers: map[manager.ReplicaID]*peer{}}
+}
+
+func (s *peerSet) close() {
+	s.cancel()
+	s.work.Wait()
+}
+
+// send answers the calls that wait in b and queues the rest.
+func (s *peerSet) send(list []manager.ReplicaMessage, b *batch) {
+	for _, m := range list {
+		if b != nil {
+			if in := b.caller(m.To); in != nil {
+				in.answers = append(in.answers, m)
+				continue
+			}
+		}
+		s.queue(m)
+	}
+}
+
+func (s *peerSet) queue(m manager.ReplicaMessage) {
+	member, ok := s.store.memberAddress(m.To)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peers[m.To]
+	if p == nil {
+		p = &peer{}
+		s.peers[m.To] = p
+	}
+	p.queue = append(p.queue, m)
+	if len(p.queue) > maxQueuedMessages {
+		p.queue = p.queue[1:]
+	}
+	if p.busy || s.ctx.Err() != nil {
+		return
+	}
+	p.busy = true
+	s.work.Go(func() { s.drain(p, member) })
+}
+
+// drain sends what is queued until nothing is left.
+func (s *peerSet) drain(p *peer, a manager.Address) {
+	for {
+		s.mu.Lock()
+		list := p.queue
+		p.queue = nil
+		p.busy = len(list) > 0 && s.ctx.Err() == nil
+		busy := p.busy
+		s.mu.Unlock()
+		if !busy {
+			return
+		}
+		if err := s.exchange(a, list); err != nil {
+			klog.V(2).InfoS("Replica not reached", "Address", a, "Error", err.Error())
+		}
+	}
+}
+
+func (s *peerSet) exchange(a manager.Address, list []manager.ReplicaMessage) error {
+	filled := make([]manager.ReplicaMessage, 0, len(list))
+	for _, m := range list {
+		if m.Kind == manager.MessageSnapshot && !s.fill(&m) {
+			continue
+		}
+		filled = append(filled, m)
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, exchangeTimeout.Std())
+	defer cancel()
+	var answer Exchange
+	if err := s.post(ctx, a, PathReplicate, Exchange{From: s.store.Replica, Messages: filled}, &answer); err != nil {
+		return err
+	}
+	if len(answer.Messages) == 0 {
+		return nil
+	}
+	in := &inbound{messages: answer.Messages, done: make(chan []manager.ReplicaMessage, 1)}
+	return s.store.inbox.add(func(b *batch) { b.inbound = append(b.inbound, in) })
+}
+
+// fill puts the data of a snapshot piece into its message, or drops a piece of an older snapshot.
+func (s *peerSet) fill(m *manager.ReplicaMessage) bool {
+	s.piece.mu.Lock()
+	defer s.piece.mu.Unlock()
+	p := *m.Snapshot
+	if s.piece.index != p.Meta.Index {
+		meta, data, err := s.store.log.ReadSnapshot()
+		if err != nil || meta.Index != p.Meta.Index {
+			return false
+		}
+		s.piece.index, s.piece.data = meta.Index, data
+	}
+	size := int64(replicator.DefaultPieceBytes)
+	total := int64(len(s.piece.data))
+	if p.Offset > total {
+		return false
+	}
+	end := min(p.Offset+size, total)
+	p.Data = s.piece.data[p.Offset:end]
+	if end == total {
+		s.piece.index, s.piece.data = 0, nil
+	}
+	m.Snapshot = &p
+	return true
+}
+
+func (s *peerSet) probe(ctx context.Context, a manager.Address) (manager.FormAnswer, error) {
+	var answer manager.FormAnswer
+	err := s.post(ctx, a, PathProbe, manager.FormProbe{From: s.store.Replica}, &answer)
+	return answer, err
+}
+
+func (s *peerSet) post(ctx context.Context, a manager.Address, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode exchange: %w", err)
+	}
+	scheme := s.store.Scheme
+	if scheme == "" {
+		scheme = "http"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+"://"+string(a)+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("create exchange: %w", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+s.store.Token)
+	r.Header.Set("User-Agent", "")
+	response, err := s.store.HTTP.Do(r)
+	if err != nil {
+		return fmt.Errorf("send exchange: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("replica %s refused: %w", a, translator.ReadError(response))
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxExchangeBytes)).Decode(answer); err != nil {
+		return fmt.Errorf("decode exchange: %w", err)
+	}
+	return nil
+}
+
+// memberAddress returns where a replica listens, as far as the driver's replica knows.
+func (r *Replicated) memberAddress(id manager.ReplicaID) (manager.Address, bool) {
+	for _, m := range r.replica.Status().Members.List {
+		if m.Replica == id {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// Exchange takes a peer's messages and returns the answers to them once they may be given.
+func (r *Replicated) Exchange(ctx context.Context, e Exchange) (Exchange, error) {
+	in := &inbound{from: e.From, messages: e.Messages, done: make(chan []manager.ReplicaMessage, 1)}
+	if err := r.inbox.add(func(b *batch) { b.inbound = append(b.inbound, in) }); err != nil {
+		return Exchange{}, err
+	}
+	select {
+	case answers := <-in.done:
+		return Exchange{Messages: answers}, nil
+	case <-ctx.Done():
+		return Exchange{}, fmt.Errorf("take messages: %w", ctx.Err())
+	}
+}
--- a/internal/storer/single.go
+++ b/internal/storer/single.go
@@ -66,11 +66,11 @@
 	return nil
 }
 
-// Wait returns once the state's revision is above after, or ctx ends.
+// Wait returns once the revision of the configuration is above after, or ctx ends.
 func (s *Single) Wait(ctx context.Context, after manager.Revision) {
 	for {
 		s.mu.Lock()
-		revision, changed := s.state.Fleet().Revision, s.changed
+		revision, changed := s.state.ConfigurationRevision(), s.changed
 		s.mu.Unlock()
 		if revision > after {
 			return
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -12,10 +14,51 @@
 	Propose(ctx context.Context, c manager.Command) (manager.Result, error)
 	// Read calls f with the state while nothing is applied, once this replica is known to lead.
 	Read(ctx context.Context, f func(manager.Applier)) error
-	// Wait returns once the state's revision is above after, or ctx ends.
+	// Wait returns once the revision of the configuration is above after, or ctx ends.
 	Wait(ctx context.Context, after manager.Revision)
 	// Leader returns the leader's address and whether it is this replica.
 	Leader() (manager.Address, bool)
 	// Close ends the store.
 	Close() error
 }
+
+// Peer is a Store that is one replica of a group.
+type Peer interface {
+	// Exchange takes another replica's messages and returns the answers.
+	Exchange(ctx context.Context, e Exchange) (Exchange, error)
+	// Probe says which disk this replica has and whether it belongs to a group.
+	Probe() manager.FormAnswer
+	// Ready returns why this replica can't take part, or nil.
+	Ready() error
+	// Status returns what this replica knows of the group.
+	Status() replicator.Status
+	// StepDown hands leadership over before a planned stop, or returns when ctx ends.
+	StepDown(ctx context.Context)
+	// AddReplica adds a replica that runs with a fresh disk.
+	AddReplica(ctx context.Context, m manager.ReplicaMember) error
+	// RemoveReplica removes a replica for good.
+	RemoveReplica(ctx context.Context, id manager.ReplicaID) error
+}
+
+// frugalReader is a Store that can read without a message for each read.
+type frugalReader interface {
+	Recent(ctx context.Context, f func(manager.Applier)) error
+	Patient(ctx context.Context, f func(manager.Applier)) error
+}
+
+// Recent reads a state that was the latest within an election time-out; it suits loops, whose
+// commands are checked again when they are applied.
+func Recent(ctx context.Context, s Store, f func(manager.Applier)) error {
+	if r, ok := s.(frugalReader); ok {
+		return r.Recent(ctx, f)
+	}
+	return s.Read(ctx, f)
+}
+
+// Patient reads the latest state, but may wait for the next heartbeat to confirm it.
+func Patient(ctx context.Context, s Store, f func(manager.Applier)) error {
+	if r, ok := s.(frugalReader); ok {
+		return r.Patient(ctx, f)
+	}
+	return s.Read(ctx, f)
+}
--- a/pkg/manager/applier/snapshot.go
+++ b/pkg/manager/applier/snapshot.go
@@ -16,23 +16,24 @@
 var ErrSnapshotFormat = eris.New("snapshot has an unknown format")
 
 type snapshot struct {
-	Format    int
-	Revision  manager.Revision
-	Now       manager.Time
-	NextLease manager.LeaseID
-	Profiles  [][]manager.Profile
-	Pools     []manager.Pool
-	VMs       []manager.VM
-	Waves     []manager.Wave
-	Jobs      []manager.Job
-	Results   []resultRecord
-	Claims    []*claimRecord
+	Format        int
+	Revision      manager.Revision
+	Configuration manager.Revision
+	Now           manager.Time
+	NextLease     manager.LeaseID
+	Profiles      [][]manager.Profile
+	Pools         []manager.Pool
+	VMs           []manager.VM
+	Waves         []manager.Wave
+	Jobs          []manager.Job
+	Results       []resultRecord
+	Claims        []*claimRecord
 }
 
 // Snapshot encodes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
 	snap := snapshot{
-		Format: SnapshotFormat, Revision: s.revision, Now: s.now, NextLease: s.nextID,
+		Format: SnapshotFormat, Revision: s.revision, Configuration: s.configuration, Now: s.now, NextLease: s.nextID,
 		Profiles: values(s.profiles), Pools: values(s.pools), VMs: values(s.vms),
 		Waves: values(s.waves), Jobs: values(s.jobs),
 		Results: s.results.order, Claims: s.claims.live(),
@@ -66,6 +67,7 @@
 	}
 	fresh := New()
 	fresh.revision, fresh.now, fresh.nextID = snap.Revision, snap.Now, snap.NextLease
+	fresh.configuration = snap.Configuration
 	for _, history := range snap.Profiles {
 		if len(history) > 0 {
 			fresh.profiles[history[0].Profile] = history
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -23,8 +23,11 @@
 // State is the replicated state; it is not safe for concurrent use.
 type State struct {
 	revision manager.Revision
-	now      manager.Time
-	nextID   manager.LeaseID
+	// configuration is the revision of the last change to a profile or a pool.
+	configuration manager.Revision
+	view          view
+	now           manager.Time
+	nextID        manager.LeaseID
 
 	profiles map[manager.ProfileID][]manager.Profile
 	pools    map[manager.PoolID]manager.Pool
@@ -96,6 +99,9 @@
 		s.revision = before
 		return s.fail(*failure)
 	}
+	if c.ApplyProfile != nil || c.LoadFleet != nil {
+		s.configuration = s.revision
+	}
 	result.Revision = s.revision
 	return result
 }
@@ -133,23 +139,6 @@
 	return manager.Result{Revision: s.revision, Failure: &f}
 }
 
-// Fleet returns a view of the state.
-func (s *State) Fleet() manager.Fleet {
-	f := manager.Fleet{Revision: s.revision, Now: s.now}
-	for _, id := range sorted(s.profiles) {
-		history := s.profiles[id]
-		f.Profiles = append(f.Profiles, history[len(history)-1])
-	}
-	f.Pools = values(s.pools)
-	f.VMs = values(s.vms)
-	for _, w := range values(s.waves) {
-		w.Steps = slices.Clone(w.Steps)
-		f.Waves = append(f.Waves, w)
-	}
-	f.Jobs = values(s.jobs)
-	return f
-}
-
 func sorted[K ~string, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/pkg/manager/fleet.go
+++ b/pkg/manager/fleet.go
@@ -182,10 +182,12 @@
 // Fleet is a view of the replicated state; every list is ordered by id and none may be changed.
 type Fleet struct {
 	Revision Revision
-	Now      Time
-	Profiles []Profile
-	Pools    []Pool
-	VMs      []VM
-	Waves    []Wave
-	Jobs     []Job
+	// Configuration is the revision of the last change to a profile or a pool.
+	Configuration Revision
+	Now           Time
+	Profiles      []Profile
+	Pools         []Pool
+	VMs           []VM
+	Waves         []Wave
+	Jobs          []Job
 }
--- /dev/null
+++ b/pkg/manager/replicator/append.go
@@ -0,0 +1,183 @@
+package replicator
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// replicate queues what each follower lacks, and the round's message for those that lack nothing.
+func (r *Replica) replicate(now manager.Time) {
+	if r.lead.urgent {
+		r.startRound(now)
+	}
+	for _, p := range r.lead.followers {
+		if p.replica == r.ID {
+			continue
+		}
+		r.replicateTo(now, p)
+		if p.sentRound < r.lead.round {
+			r.sendAppend(p, nil)
+		}
+	}
+}
+
+func (r *Replica) replicateTo(now manager.Time, p *progress) {
+	if p.next <= r.log.base {
+		r.startSnapshot(p)
+	}
+	switch p.flow {
+	case flowSnapshot:
+		r.sendPiece(now, p)
+	case flowProbe:
+		if now >= p.waitUntil && p.next <= r.log.last() {
+			r.sendAppend(p, r.log.batch(p.next, r.Options.MaxBatchBytes))
+			p.waitUntil = now.Add(r.Options.HeartbeatPeriod)
+		}
+	case flowPipeline:
+		for p.next <= r.log.last() && p.inFlight < r.Options.MaxInFlight {
+			entries := r.log.batch(p.next, r.Options.MaxBatchBytes)
+			r.sendAppend(p, entries)
+			p.next += manager.Index(len(entries))
+			p.inFlight++
+		}
+	}
+}
+
+// sendAppend sends entries, or none, after the entry before p.next.
+func (r *Replica) sendAppend(p *progress, entries []manager.Entry) {
+	prev := max(p.next-1, r.log.base)
+	t, _ := r.log.term(prev)
+	p.sentRound = r.lead.round
+	r.sendEarly(manager.ReplicaMessage{
+		Kind: manager.MessageAppend, To: p.replica, Index: prev, LogTerm: t,
+		Commit: r.commit, Entries: entries, Round: r.lead.round,
+	})
+}
+
+// followLeader notes that the sender leads the term.
+func (r *Replica) followLeader(now manager.Time, leader manager.ReplicaID) {
+	if r.role != RoleFollower || r.leader != leader {
+		r.becomeFollower(now, r.hard.Term, leader)
+	}
+	r.heardAt, r.everHeard = now, true
+	r.resetElection(now)
+}
+
+func (r *Replica) takeAppend(now manager.Time, m manager.ReplicaMessage) {
+	if r.role == RoleLeader {
+		return
+	}
+	r.followLeader(now, m.From)
+	answer := manager.ReplicaMessage{Kind: manager.MessageAppendAnswer, To: m.From, Round: m.Round, Index: m.Index}
+	m = r.skipCommitted(m)
+	if m.Index >= r.log.base && !r.log.matches(m.Index, m.LogTerm) {
+		answer.Refused = true
+		answer.Hint = r.hint(m)
+		r.send(answer)
+		return
+	}
+	r.merge(m.Entries)
+	answer.Index = m.Index + manager.Index(len(m.Entries))
+	r.commit = max(r.commit, min(m.Commit, answer.Index))
+	r.send(answer)
+}
+
+// skipCommitted drops the part of a message that this log has already compacted.
+func (r *Replica) skipCommitted(m manager.ReplicaMessage) manager.ReplicaMessage {
+	if m.Index >= r.log.base {
+		return m
+	}
+	n := min(int(r.log.base-m.Index), len(m.Entries))
+	m.Index += manager.Index(n)
+	m.Entries = m.Entries[n:]
+	if m.Index == r.log.base {
+		m.LogTerm = r.log.baseTerm
+	}
+	return m
+}
+
+// hint returns the last entry that may match, skipping a whole term that can't.
+func (r *Replica) hint(m manager.ReplicaMessage) manager.Index {
+	i := min(m.Index, r.log.last())
+	bad, ok := r.log.term(i)
+	for ok && i > r.commit && bad == r.termOf(i) && bad > m.LogTerm {
+		i--
+	}
+	if i == m.Index && i > r.commit {
+		i--
+	}
+	return max(i, r.commit)
+}
+
+func (r *Replica) termOf(i manager.Index) manager.Term {
+	t, _ := r.log.term(i)
+	return t
+}
+
+// merge takes the entries that the log lacks; from the first that differs on, the leader's count.
+func (r *Replica) merge(entries []manager.Entry) {
+	changed := false
+	for _, e := range entries {
+		if r.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= r.log.last() {
+			r.log.truncate(e.Index)
+			changed = true
+		}
+		r.log.append(e)
+		changed = changed || e.Members != nil
+	}
+	if changed {
+		r.members = r.log.members()
+	}
+}
+
+func (r *Replica) takeAppendAnswer(now manager.Time, m manager.ReplicaMessage) {
+	if r.role != RoleLeader {
+		return
+	}
+	p := r.lead.of(m.From)
+	if p.replica == 0 {
+		return
+	}
+	p.heardAt = now
+	p.round = max(p.round, m.Round)
+	if m.Refused {
+		r.takeRefusal(p, m)
+	} else {
+		r.takeMatch(now, p, m)
+	}
+	r.confirmReads()
+}
+
+func (r *Replica) takeRefusal(p *progress, m manager.ReplicaMessage) {
+	if p.flow == flowSnapshot || m.Index <= p.match {
+		return
+	}
+	if p.flow == flowProbe && m.Index != p.next-1 {
+		return
+	}
+	p.flow, p.inFlight, p.waitUntil = flowProbe, 0, 0
+	p.next = max(p.match+1, min(m.Index, m.Hint+1))
+}
+
+func (r *Replica) takeMatch(now manager.Time, p *progress, m manager.ReplicaMessage) {
+	if m.Index > r.log.last() {
+		return
+	}
+	p.inFlight = max(p.inFlight-1, 0)
+	if p.flow == flowSnapshot && m.Index < r.log.base {
+		return
+	}
+	if m.Index >= p.match {
+		p.flow = flowPipeline
+		p.waitUntil = 0
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	if p.match+1 == p.next {
+		p.inFlight = 0
+	}
+	r.advanceCommit(now)
+	if r.role == RoleLeader {
+		r.finishTransfer()
+	}
+}
--- /dev/null
+++ b/pkg/manager/replicator/faults_test.go
@@ -0,0 +1,211 @@
+package replicator_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+// faults are the actions that rapid draws; each is followed by some virtual time.
+type faults struct {
+	*sim
+	t *rapid.T
+}
+
+func (f *faults) node() *simNode {
+	return f.nodes[rapid.SampledFrom(f.order).Draw(f.t, "node")]
+}
+
+func (f *faults) step() {
+	actions := []func(){
+		f.operate, f.operate, f.operate, f.operate, f.crashOne, f.crashAll, f.restart, f.partition, f.oneWay, f.healNetwork,
+		f.lossy, f.skew, f.jump, f.breakDisk, f.longAbsence, f.loseTwice, f.changeMembers, f.transferLeader,
+	}
+	names := []string{
+		"operate", "operate", "operate", "operate", "crash", "crash all", "restart", "partition", "one way", "heal network",
+		"lossy", "skew", "jump", "break disk", "long absence", "lose twice", "members", "transfer",
+	}
+	i := rapid.IntRange(0, len(actions)-1).Draw(f.t, "action")
+	f.t.Log(f.now, names[i])
+	actions[i]()
+	f.run(manager.Duration(rapid.IntRange(10, 2_000).Draw(f.t, "pause")))
+}
+
+// operate lets racing operators change and read the register at every node that will take it.
+func (f *faults) operate() {
+	for range rapid.IntRange(1, 8).Draw(f.t, "operations") {
+		for _, id := range f.order {
+			n := f.nodes[id]
+			if !n.up {
+				continue
+			}
+			f.propose(n, n.machine.Value)
+			f.propose(n, n.machine.Value)
+			f.read(n, replicator.Urgency(f.rng.IntN(2)))
+		}
+		f.run(manager.Duration(f.rng.IntN(100)))
+	}
+}
+
+func (f *faults) crashOne() { f.crash(f.node(), f.rng.IntN(2) == 0) }
+
+func (f *faults) crashAll() {
+	for _, id := range f.order {
+		f.crash(f.nodes[id], f.rng.IntN(2) == 0)
+	}
+	f.restart()
+}
+
+func (f *faults) restart() {
+	for _, id := range f.order {
+		if n := f.nodes[id]; !n.up {
+			f.start(n)
+		}
+	}
+}
+
+func (f *faults) partition() {
+	side := map[manager.ReplicaID]bool{}
+	for _, id := range f.order {
+		side[id] = rapid.Bool().Draw(f.t, "side")
+	}
+	for _, a := range f.order {
+		for _, b := range f.order {
+			f.blocked[[2]manager.ReplicaID{a, b}] = side[a] != side[b]
+		}
+	}
+}
+
+func (f *faults) oneWay() {
+	f.blocked[[2]manager.ReplicaID{f.node().id, f.node().id}] = true
+}
+
+func (f *faults) healNetwork() {
+	f.blocked = map[[2]manager.ReplicaID]bool{}
+	f.loss, f.repeat, f.delay = 0, 0, 20
+}
+
+func (f *faults) lossy() {
+	f.loss = rapid.IntRange(0, 40).Draw(f.t, "loss")
+	f.repeat = rapid.IntRange(0, 30).Draw(f.t, "repeat")
+	f.delay = int64(rapid.IntRange(1, 600).Draw(f.t, "delay"))
+}
+
+func (f *faults) skew() {
+	n := f.node()
+	old := f.clock(n)
+	n.rate = rapid.Float64Range(0.5, 2).Draw(f.t, "rate")
+	n.offset += old.Sub(f.clock(n))
+}
+
+func (f *faults) jump() {
+	f.node().offset += manager.Duration(rapid.IntRange(-5_000, 60_000).Draw(f.t, "jump"))
+}
+
+// breakDisk makes a disk hang or work again; a node whose disk hangs answers nothing.
+func (f *faults) breakDisk() {
+	n := f.node()
+	n.broken = !n.broken
+}
+
+// longAbsence keeps a node away until the others have compacted what it lacks.
+func (f *faults) longAbsence() {
+	n := f.node()
+	f.crash(n, false)
+	for range 60 {
+		if l := f.leader(); l != nil {
+			f.propose(l, l.machine.Value)
+		}
+		f.run(50)
+	}
+	if !n.up {
+		f.start(n)
+	}
+}
+
+// loseTwice loses a second node right after the first was repaired.
+func (f *faults) loseTwice() {
+	first, second := f.node(), f.node()
+	f.crash(first, true)
+	f.run(3_000)
+	if !first.up {
+		f.start(first)
+	}
+	f.crash(second, true)
+	f.run(3_000)
+	if !second.up {
+		f.start(second)
+	}
+}
+
+// changeMembers adds a replica with a new id, or removes one; at most 7 take part.
+func (f *faults) changeMembers() {
+	l := f.leader()
+	if l == nil {
+		return
+	}
+	members := l.replica.Status().Members
+	if len(members.List) >= 6 || len(members.List) > 2 && rapid.Bool().Draw(f.t, "remove") {
+		m := rapid.SampledFrom(members.List).Draw(f.t, "removed")
+		_ = l.replica.RemoveMember(f.clock(l), m.Replica)
+		return
+	}
+	id := members.LastReplica + 1
+	if _, ok := f.nodes[id]; ok || len(f.order) >= 12 {
+		return
+	}
+	n := f.addNode(id)
+	f.start(n)
+	_ = l.replica.AddMember(f.clock(l), manager.ReplicaMember{Replica: id, Address: "new", Disk: n.disk.id})
+}
+
+func (f *faults) transferLeader() {
+	if l := f.leader(); l != nil {
+		l.replica.Transfer(f.clock(l))
+	}
+}
+
+// settle ends all faults and requires the group to commit and to agree.
+func (f *faults) settle() {
+	f.heal()
+	f.delay = 20
+	f.run(15_000)
+	require.NoError(f.t, f.failure)
+	l := f.leader()
+	require.NotNil(f.t, l, "no leader after all faults ended")
+	before := l.machine.Index
+	f.propose(l, l.machine.Value)
+	f.run(5_000)
+	require.NoError(f.t, f.failure)
+	l = f.leader()
+	require.NotNil(f.t, l)
+	require.Greater(f.t, l.machine.Index, before, "nothing commits after all faults ended")
+	for _, m := range l.replica.Status().Members.List {
+		require.Equal(f.t, l.machine, f.nodes[m.Replica].machine, "replica %d", m.Replica)
+	}
+	require.NoError(f.t, f.linearizable())
+}
+
+func runFaults(n int) func(*rapid.T) {
+	return func(t *rapid.T) {
+		f := &faults{sim: newSim(rapid.Uint64().Draw(t, "seed"), n), t: t}
+		f.run(3_000)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			f.step()
+			require.NoError(t, f.failure)
+		}
+		f.settle()
+	}
+}
+
+func TestReplicasUnderFaults(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		t.Run(map[int]string{1: "one", 3: "three", 5: "five"}[n], func(t *testing.T) {
+			rapid.Check(t, runFaults(n))
+		})
+	}
+}
--- /dev/null
+++ b/pkg/manager/replicator/members.go
@@ -0,0 +1,169 @@
+package replicator
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// MaxVoters bounds the voters of a group; more would only make commits slower.
+const MaxVoters = 7
+
+// transferState is a hand-over of leadership that is under way.
+type transferState struct {
+	target manager.ReplicaID
+	until  manager.Time
+	asked  bool
+}
+
+func (r *Replica) member(id manager.ReplicaID) (manager.ReplicaMember, bool) {
+	for _, m := range r.members.List {
+		if m.Replica == id {
+			return m, true
+		}
+	}
+	return manager.ReplicaMember{}, false
+}
+
+func (r *Replica) isVoter(id manager.ReplicaID) bool {
+	m, ok := r.member(id)
+	return ok && !m.Learner
+}
+
+// AddMember adds a replica as a learner; it becomes a voter by itself once it has caught up.
+func (r *Replica) AddMember(now manager.Time, m manager.ReplicaMember) error {
+	if err := r.mayChange(); err != nil {
+		return err
+	}
+	name := strconv.FormatUint(uint64(m.Replica), 10)
+	switch {
+	case m.Replica <= r.members.LastReplica:
+		reason := fmt.Sprintf("ids up to %d were used before; a replica without its disk needs a new one", r.members.LastReplica)
+		return manager.ErrConflict{Kind: "replica", Name: name, Reason: reason}
+	case m.Address == "":
+		return manager.ErrInvalid{Field: "Address", Reason: "is missing"}
+	case m.Disk == "":
+		return manager.ErrInvalid{Field: "Disk", Reason: "is missing"}
+	case len(r.members.List) >= MaxVoters+1:
+		return manager.ErrConflict{Kind: "replica", Name: name, Reason: fmt.Sprintf("the group has %d replicas already", len(r.members.List))}
+	}
+	m.Learner = true
+	list := append(slices.Clone(r.members.List), m)
+	r.changeMembers(now, manager.Members{List: list, LastReplica: m.Replica})
+	return nil
+}
+
+// RemoveMember removes a replica; a leader that removes itself steps down once that is committed.
+func (r *Replica) RemoveMember(now manager.Time, id manager.ReplicaID) error {
+	if err := r.mayChange(); err != nil {
+		return err
+	}
+	name := strconv.FormatUint(uint64(id), 10)
+	m, ok := r.member(id)
+	if !ok {
+		return manager.ErrNotExist{Kind: "replica", Name: name}
+	}
+	if !m.Learner && r.voters() == 1 {
+		return manager.ErrConflict{Kind: "replica", Name: name, Reason: "is the last voter"}
+	}
+	list := slices.DeleteFunc(slices.Clone(r.members.List), func(m manager.ReplicaMember) bool { return m.Replica == id })
+	r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
+	return nil
+}
+
+func (r *Replica) voters() int {
+	n := 0
+	for _, m := range r.members.List {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// mayChange allows one change at a time, and none before the leader's own term has a committed
+// entry: two leaders' changes could otherwise have quorums that do not meet.
+func (r *Replica) mayChange() error {
+	if r.role != RoleLeader {
+		return r.notLeader()
+	}
+	if r.commit < r.lead.opened || r.changePending() {
+		return manager.ErrUnavailable{Part: "replicas", Reason: "another change of the replicas is not committed yet"}
+	}
+	return nil
+}
+
+func (r *Replica) changePending() bool {
+	for _, e := range r.log.entries[r.commit-r.log.base:] {
+		if e.Members != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) changeMembers(now manager.Time, m manager.Members) {
+	r.appendEntry(manager.Entry{Kind: manager.EntryMembers, Members: &m})
+	r.members = m
+	r.updateProgress(now)
+}
+
+// promoteLearner makes a learner that holds all committed entries a voter.
+func (r *Replica) promoteLearner(now manager.Time) {
+	if r.voters() >= MaxVoters || r.mayChange() != nil {
+		return
+	}
+	for i, m := range r.members.List {
+		p := r.lead.of(m.Replica)
+		if !m.Learner || p.match < r.commit || now.Sub(p.heardAt) >= r.Options.ElectionTimeout {
+			continue
+		}
+		list := slices.Clone(r.members.List)
+		list[i].Learner = false
+		r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
+		return
+	}
+}
+
+// leaveIfRemoved makes a leader step down once its own removal is committed.
+func (r *Replica) leaveIfRemoved(now manager.Time) {
+	if _, ok := r.member(r.ID); !ok && !r.changePending() {
+		r.becomeFollower(now, r.hard.Term, 0)
+	}
+}
+
+// Transfer hands leadership to the voter that holds most of the log; proposals are refused meanwhile.
+func (r *Replica) Transfer(now manager.Time) {
+	if r.role != RoleLeader || r.transfer.target != 0 {
+		return
+	}
+	var best *progress
+	for _, p := range r.lead.followers {
+		alive := now.Sub(p.heardAt) < r.Options.ElectionTimeout
+		if p.replica != r.ID && r.isVoter(p.replica) && alive && (best == nil || p.match > best.match) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	r.transfer = transferState{target: best.replica, until: now.Add(r.Options.ElectionTimeout)}
+	r.finishTransfer()
+}
+
+// finishTransfer asks the target to stand once it holds the whole log.
+func (r *Replica) finishTransfer() {
+	if r.transfer.target == 0 || r.transfer.asked || r.lead.of(r.transfer.target).match != r.log.last() {
+		return
+	}
+	r.transfer.asked = true
+	r.send(manager.ReplicaMessage{Kind: manager.MessageTransfer, To: r.transfer.target})
+}
+
+func (r *Replica) takeTransfer(now manager.Time, m manager.ReplicaMessage) {
+	if r.role == RoleFollower && r.leader == m.From && r.isVoter(r.ID) {
+		r.campaign(now, true)
+	}
+}
--- /dev/null
+++ b/pkg/manager/replicator/sim_test.go
@@ -0,0 +1,409 @@
+package replicator_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+// command is a compare-and-set on one register, as operators race with equal versions.
+type command struct {
+	Op       int
+	Expected int
+	Value    int
+}
+
+// machine is the replicated state of the tests.
+type machine struct {
+	Value int
+	Hash  uint64
+	Index manager.Index
+}
+
+func (m *machine) apply(e manager.Entry) (bool, int) {
+	m.Index = e.Index
+	m.Hash = xxhash.Sum64String(fmt.Sprint(m.Hash, e.Index, e.Term, string(e.Data)))
+	var c command
+	if e.Kind != manager.EntryCommand || json.Unmarshal(e.Data, &c) != nil {
+		return false, m.Value
+	}
+	if c.Expected != m.Value {
+		return false, m.Value
+	}
+	m.Value = c.Value
+	return true, m.Value
+}
+
+// disk is what outlives a crash.
+type disk struct {
+	id       manager.DiskID
+	hard     manager.HardState
+	snapshot replicator.Snapshot
+	entries  []manager.Entry
+}
+
+func (d *disk) write(r replicator.Ready) {
+	if r.HardState != nil {
+		d.hard = *r.HardState
+	}
+	if r.Snapshot != nil {
+		d.snapshot, d.entries = *r.Snapshot, nil
+	}
+	if len(r.Entries) > 0 {
+		first := r.Entries[0].Index
+		keep := slices.IndexFunc(d.entries, func(e manager.Entry) bool { return e.Index >= first })
+		if keep >= 0 {
+			d.entries = d.entries[:keep:keep]
+		}
+		d.entries = append(d.entries, r.Entries...)
+	}
+}
+
+type simNode struct {
+	id      manager.ReplicaID
+	replica *replicator.Replica
+	disk    disk
+	machine machine
+	up      bool
+	broken  bool
+	// pending waits for the disk until syncedAt.
+	pending  *replicator.Ready
+	syncedAt manager.Time
+	inbox    []manager.ReplicaMessage
+	// offset and rate make the node's clock differ from the others'.
+	offset manager.Duration
+	rate   float64
+	// proposals and reads wait for their outcome.
+	proposals map[manager.Index]*operation
+	reads     map[replicator.ReadID]*operation
+}
+
+type envelope struct {
+	at manager.Time
+	m  manager.ReplicaMessage
+}
+
+// sim runs replicas in virtual time over a network and disks that fail.
+type sim struct {
+	rng     *rand.Rand
+	now     manager.Time
+	nodes   map[manager.ReplicaID]*simNode
+	order   []manager.ReplicaID
+	network []envelope
+	blocked map[[2]manager.ReplicaID]bool
+	loss    int
+	repeat  int
+	delay   int64
+	failure error
+
+	leaders   map[manager.Term]manager.ReplicaID
+	committed map[manager.Index]manager.Entry
+	highest   manager.Index
+	hashes    map[manager.Index]uint64
+	// stamp orders the operators' calls and answers.
+	stamp        int
+	history      *history
+	firstApplied map[int]firstApply
+	nextRead     replicator.ReadID
+	nextDisk     int
+	// snapshotEvery is the number of applied entries between snapshots.
+	snapshotEvery manager.Index
+	crashes       int
+	installs      int
+}
+
+const simStep = 10 * manager.Millisecond
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), nodes: map[manager.ReplicaID]*simNode{}, blocked: map[[2]manager.ReplicaID]bool{},
+		leaders: map[manager.Term]manager.ReplicaID{}, committed: map[manager.Index]manager.Entry{},
+		hashes: map[manager.Index]uint64{}, history: &history{}, firstApplied: map[int]firstApply{}, snapshotEvery: 40, delay: 20,
+	}
+	var members manager.Members
+	for i := 1; i <= n; i++ {
+		node := s.addNode(manager.ReplicaID(i))
+		members.List = append(members.List, manager.ReplicaMember{Replica: node.id, Address: manager.Address(fmt.Sprint(i)), Disk: node.disk.id})
+	}
+	members.LastReplica = manager.ReplicaID(n)
+	founded := replicator.Founded(members)
+	s.nodes[1].disk.hard, s.nodes[1].disk.entries = founded.HardState, founded.Entries
+	for _, id := range s.order {
+		s.start(s.nodes[id])
+	}
+	return s
+}
+
+func (s *sim) addNode(id manager.ReplicaID) *simNode {
+	s.nextDisk++
+	n := &simNode{id: id, disk: disk{id: manager.DiskID(fmt.Sprint("disk-", s.nextDisk))}, rate: 1}
+	s.nodes[id] = n
+	s.order = append(s.order, id)
+	return n
+}
+
+func (s *sim) start(n *simNode) {
+	n.replica = &replicator.Replica{
+		Group: "group", ID: n.id, Disk: n.disk.id, Source: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
+		Options: replicator.Options{MaxBatchBytes: 400, PieceBytes: 16, MaxInFlight: 3},
+	}
+	n.machine = machine{}
+	if n.disk.snapshot.Meta.Index > 0 {
+		_ = json.Unmarshal(n.disk.snapshot.Data, &n.machine)
+	}
+	n.pending, n.inbox = nil, nil
+	n.proposals, n.reads = map[manager.Index]*operation{}, map[replicator.ReadID]*operation{}
+	n.replica.Start(s.clock(n), replicator.Stored{
+		HardState: n.disk.hard, Snapshot: n.disk.snapshot.Meta, Entries: slices.Clone(n.disk.entries),
+	})
+	n.up = true
+}
+
+// crash stops a node; what was not synced is lost, or a part of it survives.
+func (s *sim) crash(n *simNode, keepUnsynced bool) {
+	if !n.up {
+		return
+	}
+	s.crashes++
+	if n.pending != nil && keepUnsynced {
+		part := *n.pending
+		if k := len(part.Entries); k > 0 {
+			part.Entries = part.Entries[:s.rng.IntN(k+1)]
+		}
+		n.disk.write(part)
+	}
+	s.loseOperations(n)
+	n.up = false
+}
+
+func (s *sim) loseOperations(n *simNode) {
+	for _, o := range n.reads {
+		o.failed()
+	}
+	n.proposals, n.reads = map[manager.Index]*operation{}, map[replicator.ReadID]*operation{}
+}
+
+func (s *sim) clock(n *simNode) manager.Time {
+	return manager.Time(float64(s.now)*n.rate) + manager.Time(n.offset)
+}
+
+func (s *sim) run(d manager.Duration) {
+	for end := s.now.Add(d); s.now < end && s.failure == nil; s.now = s.now.Add(simStep) {
+		s.deliver()
+		for _, id := range s.order {
+			if n := s.nodes[id]; n.up {
+				s.turn(n)
+			}
+		}
+	}
+}
+
+func (s *sim) deliver() {
+	var later []envelope
+	for _, e := range s.network {
+		if e.at > s.now {
+			later = append(later, e)
+			continue
+		}
+		if n, ok := s.nodes[e.m.To]; ok && n.up && !s.blocked[[2]manager.ReplicaID{e.m.From, e.m.To}] {
+			n.inbox = append(n.inbox, e.m)
+		}
+	}
+	s.network = later
+}
+
+// turn lets a node finish its disk write, or take its messages and begin the next one.
+func (s *sim) turn(n *simNode) {
+	if n.pending != nil {
+		if s.now < n.syncedAt || n.broken {
+			return
+		}
+		r := *n.pending
+		n.pending = nil
+		n.disk.write(r)
+		s.finish(n, r)
+	}
+	n.replica.Tick(s.clock(n))
+	inbox := n.inbox
+	n.inbox = nil
+	for _, m := range inbox {
+		n.replica.Step(s.clock(n), m)
+	}
+	r := n.replica.Ready(s.clock(n))
+	s.checkLeader(n)
+	s.send(n, r.Early)
+	if !r.MustSync() {
+		s.finish(n, r)
+		return
+	}
+	n.pending = &r
+	n.syncedAt = s.now.Add(manager.Duration(s.rng.IntN(30)))
+}
+
+func (s *sim) finish(n *simNode, r replicator.Ready) {
+	s.send(n, r.Messages)
+	if r.Snapshot != nil {
+		s.installs++
+		_ = json.Unmarshal(r.Snapshot.Data, &n.machine)
+		s.checkHash(n)
+	}
+	for _, e := range r.Committed {
+		s.applyEntry(n, e)
+	}
+	for _, read := range r.Reads {
+		o := n.reads[read.Read]
+		delete(n.reads, read.Read)
+		if o == nil {
+			continue
+		}
+		if !read.Confirmed {
+			o.failed()
+			continue
+		}
+		if n.machine.Index < read.Index {
+			s.fail("replica %d: read at %d before it was applied", n.id, read.Index)
+		}
+		s.done(o, n.machine.Index, output{value: n.machine.Value})
+	}
+	n.replica.Persisted(s.clock(n), r)
+	if !n.replica.Leads() && n.replica.Status().Role != replicator.RoleLeader {
+		s.loseOperations(n)
+	}
+	s.maySnapshot(n)
+}
+
+func (s *sim) applyEntry(n *simNode, e manager.Entry) {
+	if e.Index != n.machine.Index+1 {
+		s.fail("replica %d: entry %d after %d", n.id, e.Index, n.machine.Index)
+	}
+	if old, ok := s.committed[e.Index]; ok && (old.Term != e.Term || string(old.Data) != string(e.Data)) {
+		s.fail("replica %d: committed entry %d reverted", n.id, e.Index)
+	}
+	s.committed[e.Index] = e
+	s.highest = max(s.highest, e.Index)
+	ok, value := n.machine.apply(e)
+	var c command
+	if json.Unmarshal(e.Data, &c) == nil {
+		if _, known := s.firstApplied[c.Op]; !known {
+			s.stamp++
+			s.firstApplied[c.Op] = firstApply{stamp: s.stamp, index: e.Index, output: output{ok: ok, value: value}}
+		}
+	}
+	s.checkHash(n)
+	if o := n.proposals[e.Index]; o != nil {
+		delete(n.proposals, e.Index)
+		if o.term != e.Term {
+			o.failed()
+		} else {
+			s.done(o, e.Index, output{ok: ok, value: value})
+		}
+	}
+}
+
+func (s *sim) checkHash(n *simNode) {
+	if h, ok := s.hashes[n.machine.Index]; ok && h != n.machine.Hash {
+		s.fail("replica %d: state at %d differs", n.id, n.machine.Index)
+	}
+	s.hashes[n.machine.Index] = n.machine.Hash
+}
+
+// checkLeader checks election safety and leader completeness when a term gets its leader.
+func (s *sim) checkLeader(n *simNode) {
+	st := n.replica.Status()
+	if st.Role != replicator.RoleLeader {
+		return
+	}
+	if first, ok := s.leaders[st.Term]; ok {
+		if first != n.id {
+			s.fail("term %d has the leaders %d and %d", st.Term, first, n.id)
+		}
+		return
+	}
+	s.leaders[st.Term] = n.id
+	if st.Last < s.highest {
+		s.fail("leader %d of term %d lacks committed entries: %d < %d", n.id, st.Term, st.Last, s.highest)
+	}
+}
+
+func (s *sim) maySnapshot(n *simNode) {
+	if n.machine.Index < n.disk.snapshot.Meta.Index+s.snapshotEvery || n.pending != nil {
+		return
+	}
+	meta := n.replica.SnapshotMeta(n.machine.Index)
+	data, _ := json.Marshal(n.machine)
+	meta.Bytes = int64(len(data))
+	n.disk.snapshot = replicator.Snapshot{Meta: meta, Data: data}
+	const keep = 10
+	n.disk.entries = slices.DeleteFunc(n.disk.entries, func(e manager.Entry) bool { return e.Index+keep < meta.Index })
+	n.replica.Compact(meta, keep)
+}
+
+func (s *sim) send(n *simNode, list []manager.ReplicaMessage) {
+	for _, m := range list {
+		if m.Kind == manager.MessageSnapshot && !fill(n, &m) {
+			continue
+		}
+		for range 1 + s.chance(s.repeat) {
+			if s.chance(s.loss) == 0 {
+				at := s.now.Add(1 + manager.Duration(s.rng.Int64N(s.delay)))
+				s.network = append(s.network, envelope{at: at, m: m})
+			}
+		}
+	}
+}
+
+// fill reads a piece from the sender's disk.
+func fill(n *simNode, m *manager.ReplicaMessage) bool {
+	p := *m.Snapshot
+	if n.disk.snapshot.Meta.Index != p.Meta.Index {
+		return false
+	}
+	const piece = 16
+	end := min(p.Offset+piece, int64(len(n.disk.snapshot.Data)))
+	p.Data = n.disk.snapshot.Data[p.Offset:end]
+	m.Snapshot = &p
+	return true
+}
+
+func (s *sim) chance(percent int) int {
+	if s.rng.IntN(100) < percent {
+		return 1
+	}
+	return 0
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.failure == nil {
+		s.failure = fmt.Errorf("at %d ms: %s", s.now, fmt.Sprintf(format, args...))
+	}
+}
+
+// leader returns a node that leads in the highest term.
+func (s *sim) leader() *simNode {
+	var best *simNode
+	for _, id := range s.order {
+		n := s.nodes[id]
+		if n.up && n.replica.Leads() && (best == nil || n.replica.Status().Term > best.replica.Status().Term) {
+			best = n
+		}
+	}
+	return best
+}
+
+// heal ends every fault.
+func (s *sim) heal() {
+	s.blocked, s.loss, s.repeat = map[[2]manager.ReplicaID]bool{}, 0, 0
+	for _, id := range s.order {
+		n := s.nodes[id]
+		n.broken = false
+		if !n.up {
+			s.start(n)
+		}
+	}
+}
