--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -87,7 +87,7 @@
 	}
 	d.client = newClient(d.gateways[0])
 	d.callers = &callers{gateways: d.gateways, log: log, pause: callerPause}
-	d.say("started 1 controller, %d gateways and %d upstreams of %d services", len(d.gateways), len(f.VMs), len(services))
+	d.say("started %d controllers, %d gateways and %d upstreams of %d services", controllerCount, len(d.gateways), len(f.VMs), len(services))
 	return d.await("upstreams known to every gateway", func() (bool, error) { return d.allKnown(ctx) })
 }
 
--- a/internal/demonstrator/processes.go
+++ b/internal/demonstrator/processes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"path/filepath"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/assembler"
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
@@ -16,9 +17,11 @@
 	operatorToken = "demo-operator"
 	peerToken     = "demo-peer"
 	gatewayCount  = 2
-	rebootTime    = 300 * manager.Millisecond
-	stopDelay     = 50 * manager.Millisecond
-	stopGrace     = 10 * manager.Second
+	// controllerCount is the number of replicas of the state.
+	controllerCount = 3
+	rebootTime      = 300 * manager.Millisecond
+	stopDelay       = 50 * manager.Millisecond
+	stopGrace       = 10 * manager.Second
 )
 
 // freeAddresses returns loopback addresses that no one listens on now.
@@ -37,20 +40,23 @@
 
 // startProcesses starts the controller and then the gateways, each as a process would.
 func (d *Demo) startProcesses(folder string, f manager.LoadFleet) error {
-	addresses, err := freeAddresses(gatewayCount + 1)
+	addresses, err := freeAddresses(controllerCount + gatewayCount)
 	if err != nil {
 		return err
 	}
-	controller, gateways := addresses[0], addresses[1:]
+	controllers, gateways := addresses[:controllerCount], addresses[controllerCount:]
 	clock := timekeeper.New()
 	platform := &faker.Platform{Clock: clock, RebootTime: rebootTime, Tenant: d.tenant}
 	for _, v := range f.VMs {
 		platform.Add(v)
 	}
 	worker := &faker.Worker{Clock: clock, RunTime: func(j manager.Job) manager.Duration { return j.DeclaredMs }}
-	settings := []configurer.Settings{controllerSettings(controller, folder, f)}
+	var settings []configurer.Settings
+	for i := range controllers {
+		settings = append(settings, controllerSettings(controllers, i, folder, f))
+	}
 	for i := range gateways {
-		settings = append(settings, gatewaySettings(controller, gateways, i))
+		settings = append(settings, gatewaySettings(controllers, gateways, i))
 	}
 	for i, s := range settings {
 		p := assembler.Process{Settings: s, Clock: clock, Seed: uint64(i), Platform: platform, Worker: worker}
@@ -74,28 +80,32 @@
 	return s.Start()
 }
 
-func commonSettings(node string, controller manager.Address) configurer.Settings {
+func commonSettings(node string, controllers []manager.Address) configurer.Settings {
 	return configurer.Settings{
 		Node: node, AvailabilityZone: zones[0],
 		Tokens:      configurer.Tokens{Operator: operatorToken, Peer: peerToken},
-		Controllers: []manager.Address{controller},
+		Controllers: controllers,
 		Trace:       configurer.Trace{Exporter: configurer.TraceNone},
 		Stop:        configurer.Stop{ReadyDelayMs: stopDelay, GraceMs: stopGrace},
 	}
 }
 
-func controllerSettings(a manager.Address, folder string, f manager.LoadFleet) configurer.Settings {
-	s := commonSettings("controller-1", a)
+func controllerSettings(controllers []manager.Address, i int, folder string, f manager.LoadFleet) configurer.Settings {
+	s := commonSettings(fmt.Sprintf("controller-%d", i+1), controllers)
 	s.Services = []string{configurer.ServiceController}
+	var replicas []configurer.Replica
+	for j, a := range controllers {
+		replicas = append(replicas, configurer.Replica{Replica: manager.ReplicaID(j + 1), Address: a, AvailabilityZone: zones[j%len(zones)]})
+	}
 	s.Controller = &configurer.Controller{
-		Address: a, Replica: 1, Replicas: []configurer.Replica{{Replica: 1, Address: a, AvailabilityZone: zones[0]}},
-		DataFolder: folder, Fleet: f, Platform: configurer.Platform{Kind: configurer.PlatformFake},
+		Address: controllers[i], Replica: replicas[i].Replica, Replicas: replicas,
+		DataFolder: filepath.Join(folder, s.Node), Fleet: f, Platform: configurer.Platform{Kind: configurer.PlatformFake},
 	}
 	return s
 }
 
-func gatewaySettings(controller manager.Address, gateways []manager.Address, i int) configurer.Settings {
-	s := commonSettings(fmt.Sprintf("gateway-%d", i+1), controller)
+func gatewaySettings(controllers []manager.Address, gateways []manager.Address, i int) configurer.Settings {
+	s := commonSettings(fmt.Sprintf("gateway-%d", i+1), controllers)
 	s.Services = []string{configurer.ServiceGateway}
 	var peers []manager.Address
 	for j, a := range gateways {
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -150,6 +150,9 @@
 	r.members = r.log.members()
 	r.commit, r.handedOut = s.Snapshot.Index, s.Snapshot.Index
 	r.resetElection(now)
+	if r.voters() == 1 && r.isVoter(r.ID) {
+		r.electionAt = now
+	}
 }
 
 // Tick does what is due at now; call it at least every few tens of milliseconds.
