--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -7,6 +7,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/controller"
 	"github.com/mulberryhaven/mulberryhaven/internal/faker"
+	"github.com/mulberryhaven/mulberryhaven/internal/platformer"
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/maintainer"
@@ -28,7 +29,7 @@
 		Settings:   p.Settings,
 		Clock:      p.Clock,
 		Store:      store,
-		Maintainer: maintainer.OneByOne{},
+		Maintainer: maintainer.Pipelined{},
 		Demand:     demand,
 	}
 	p.addPlatform(c, demand)
@@ -46,16 +47,32 @@
 // addPlatform adds the loops that act on VMs and workers.
 func (p *Process) addPlatform(c *controller.Service, demand *controller.DemandTable) {
 	platform, worker := p.Platform, p.Worker
-	if platform == nil && p.Settings.Controller.Platform.Kind == configurer.PlatformFake {
-		platform, worker = p.fakePlatform()
+	if platform == nil {
+		platform, worker = p.settingsPlatform()
 	}
 	if platform != nil {
-		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
-			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Fixed{}, Demand: demand,
-		})
+		c.Maintenance = &controller.MaintenanceLoop{
+			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: demand,
+		}
+		c.Loops = append(c.Loops, c.Maintenance)
 	}
 	if worker != nil {
-		c.Loops = append(c.Loops, &controller.PlacementLoop{Worker: worker, Placer: &placer.FirstFit{}})
+		placement := &controller.PlacementLoop{Worker: worker, Placer: &placer.Adaptive{}}
+		c.Loops = append(c.Loops, placement)
+		c.Explainer = placement
+	}
+}
+
+// settingsPlatform returns the platform and workers that the settings name, or none.
+func (p *Process) settingsPlatform() (manager.Platform, manager.Worker) {
+	switch cfg := p.Settings.Controller.Platform; cfg.Kind {
+	case configurer.PlatformFake:
+		return p.fakePlatform()
+	case configurer.PlatformHTTP:
+		c := &platformer.Client{Address: cfg.Address, Token: cfg.Token, HTTP: newClient()}
+		return c, c
+	default:
+		return nil, nil
 	}
 }
 
--- a/internal/responder/upstream.go
+++ b/internal/responder/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/relayer"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -29,6 +31,8 @@
 	Period manager.Duration
 	// Log records the runs.
 	Log *RunLog
+	// Relay, if set, stands between the upstream and those that call it.
+	Relay *relayer.Relay
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -47,6 +51,8 @@
 	Method    string
 	Path      string
 	Body      string
+	// Traceparent is the trace context that arrived with the request.
+	Traceparent string
 }
 
 // Run serves and announces until Stop.
@@ -56,6 +62,13 @@
 		return fmt.Errorf("listen as upstream: %w", err)
 	}
 	u.Announcement.Address = manager.Address(l.Addr().String())
+	if u.Relay != nil {
+		u.Relay.Target = u.Announcement.Address
+		if err := u.Relay.Run(); err != nil {
+			return errors.Join(err, l.Close())
+		}
+		u.Announcement.Address = u.Relay.Addr()
+	}
 	u.Announcement.State = manager.UpstreamReady
 	u.Announcement.Incarnation++
 	u.Announcement.Sequence = 0
@@ -130,7 +143,7 @@
 		return
 	}
 	id := manager.RequestID(r.Header.Get("Request-Id"))
-	u.Log.Add(id)
+	u.Log.Add(id, r.Header.Get("Idempotent") != "false")
 	select {
 	case <-time.After(u.Work):
 	case <-ctx.Done():
@@ -139,6 +152,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Echo{
 		Upstream: u.Announcement.Upstream, RequestID: id, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body),
+		Traceparent: r.Header.Get("Traceparent"),
 	})
 }
 
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/budgeter"
 )
 
 const (
@@ -36,6 +37,10 @@
 	jobs     map[manager.JobID]manager.Job
 	results  *resultTable
 	claims   *claimTable
+	tasks    *taskIndex
+	// book counts the VMs that do not serve; settling holds those that wait for their settle time.
+	book     *budgeter.Book
+	settling map[manager.VMID]bool
 }
 
 var _ manager.Applier = (*State)(nil)
@@ -50,6 +55,9 @@
 		jobs:     map[manager.JobID]manager.Job{},
 		results:  newResultTable(),
 		claims:   newClaimTable(),
+		tasks:    newTaskIndex(),
+		book:     budgeter.New(),
+		settling: map[manager.VMID]bool{},
 	}
 }
 
@@ -99,9 +107,6 @@
 		s.revision = before
 		return s.fail(*failure)
 	}
-	if c.ApplyProfile != nil || c.LoadFleet != nil {
-		s.configuration = s.revision
-	}
 	result.Revision = s.revision
 	return result
 }
@@ -111,7 +116,11 @@
 	case c.ApplyProfile != nil:
 		return s.applyProfile(*c.ApplyProfile)
 	case c.LoadFleet != nil:
-		return s.loadFleet(*c.LoadFleet)
+		result, failure := s.loadFleet(*c.LoadFleet)
+		if failure == nil {
+			s.configuration = s.revision
+		}
+		return result, failure
 	case c.ObserveVM != nil:
 		return s.observeVM(*c.ObserveVM)
 	case c.QuarantineVM != nil:
@@ -130,6 +139,8 @@
 		return s.setWaveState(*c.SetWaveState)
 	case c.AdvanceStep != nil:
 		return s.advanceStep(*c.AdvanceStep)
+	case c.Batch != nil:
+		return s.applyBatch(*c.Batch)
 	default:
 		return s.applyJobBody(c)
 	}
--- a/pkg/manager/applier/view.go
+++ b/pkg/manager/applier/view.go
@@ -42,7 +42,7 @@
 	for i, w := range f.Waves {
 		f.Waves[i].Steps = slices.Clone(w.Steps)
 	}
-	f.Jobs = inOrder(s.jobs, old.Jobs, func(j manager.Job) manager.JobID { return j.Job })
+	f.Jobs = s.jobView()
 	settling := func(v manager.VM) bool { return v.Phase == manager.PhaseSettling }
 	s.view = view{fleet: f, built: true, settling: slices.ContainsFunc(f.VMs, settling)}
 }
--- a/pkg/manager/request.go
+++ b/pkg/manager/request.go
@@ -30,6 +30,7 @@
 	RefusalStopping         RefusalCode = "Stopping"
 	RefusalStale            RefusalCode = "ConfigurationStale"
 	RefusalTooLarge         RefusalCode = "TooLarge"
+	RefusalHeadersTooLarge  RefusalCode = "HeadersTooLarge"
 	RefusalBadRequest       RefusalCode = "BadRequest"
 )
 
@@ -48,6 +49,8 @@
 	Idempotent bool
 	// Deadline is the local time after which the answer is of no use.
 	Deadline Time
+	// Avoid is the upstream that failed the attempt before, or empty.
+	Avoid UpstreamID
 }
 
 // Router chooses the upstream of a request.
@@ -76,6 +79,8 @@
 	DurationMs Duration
 	// Failed says that the attempt brought no whole answer.
 	Failed bool
+	// Cancelled says that the caller went away first, so that nothing is known of the upstream.
+	Cancelled bool
 }
 
 // DecisionKind tells what to do with a waiting request.
@@ -85,6 +90,8 @@
 const (
 	DecisionDispatch DecisionKind = iota + 1
 	DecisionRefuse
+	// DecisionAbort ends a running request: its slot may be another gateway's soon.
+	DecisionAbort
 )
 
 // Decision is the limiter's answer for one request.
