--- a/pkg/manager/applier/profiles.go
+++ b/pkg/manager/applier/profiles.go
@@ -35,6 +35,7 @@
 	}
 	s.profiles[p.Profile] = history
 	s.book.SetProfile(p)
+	s.configuration = s.revision
 }
 
 func (s *State) currentVersion(id manager.ProfileID) manager.Version {
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -24,8 +24,11 @@
 // State is the replicated state; it is not safe for concurrent use.
 type State struct {
 	revision manager.Revision
-	now      manager.Time
-	nextID   manager.LeaseID
+	// configuration is the revision of the last change to a profile or a pool.
+	configuration manager.Revision
+	view          view
+	now           manager.Time
+	nextID        manager.LeaseID
 
 	profiles map[manager.ProfileID][]manager.Profile
 	pools    map[manager.PoolID]manager.Pool
@@ -113,7 +116,11 @@
 	case c.ApplyProfile != nil:
 		return s.applyProfile(*c.ApplyProfile)
 	case c.LoadFleet != nil:
-		return s.loadFleet(*c.LoadFleet)
+		result, failure := s.loadFleet(*c.LoadFleet)
+		if failure == nil {
+			s.configuration = s.revision
+		}
+		return result, failure
 	case c.ObserveVM != nil:
 		return s.observeVM(*c.ObserveVM)
 	case c.QuarantineVM != nil:
@@ -143,23 +150,6 @@
 	return manager.Result{Revision: s.revision, Failure: &f}
 }
 
-// Fleet returns a view of the state.
-func (s *State) Fleet() manager.Fleet {
-	f := manager.Fleet{Revision: s.revision, Now: s.now}
-	for _, id := range sorted(s.profiles) {
-		history := s.profiles[id]
-		f.Profiles = append(f.Profiles, history[len(history)-1])
-	}
-	f.Pools = values(s.pools)
-	f.VMs = values(s.vms)
-	for _, w := range values(s.waves) {
-		w.Steps = slices.Clone(w.Steps)
-		f.Waves = append(f.Waves, w)
-	}
-	f.Jobs = s.jobView()
-	return f
-}
-
 func sorted[K ~string, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
