--- a/pkg/manager/lender/keeper.go
+++ b/pkg/manager/lender/keeper.go
@@ -129,14 +129,15 @@
 	return slices.DeleteFunc(slices.Clone(k.shares.gateways), func(g manager.GatewayID) bool { return g == k.Self })
 }
 
-// nextPeer goes through all peers in a random order before it returns one again.
+// nextPeer goes through all peers in a random order, and in the same one again: so any majority in a
+// row are different peers, and no lease waits for a second round.
 func (k *Keeper) nextPeer() manager.GatewayID {
 	if len(k.turn) == 0 {
 		k.turn = k.peers()
 		k.source.Shuffle(len(k.turn), func(i, j int) { k.turn[i], k.turn[j] = k.turn[j], k.turn[i] })
 	}
 	p := k.turn[0]
-	k.turn = k.turn[1:]
+	k.turn = append(k.turn[1:], p)
 	return p
 }
 
--- /dev/null
+++ b/pkg/manager/limiter/limiter_test.go
@@ -0,0 +1,209 @@
+package limiter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/lender"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/limiter"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/registrar"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/router"
+)
+
+func newTable(t require.TestingT, now manager.Time, services, upstreams int) *registrar.Table {
+	table := &registrar.Table{}
+	for s := range services {
+		for u := range upstreams {
+			require.NoError(t, table.Announce(now, manager.Announcement{
+				Upstream: manager.UpstreamID(fmt.Sprintf("s%d-u%d", s, u)), Incarnation: 1, Service: service(s), Slots: 2,
+				Connections: 64, Address: manager.Address(fmt.Sprintf("10.0.%d.%d:80", s, u)), State: manager.UpstreamReady,
+			}))
+		}
+	}
+	return table
+}
+
+func service(s int) manager.ServiceID { return manager.ServiceID(fmt.Sprintf("s%d", s)) }
+
+func newDeadline(table *registrar.Table) *limiter.Deadline {
+	return &limiter.Deadline{
+		Registrar: table, Slots: &lender.Unshared{},
+		Router: &router.Balanced{Source: rand.New(rand.NewPCG(1, 1))},
+	}
+}
+
+func request(id int, s int, deadline manager.Time) manager.Request {
+	return manager.Request{Request: manager.RequestID(fmt.Sprint(id)), Service: service(s), Idempotent: true, Deadline: deadline}
+}
+
+func ran(d manager.Decision, took manager.Duration) manager.Outcome {
+	return manager.Outcome{
+		Request: d.Request, Service: d.Member.Service, Upstream: d.Member.Upstream, RunState: manager.RunStateRan, DurationMs: took,
+	}
+}
+
+// ledger checks that each request is decided once, and that no upstream gets more than its slots.
+type ledger struct {
+	t       *rapid.T
+	open    map[manager.RequestID]manager.Request
+	running map[manager.RequestID]manager.Decision
+	inUse   map[manager.UpstreamID]int
+	served  int
+}
+
+func (l *ledger) take(now manager.Time, decisions []manager.Decision) {
+	for _, d := range decisions {
+		r, ok := l.open[d.Request]
+		if !ok {
+			l.t.Fatalf("request %s was decided twice or after its cancellation", d.Request)
+		}
+		delete(l.open, d.Request)
+		if d.Kind == manager.DecisionRefuse {
+			require.Equal(l.t, manager.RunStateNotRun, d.Refusal.RunState)
+			require.Positive(l.t, d.Refusal.RetryAfterMs)
+			continue
+		}
+		require.Greater(l.t, r.Deadline, now, "a request was dispatched after its deadline")
+		require.Equal(l.t, r.Service, d.Member.Service)
+		l.running[d.Request] = d
+		l.served++
+		l.inUse[d.Member.Upstream]++
+		require.LessOrEqual(l.t, l.inUse[d.Member.Upstream], 2)
+	}
+}
+
+// drive runs random arrivals, ends, cancellations and ticks, and returns how many were dispatched.
+func drive(t *rapid.T, l manager.Limiter, table *registrar.Table) int {
+	now := manager.Time(1)
+	book := &ledger{
+		t: t, open: map[manager.RequestID]manager.Request{}, running: map[manager.RequestID]manager.Decision{},
+		inUse: map[manager.UpstreamID]int{},
+	}
+	var ids []manager.RequestID
+	for i := range rapid.IntRange(1, 200).Draw(t, "events") {
+		now += manager.Time(rapid.IntRange(0, 40).Draw(t, "pause"))
+		for _, m := range table.All(now) {
+			m.Sequence++
+			require.NoError(t, table.Announce(now, m.Announcement))
+		}
+		switch rapid.IntRange(0, 5).Draw(t, "event") {
+		case 0, 1, 2:
+			r := request(i, rapid.IntRange(0, 2).Draw(t, "service"), now.Add(manager.Duration(rapid.IntRange(1, 500).Draw(t, "deadline"))))
+			book.open[r.Request] = r
+			ids = append(ids, r.Request)
+			book.take(now, l.Arrive(now, r))
+		case 3:
+			for _, id := range ids {
+				if d, ok := book.running[id]; ok {
+					delete(book.running, id)
+					book.inUse[d.Member.Upstream]--
+					book.take(now, l.Finish(now, ran(d, 50)))
+					break
+				}
+			}
+		case 4:
+			for _, id := range ids {
+				if _, ok := book.open[id]; ok {
+					delete(book.open, id)
+					book.take(now, l.Cancel(now, id))
+					break
+				}
+			}
+		default:
+			book.take(now, l.Tick(now))
+		}
+	}
+	for _, id := range ids {
+		if d, ok := book.running[id]; ok {
+			delete(book.running, id)
+			book.inUse[d.Member.Upstream]--
+			book.take(now, l.Finish(now, ran(d, 50)))
+		}
+	}
+	book.take(now.Add(1000), l.Tick(now.Add(1000)))
+	require.Empty(t, book.open, "requests were never decided")
+	return book.served
+}
+
+func TestEachRequestIsDecidedOnce(t *testing.T) {
+	served, naive := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable(t, 1, 2, 2)
+		served += drive(t, newDeadline(table), table)
+	})
+	// The naive version keeps the same rules on one gateway.
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable(t, 1, 2, 2)
+		naive += drive(t, &limiter.Fixed{Registrar: table, Router: &router.Random{Source: rand.New(rand.NewPCG(1, 1))}}, table)
+	})
+	require.Positive(t, served)
+	require.Positive(t, naive)
+}
+
+// train teaches a limiter that requests of a service take took, and leaves all its slots in use.
+func train(t *testing.T, l manager.Limiter, s int, took manager.Duration) []manager.Decision {
+	t.Helper()
+	var running []manager.Decision
+	for i := range 200 {
+		running = append(running, l.Arrive(1, request(1000*s+i, s, 1_000))...)
+		if len(running) == 4 {
+			l.Finish(1, ran(running[0], took))
+			running = running[1:]
+		}
+	}
+	return append(running, l.Arrive(1, request(1000*s+999, s, 1_000))...)
+}
+
+func TestRefusesAtOnceWhatCannotFinish(t *testing.T) {
+	table := newTable(t, 1, 1, 2)
+	l := newDeadline(table)
+	require.Len(t, train(t, l, 0, 100), 4)
+	got := l.Arrive(1, request(1, 0, 80))
+	require.Len(t, got, 1)
+	require.Equal(t, manager.RefusalDeadline, got[0].Refusal.Code)
+	require.Empty(t, l.Arrive(1, request(2, 0, 400)), "a request with time left was refused")
+	waiting := 1
+	for i := range 100 {
+		if len(l.Arrive(1, request(100+i, 0, 400))) == 0 {
+			waiting++
+		}
+	}
+	// Four slots of 100 ms serve 40 requests a second, so about ten of them within 400 ms.
+	require.LessOrEqual(t, waiting, 16)
+	require.GreaterOrEqual(t, waiting, 8)
+}
+
+func TestSurgeOfOneServiceLeavesRoomForOthers(t *testing.T) {
+	table := newTable(t, 1, 2, 2)
+	l := newDeadline(table)
+	l.MaxWaiting = 10
+	train(t, l, 0, 1)
+	train(t, l, 1, 1)
+	for i := range 50 {
+		l.Arrive(1, request(i, 0, 1_000))
+	}
+	for i := range 5 {
+		got := l.Arrive(1, request(200+i, 1, 1_000))
+		require.Len(t, got, 1)
+		require.NotEqual(t, manager.RequestID(fmt.Sprint(200+i)), got[0].Request, "the surging service kept the room")
+		require.Equal(t, manager.RunStateNotRun, got[0].Refusal.RunState)
+	}
+}
+
+func TestSlotLingersAfterUnknownOutcome(t *testing.T) {
+	table := newTable(t, 1, 1, 1)
+	l := newDeadline(table)
+	first := l.Arrive(1, request(1, 0, 1_000))
+	require.Len(t, l.Arrive(1, request(2, 0, 1_000)), 1)
+	require.Empty(t, l.Arrive(1, request(3, 0, 1_000)))
+	o := ran(first[0], 10)
+	o.RunState, o.Failed = manager.RunStateUnknown, true
+	require.Empty(t, l.Finish(2, o), "the slot was used while the upstream may still run")
+	require.Empty(t, l.Tick(200))
+	require.Len(t, l.Tick(300), 1)
+}
--- /dev/null
+++ b/pkg/manager/limiter/main_test.go
@@ -0,0 +1,19 @@
+package limiter_test
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "500"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
--- a/pkg/manager/registrar/gossip.go
+++ b/pkg/manager/registrar/gossip.go
@@ -10,10 +10,7 @@
 )
 
 const (
-	// ageUnit is the unit of the ages in a message; ages are rounded up, so a coarser one makes
-	// upstreams look older with each gateway on the way.
-	ageUnit = 200 * manager.Millisecond
-	// oldAge is the largest age that fits half a byte; it says nothing.
+	// oldAge is the packed age that says nothing.
 	oldAge = 15
 	// rumorTime is how long a change is sent with each message; the digests repair what it misses.
 	rumorTime = 1 * manager.Second
@@ -21,6 +18,20 @@
 	maxRumors = 32
 )
 
+// ageSteps are the ages in milliseconds that half a byte can say, but for oldAge. Ages are rounded up,
+// so coarser steps make upstreams look older with each gateway on the way; news on its way is young.
+var ageSteps = [oldAge]manager.Duration{0, 100, 200, 300, 400, 500, 600, 700, 800, 900, 1100, 1300, 1600, 2000, 2500}
+
+// packAge returns the smallest step that is not below age.
+func packAge(age manager.Duration) byte {
+	for i, step := range ageSteps {
+		if age <= step {
+			return byte(i)
+		}
+	}
+	return oldAge
+}
+
 // echo is what a peer's clock said and when that was heard.
 type echo struct {
 	clock manager.Time
@@ -84,9 +95,7 @@
 func (t *Table) ages(now manager.Time) []byte {
 	packed := make([]byte, (len(t.order)+1)/2)
 	for i, id := range t.order {
-		age := now.Sub(t.members[id].AnnouncedAt)
-		units := min((age+ageUnit-1)/ageUnit, oldAge)
-		packed[i/2] |= byte(units) << (4 * (i % 2))
+		packed[i/2] |= packAge(now.Sub(t.members[id].AnnouncedAt)) << (4 * (i % 2))
 	}
 	return packed
 }
@@ -122,12 +131,12 @@
 		return
 	}
 	for i, id := range t.order {
-		units := manager.Duration(m.Ages[i/2] >> (4 * (i % 2)) & oldAge)
-		if units == oldAge {
+		packed := m.Ages[i/2] >> (4 * (i % 2)) & oldAge
+		if packed == oldAge {
 			continue
 		}
 		r := t.members[id]
-		r.AnnouncedAt = max(r.AnnouncedAt, now.Add(-units*ageUnit-transit))
+		r.AnnouncedAt = max(r.AnnouncedAt, now.Add(-ageSteps[packed]-transit))
 	}
 }
 
--- a/pkg/manager/router/balanced.go
+++ b/pkg/manager/router/balanced.go
@@ -39,7 +39,7 @@
 	if second >= first {
 		second++
 	}
-	if b.cost(allowed[second]) < b.cost(allowed[first]) {
+	if b.cost(now, allowed[second]) < b.cost(now, allowed[first]) {
 		first = second
 	}
 	return b.chosen(now, allowed[first])
@@ -51,9 +51,9 @@
 }
 
 // cost is the expected time of a request at a candidate, longer the fuller it is.
-func (b *Balanced) cost(c manager.Candidate) float64 {
+func (b *Balanced) cost(now manager.Time, c manager.Candidate) float64 {
 	load := float64(max(c.InUse, c.Member.InFlight)) / float64(max(c.Member.Slots, 1))
-	cost := b.health.time(c.Member) * (1 + load)
+	cost := b.health.time(now, c.Member) * (1 + load)
 	if c.Member.AvailabilityZone != b.AvailabilityZone {
 		zoneCost := b.ZoneCost
 		if zoneCost == 0 {
--- a/pkg/manager/router/health.go
+++ b/pkg/manager/router/health.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math"
+
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -30,6 +32,9 @@
 	probesNeeded = 3
 	// settledOutcomes is after how many outcomes in use the next ejection is short again.
 	settledOutcomes = 100
+	// timeAge is how long a learned time keeps an upstream from being tried again; after it, the
+	// service's median counts.
+	timeAge = 5 * manager.Second
 	// forgetAfter is how long an upstream without outcome is remembered.
 	forgetAfter = 5 * manager.Minute
 )
@@ -77,15 +82,15 @@
 }
 
 // time returns the learned time of a request at m in milliseconds, or that of its service's median.
-func (h *health) time(m manager.Member) float64 {
+func (h *health) time(now manager.Time, m manager.Member) float64 {
 	s := h.of(m.Service)
 	if s == nil {
 		return 1
 	}
-	if u := s.upstreams[m.Upstream]; u != nil && u.outcomes > 0 {
-		return max(u.time, 1)
+	if u := s.upstreams[m.Upstream]; u != nil && u.outcomes > 0 && now.Sub(u.seen) <= timeAge {
+		return max(math.Round(u.time), 1)
 	}
-	return max(s.median, 1)
+	return max(math.Round(s.median), 1)
 }
 
 func (h *health) observe(now manager.Time, o manager.Outcome) {
