--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -30,7 +30,7 @@
 		Settings:   p.Settings,
 		Clock:      p.Clock,
 		Store:      store,
-		Maintainer: maintainer.OneByOne{},
+		Maintainer: maintainer.Pipelined{},
 		Demand:     demand,
 	}
 	p.addPlatform(c, demand)
@@ -44,12 +44,15 @@
 		platform, worker = p.settingsPlatform()
 	}
 	if platform != nil {
-		c.Loops = append(c.Loops, &controller.MaintenanceLoop{
-			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Fixed{}, Demand: demand,
-		})
+		c.Maintenance = &controller.MaintenanceLoop{
+			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: demand,
+		}
+		c.Loops = append(c.Loops, c.Maintenance)
 	}
 	if worker != nil {
-		c.Loops = append(c.Loops, &controller.PlacementLoop{Worker: worker, Placer: &placer.FirstFit{}})
+		placement := &controller.PlacementLoop{Worker: worker, Placer: &placer.Adaptive{}}
+		c.Loops = append(c.Loops, placement)
+		c.Explainer = placement
 	}
 }
 
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -32,8 +32,11 @@
 	g.POST("/propose", s.propose)
 	g.GET("/fleet", s.fleet)
 	g.GET("/history", s.history)
+	g.GET("/job", s.job)
 	g.GET("/gateways", s.gateways)
 	g.POST("/plan", s.plan)
+	g.POST("/preview", s.preview)
+	g.GET("/reserves", s.reserves)
 	g.POST("/configuration", s.configuration)
 	g.POST("/demand", s.demand)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"strconv"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -12,15 +11,19 @@
 	"go.opentelemetry.io/otel/attribute"
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/connector"
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/claimer"
 )
 
-// Proposer commits claims.
-type Proposer interface {
-	Propose(ctx context.Context, c manager.Command) (manager.Result, error)
+// Claims commits the claims of non-idempotent requests.
+type Claims interface {
+	// Claim returns the result of a claim once it is committed.
+	Claim(ctx context.Context, c manager.MakeClaim) (manager.ClaimResult, error)
+	// Record keeps an answer for resends, or frees the claim if the work did not run.
+	Record(a manager.RecordAnswer)
 }
 
 // Forwarder answers callers' requests.
@@ -29,8 +32,12 @@
 	Clock      manager.Clock
 	Dispatcher *Dispatcher
 	Retrier    manager.Retrier
-	Claims     Proposer
-	Exchanger  *Exchanger
+	Claims     Claims
+	Exchanger  connector.Exchanger
+	// Gateways is how many gateways share the upstreams' connections.
+	Gateways int
+	// Memory bounds what requests in flight hold.
+	Memory Memory
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// DefaultDeadline is the deadline of a request that names none, in milliseconds.
@@ -39,48 +46,44 @@
 	Ready func() (manager.RefusalCode, error)
 
 	counter atomic.Uint64
-}
-
-// reply is what the caller gets: an upstream's answer or a refusal.
-type reply struct {
-	state   manager.RunState
-	answer  answer
-	status  int
-	refusal *manager.Refusal
-}
-
-func refuse(status int, r manager.Refusal) reply {
-	return reply{state: r.RunState, status: status, refusal: &r}
-}
-
-func notRun(code manager.RefusalCode, message string) reply {
-	const retryAfter = 1 * manager.Second
-	return refuse(http.StatusServiceUnavailable, manager.Refusal{
-		Code: code, Message: message, RunState: manager.RunStateNotRun, RetryAfterMs: retryAfter,
-	})
+	retries sync.Mutex
 }
 
 // Handle answers one request of a caller.
 func (f *Forwarder) Handle(c echo.Context) error {
 	r := c.Request()
 	start := f.Clock.Now()
-	in, err := readRequest(c, f.MaxBodyBytes, f.DefaultDeadline)
+	in, err := f.read(c)
+	defer in.memory.free()
 	if err != nil {
-		return f.write(c, in, refuse(http.StatusBadRequest, manager.Refusal{
-			Code: manager.RefusalBadRequest, Message: err.Error(), RunState: manager.RunStateNotRun,
-		}))
+		return f.write(c, in, refuseRequest(err))
 	}
-	ctx, cancel := context.WithTimeout(tracer.Extract(r.Context(), r.Header), in.deadlineMs.Std())
+	ctx, cancel := context.WithDeadline(tracer.Extract(r.Context(), r.Header), in.until)
 	defer cancel()
 	ctx, span := tracer.Start(ctx, "gateway request", attribute.String("Service", string(in.service)), attribute.String("Request", string(in.id)))
+	defer span.End()
 	out := f.serve(ctx, in, start.Add(in.deadlineMs))
 	span.SetAttributes(attribute.String("Run-State", string(out.state)))
-	span.End()
-	meter.Requests(in.service, out.state).Inc()
-	meter.RequestSeconds(in.service).Update(f.Clock.Now().Sub(start).Std().Seconds())
+	f.measure(in, out, f.Clock.Now().Sub(start))
 	return f.write(c, in, out)
 }
 
+// servedCodes are the refusals that only requests to services with upstreams get.
+var servedCodes = []manager.RefusalCode{
+	manager.RefusalOverloaded, manager.RefusalUpstreamTimeout, manager.RefusalUpstreamFailed,
+}
+
+// measure counts a request. Services that no upstream serves share one name, as callers could name any
+// number of them.
+func (f *Forwarder) measure(in *request, out reply, took manager.Duration) {
+	service := in.service
+	if out.refusal != nil && !slices.Contains(servedCodes, out.refusal.Code) {
+		service = "refused"
+	}
+	meter.Requests(service, out.state).Inc()
+	meter.RequestSeconds(service).Update(took.Std().Seconds())
+}
+
 func (f *Forwarder) serve(ctx context.Context, in *request, deadline manager.Time) reply {
 	if code, err := f.Ready(); err != nil {
 		return notRun(code, err.Error())
@@ -91,114 +94,69 @@
 	return f.claimed(ctx, in, deadline)
 }
 
-// claimed claims a non-idempotent request before its first attempt and records its answer.
+// claimed claims a non-idempotent request before its first attempt. Its answer is recorded while the
+// caller gets it: a resend that overtakes the record waits for it.
 func (f *Forwarder) claimed(ctx context.Context, in *request, deadline manager.Time) reply {
-	attempt := uuid.NewString()
-	result, err := f.Claims.Propose(ctx, manager.Command{MakeClaim: &manager.MakeClaim{
-		Request: in.id, Digest: in.digest, Gateway: f.Gateway, Attempt: attempt, MadeAt: f.Clock.Now(),
-	}})
-	if err != nil || result.Claim == nil {
-		klog.V(2).InfoS("Claim failed", "Request", in.id, "Error", err)
+	claim := manager.MakeClaim{Request: in.id, Digest: in.digest, Gateway: f.Gateway, Attempt: uuid.NewString()}
+	result, err := f.claim(ctx, claim)
+	if err != nil {
+		klog.V(2).InfoS("Claim failed", "Request", in.id, "Error", err.Error())
 		return notRun(manager.RefusalClaimUnavailable, "the request could not be claimed")
 	}
-	switch {
-	case result.Claim.State == manager.ClaimAnswered && result.Claim.Answer != nil && !result.Claim.Answer.TooLarge:
-		return reply{state: manager.RunStateRan, answer: fromRecord(*result.Claim.Answer)}
-	case result.Claim.State != manager.ClaimGranted:
-		return refuse(claimer.Refusal(result.Claim.State))
+	if result.State == manager.ClaimAnswered && !result.Answer.TooLarge {
+		return reply{state: manager.RunStateRan, answer: fromRecord(*result.Answer)}
 	}
-	out := f.attempts(ctx, in, deadline)
-	f.record(ctx, in, attempt, out)
-	return out
-}
-
-// record keeps the answer for resends, or frees the claim if the work did not run.
-func (f *Forwarder) record(ctx context.Context, in *request, attempt string, out reply) {
-	if out.state == manager.RunStateUnknown {
-		return
+	if result.State != manager.ClaimGranted {
+		return refuse(claimer.Refusal(result.State))
 	}
-	command := manager.RecordAnswer{Request: in.id, Attempt: attempt, NotRun: out.state == manager.RunStateNotRun}
-	if !command.NotRun {
-		command.Answer = toRecord(out.answer)
+	if ctx.Err() != nil {
+		f.Claims.Record(manager.RecordAnswer{Request: in.id, Attempt: claim.Attempt, NotRun: true})
+		return notRun(manager.RefusalDeadline, "the deadline passed while the request was claimed")
 	}
-	if _, err := f.Claims.Propose(context.WithoutCancel(ctx), manager.Command{RecordAnswer: &command}); err != nil {
-		klog.V(2).InfoS("Answer not recorded", "Request", in.id, "Error", err)
+	out := f.attempts(ctx, in, deadline)
+	if out.ended == nil {
+		f.record(claim, out)
+		return out
+	}
+	ended := out.ended
+	out.ended = func(whole bool) {
+		ended(whole)
+		if whole {
+			f.record(claim, out)
+		}
 	}
+	return out
 }
 
-// attempts runs the request until an attempt ends it.
-func (f *Forwarder) attempts(ctx context.Context, in *request, deadline manager.Time) reply {
-	r := manager.Request{Service: in.service, Idempotent: in.idempotent, Deadline: deadline}
-	f.Retrier.Start(f.Clock.Now(), r)
-	for attempt := 1; ; attempt++ {
-		// The caller's id may arrive twice at once, so the limiter gets one of the gateway's own.
-		r.Request = manager.RequestID(strconv.FormatUint(f.counter.Add(1), 10))
-		out, outcome := f.attempt(ctx, in, r)
-		if !outcome.Failed {
-			return out
+// claim commits a claim; a resend waits a while for the answer to the attempt that holds it.
+func (f *Forwarder) claim(ctx context.Context, c manager.MakeClaim) (manager.ClaimResult, error) {
+	ctx, span := tracer.Start(ctx, "gateway claim", attribute.String("Request", string(c.Request)))
+	result, err := f.Claims.Claim(ctx, c)
+	for n := 1; err == nil && result.State == manager.ClaimPending; n++ {
+		delay, ok := claimer.PollDelay(n)
+		if !ok || !pause(ctx, delay) {
+			break
 		}
-		next := f.Retrier.Failed(f.Clock.Now(), r, outcome, attempt)
-		if !next.Again {
-			return out
+		result, err = f.Claims.Claim(ctx, c)
+		if err != nil {
+			// The claim is held elsewhere, whatever became of this question.
+			result, err = manager.ClaimResult{State: manager.ClaimPending}, nil
+			break
 		}
 	}
-}
-
-func (f *Forwarder) attempt(ctx context.Context, in *request, r manager.Request) (reply, manager.Outcome) {
-	decision, err := f.Dispatcher.Admit(ctx, r)
-	if err != nil {
-		return notRun(manager.RefusalDeadline, "the deadline passed while waiting"), manager.Outcome{}
-	}
-	if decision.Kind == manager.DecisionRefuse {
-		meter.Refusals(decision.Refusal.Code).Inc()
-		return refuse(http.StatusServiceUnavailable, decision.Refusal), manager.Outcome{}
-	}
-	start := f.Clock.Now()
-	ctx, span := tracer.Start(ctx, "gateway attempt", attribute.String("Upstream", string(decision.Member.Upstream)))
-	held, release := f.Dispatcher.Hold(ctx, r.Request)
-	a, state, err := f.Exchanger.Exchange(held, decision.Member.Address, in)
-	release()
+	span.SetAttributes(attribute.String("State", string(result.State)))
 	tracer.End(span, err)
-	outcome := manager.Outcome{
-		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream,
-		RunState: state, DurationMs: f.Clock.Now().Sub(start), Failed: err != nil,
-	}
-	f.Dispatcher.Finish(outcome)
-	if err != nil {
-		return f.failure(ctx, decision.Member, state, err), outcome
-	}
-	return reply{state: state, answer: a}, outcome
-}
-
-func (f *Forwarder) failure(ctx context.Context, m manager.Member, state manager.RunState, err error) reply {
-	klog.V(2).InfoS("Attempt failed", "Upstream", m.Upstream, "RunState", state, "Error", err.Error())
-	if state == manager.RunStateNotRun {
-		return notRun(manager.RefusalUpstreamFailed, "the upstream could not be reached")
-	}
-	if ctx.Err() != nil {
-		return refuse(http.StatusGatewayTimeout, manager.Refusal{
-			Code: manager.RefusalUpstreamTimeout, Message: "the upstream did not answer in time", RunState: state,
-		})
-	}
-	return refuse(http.StatusBadGateway, manager.Refusal{
-		Code: manager.RefusalUpstreamFailed, Message: "the upstream's answer was not whole", RunState: state,
-	})
+	return result, err
 }
 
-func (f *Forwarder) write(c echo.Context, in *request, out reply) error {
-	h := c.Response().Header()
-	if out.refusal == nil {
-		copyHeader(h, out.answer.header)
-	}
-	h.Set(headerRequestID, string(in.id))
-	h.Set(headerRunState, string(out.state))
-	if out.refusal != nil {
-		return c.JSON(out.status, out.refusal)
+// record keeps the answer for resends, or frees the claim if the work did not run.
+func (f *Forwarder) record(c manager.MakeClaim, out reply) {
+	if out.state == manager.RunStateUnknown {
+		return
 	}
-	h.Set("Content-Length", strconv.Itoa(len(out.answer.body)))
-	c.Response().WriteHeader(out.answer.status)
-	if _, err := c.Response().Write(out.answer.body); err != nil {
-		return fmt.Errorf("write answer: %w", err)
+	a := manager.RecordAnswer{Request: c.Request, Attempt: c.Attempt, NotRun: out.state == manager.RunStateNotRun}
+	if !a.NotRun {
+		a.Answer = toRecord(out.answer)
 	}
-	return nil
+	f.Claims.Record(a)
 }
--- a/internal/listener/server.go
+++ b/internal/listener/server.go
@@ -41,6 +41,8 @@
 	http     *http.Server
 	listener net.Listener
 	inFlight atomic.Int64
+	silent   silentConnections
+	stopping atomic.Bool
 }
 
 // NewEcho returns an echo instance with the project's error bodies.
@@ -87,9 +89,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.silent.note,
 	}
 	go func() {
-		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "Listener failed", "Address", s.Address)
 		}
 	}()
@@ -99,24 +102,28 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.Echo.ServeHTTP(w, r)
 }
 
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() manager.Address { return manager.Address(s.listener.Addr().String()) }
 
-// PrepareStop asks clients to open no further requests on their connections.
-func (s *Server) PrepareStop() {
-	if s.http != nil {
-		s.http.SetKeepAlivesEnabled(false)
-	}
-}
+// PrepareStop asks clients, with each answer, to open no further requests on their connections. Idle
+// ones stay open meanwhile, as a request may be on its way on them.
+func (s *Server) PrepareStop() { s.stopping.Store(true) }
 
 // Stop closes the listener and waits for requests in flight until stop is closed.
 func (s *Server) Stop(stop <-chan struct{}) error {
 	if s.http == nil {
 		return nil
 	}
+	if err := s.listener.Close(); err != nil {
+		klog.V(2).InfoS("Listener closed already", "Address", s.Address, "Error", err.Error())
+	}
+	s.silent.end()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -41,7 +41,7 @@
 func (c *Client) Propose(ctx context.Context, command manager.Command) (manager.Result, error) {
 	var result manager.Result
 	call := call{method: http.MethodPost, path: PathPropose, body: command, answer: &result}
-	call.repeatable = command.Command != "" || command.MakeClaim != nil || command.RecordAnswer != nil
+	call.repeatable = command.Command != "" || command.MakeClaim != nil || command.RecordAnswer != nil || command.ClaimBatch != nil
 	if err := c.do(ctx, call); err != nil {
 		if errors.Is(err, errLost) {
 			return result, errors.Join(manager.ErrOutcomeUnknown{Command: command.Command}, err)
@@ -75,6 +75,13 @@
 	return h, err
 }
 
+// Job reads a job with what it waits for.
+func (c *Client) Job(ctx context.Context, j manager.JobID) (manager.JobStatus, error) {
+	var status manager.JobStatus
+	err := c.read(ctx, PathJob+"?Job="+url.QueryEscape(string(j)), &status)
+	return status, err
+}
+
 // Plan asks for the plan of a wave, which is not stored yet.
 func (c *Client) Plan(ctx context.Context, spec manager.WaveSpec) (manager.Wave, error) {
 	var w manager.Wave
@@ -82,6 +89,20 @@
 	return w, err
 }
 
+// Preview asks what a profile change would do.
+func (c *Client) Preview(ctx context.Context, p manager.Profile) (manager.ProfilePreview, error) {
+	var preview manager.ProfilePreview
+	err := c.post(ctx, PathPreview, p, &preview)
+	return preview, err
+}
+
+// Reserves reads what each pool holds and is meant to hold.
+func (c *Client) Reserves(ctx context.Context) ([]manager.PoolReserve, error) {
+	var list []manager.PoolReserve
+	err := c.read(ctx, PathReserves, &list)
+	return list, err
+}
+
 // Configuration asks for a newer configuration.
 func (c *Client) Configuration(ctx context.Context, r ConfigurationRequest) (Configuration, error) {
 	var cfg Configuration
--- a/pkg/manager/command.go
+++ b/pkg/manager/command.go
@@ -27,8 +27,21 @@
 	FinishTask   *FinishTask   `json:",omitempty"`
 	RenewLeases  *RenewLeases  `json:",omitempty"`
 	RefuseJob    *RefuseJob    `json:",omitempty"`
+	PlaceTasks   *TaskBatch    `json:",omitempty"`
+	CancelJobs   *CancelJobs   `json:",omitempty"`
 	MakeClaim    *MakeClaim    `json:",omitempty"`
 	RecordAnswer *RecordAnswer `json:",omitempty"`
+	ClaimBatch   *ClaimBatch   `json:",omitempty"`
+	Batch        *Batch        `json:",omitempty"`
+}
+
+// MaxBatch bounds the commands of a batch; a larger one is refused.
+const MaxBatch = 1_000
+
+// Batch applies commands without ids in order under one entry of the log; one that is refused does
+// not stop the others. An empty batch only moves the time on.
+type Batch struct {
+	Commands []Command
 }
 
 // ApplyProfile stores a profile; its Version is the one that the operator read, 0 for a new one.
@@ -47,6 +60,8 @@
 type ObserveVM struct {
 	VM    VMID
 	State VMState
+	// Epoch is that of the latest order which the platform has taken for the VM; 0 if unknown.
+	Epoch Epoch `json:",omitempty"`
 }
 
 // QuarantineVM bars a VM from starting tasks, or lifts the bar.
@@ -93,6 +108,10 @@
 	Wave   WaveID
 	State  WaveState
 	Reason string
+	// Held makes a pause last until an operator resumes the wave.
+	Held bool `json:",omitempty"`
+	// Accept resumes the wave despite the VMs that are lost now, and lifts an operator's pause.
+	Accept bool `json:",omitempty"`
 }
 
 // AdvanceStep moves a step on; a step that starts draining is the permit, checked against the budget.
@@ -122,6 +141,8 @@
 	Epoch    Epoch
 	Until    Time
 	Reserved Resources
+	// Probe tests a quarantined VM with one idempotent job.
+	Probe bool `json:",omitempty"`
 }
 
 // OrderTask tells the worker of a leased task what to do with it.
@@ -138,6 +159,8 @@
 	Result TaskResult
 	Reason string
 	DoneMs Duration
+	// Peak is the largest use that the worker reported.
+	Peak Resources `json:",omitzero"`
 }
 
 // TaskResult is how a task ended.
@@ -151,12 +174,49 @@
 	TaskNotStarted   TaskResult = "not-started"
 	// TaskLost says that the lease ended without a report.
 	TaskLost TaskResult = "lost"
+	// TaskStopped says that the worker stopped the task as ordered.
+	TaskStopped TaskResult = "stopped"
+	// TaskExpired says that the worker stopped the task by itself when its lease ended.
+	TaskExpired TaskResult = "expired"
 )
 
 // RenewLeases prolongs leases whose workers were heard.
 type RenewLeases struct {
-	Leases []LeaseID
-	Until  Time
+	Leases []LeaseID `json:",omitempty"`
+	// AllExcept prolongs every lease but these in place of those in Leases.
+	AllExcept []LeaseID `json:",omitempty"`
+	All       bool      `json:",omitempty"`
+	Until     Time
+}
+
+// TaskBatch is what one step of placement changes; its parts are applied in the order of the fields,
+// and an item that is refused does not stop the others.
+type TaskBatch struct {
+	Finish []FinishTask `json:",omitempty"`
+	Refuse []RefuseJob  `json:",omitempty"`
+	Order  []OrderTask  `json:",omitempty"`
+	Start  []StartTask  `json:",omitempty"`
+	Renew  *RenewLeases `json:",omitempty"`
+}
+
+// Size returns the number of items in the batch.
+func (b TaskBatch) Size() int {
+	n := len(b.Finish) + len(b.Refuse) + len(b.Order) + len(b.Start)
+	if b.Renew != nil {
+		n++
+	}
+	return n
+}
+
+// CancelJobs cancels many jobs in one command; an unknown or ended one does not stop the others.
+type CancelJobs struct {
+	Jobs []JobID
+}
+
+// JobFailure is an item of a batch that was refused.
+type JobFailure struct {
+	Job     JobID
+	Failure Failure
 }
 
 // RefuseJob ends a job that can never run.
@@ -172,8 +232,6 @@
 	Gateway GatewayID
 	// Attempt tells the resend of this command from a resend of the request.
 	Attempt string
-	// MadeAt is when the request was first seen, from the id or the gateway's wall clock.
-	MadeAt Time
 }
 
 // RecordAnswer ends a claim with the answer, or frees it if the work certainly did not run.
@@ -228,6 +286,12 @@
 	Wave     *Wave        `json:",omitempty"`
 	Job      *Job         `json:",omitempty"`
 	Claim    *ClaimResult `json:",omitempty"`
+	// Claims are the results of a batch's claims in their order.
+	Claims []ClaimResult `json:",omitempty"`
+	// RefusedJobs lists the items of a batch that were refused.
+	RefusedJobs []JobFailure `json:",omitempty"`
+	// Refused lists the failures of a batch's commands.
+	Refused []Failure `json:",omitempty"`
 }
 
 // Applier is the replicated state: a deterministic function of the commands applied so far.
