--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -89,6 +89,7 @@
 		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream, RunState: runState(a, err), Failed: err != nil,
 	}
 	finish := func(whole bool) {
+		outcome.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 		release()
 		cancel()
 		outcome.DurationMs = f.Clock.Now().Sub(start)
