Find upstreams by service and address in constant time

Cause: each look at a service's upstreams went through all upstreams of all services ten times a second, and each announcement looked for silent ones.

--- a/pkg/manager/limiter/limiter_test.go
+++ b/pkg/manager/limiter/limiter_test.go
@@ -207,3 +207,19 @@
 	require.Empty(t, l.Tick(200))
 	require.Len(t, l.Tick(300), 1)
 }
+
+// BenchmarkDecision shows the cost of one request's decisions with 10 upstreams for each service.
+func BenchmarkDecision(b *testing.B) {
+	for _, services := range []int{6, 30, 150} {
+		b.Run(fmt.Sprintf("upstreams=%d", 10*services), func(b *testing.B) {
+			table := newTable(b, 1, services, 10)
+			l := newDeadline(table)
+			for i := range b.N {
+				now := manager.Time(1 + i/100%2000)
+				for _, d := range l.Arrive(now, request(i, i%services, now.Add(1_000))) {
+					l.Finish(now, ran(d, 10))
+				}
+			}
+		})
+	}
+}
--- a/pkg/manager/registrar/table.go
+++ b/pkg/manager/registrar/table.go
@@ -17,6 +17,8 @@
 	DefaultMaxMembers = 4096
 	// forgetAfter is how long a silent upstream is listed; gossip of older announcements is refused.
 	forgetAfter = 60 * manager.Second
+	// forgetPause is the least time between two looks for silent upstreams.
+	forgetPause = 1 * manager.Second
 	// maxGraves bounds the forgotten upstreams whose last announcement is remembered.
 	maxGraves = 8192
 	// loadAge is how long a reported load counts.
@@ -41,13 +43,16 @@
 
 	members map[manager.UpstreamID]*record
 	// order holds the ids of members, sorted.
-	order   []manager.UpstreamID
-	digest  manager.MembershipDigest
-	version uint64
-	graves  graveyard
-	echoes  map[manager.GatewayID]echo
-	rumors  []rumor
-	views   map[manager.ServiceID]view
+	order []manager.UpstreamID
+	index index
+	// forgetAt is when to look for silent upstreams again.
+	forgetAt manager.Time
+	digest   manager.MembershipDigest
+	version  uint64
+	graves   graveyard
+	echoes   map[manager.GatewayID]echo
+	rumors   []rumor
+	views    map[manager.ServiceID]view
 }
 
 // record is a known upstream.
@@ -75,6 +80,7 @@
 	t.echoes = map[manager.GatewayID]echo{}
 	t.views = map[manager.ServiceID]view{}
 	t.graves.init()
+	t.index.init()
 	if t.MaxMembers == 0 {
 		t.MaxMembers = DefaultMaxMembers
 	}
@@ -126,6 +132,8 @@
 		return
 	}
 	t.changed(now, old.Announcement, m.Announcement)
+	t.index.remove(old.Announcement)
+	t.index.add(m.Announcement)
 	*old = record{Member: m, loadAt: m.AnnouncedAt}
 }
 
@@ -133,6 +141,7 @@
 	t.members[m.Upstream] = &record{Member: m, loadAt: m.AnnouncedAt}
 	i, _ := slices.BinarySearch(t.order, m.Upstream)
 	t.order = slices.Insert(t.order, i, m.Upstream)
+	t.index.add(m.Announcement)
 	t.digest ^= identity(m.Announcement)
 	t.version++
 	t.rumor(now, m.Upstream)
@@ -157,6 +166,10 @@
 
 // forget buries upstreams that were silent for long.
 func (t *Table) forget(now manager.Time) {
+	if now < t.forgetAt && len(t.members) < t.MaxMembers {
+		return
+	}
+	t.forgetAt = now.Add(forgetPause)
 	t.order = slices.DeleteFunc(t.order, func(id manager.UpstreamID) bool {
 		m := t.members[id]
 		if now.Sub(m.AnnouncedAt) <= forgetAfter {
@@ -164,6 +177,7 @@
 		}
 		t.digest ^= identity(m.Announcement)
 		t.version++
+		t.index.remove(m.Announcement)
 		t.graves.bury(m.Announcement)
 		delete(t.members, id)
 		return true
@@ -188,16 +202,15 @@
 
 func (t *Table) view(now manager.Time, s manager.ServiceID) view {
 	v := view{version: t.version, made: now, until: now.Add(viewAge)}
-	for _, id := range t.order {
+	for _, id := range t.index.services[s] {
 		m := t.members[id]
 		expiry := m.AnnouncedAt.Add(t.TimeToLive)
-		if m.Service != s || m.State != manager.UpstreamReady || expiry <= now {
+		if m.State != manager.UpstreamReady || expiry <= now || !t.latestAtAddress(m) {
 			continue
 		}
 		v.until = min(v.until, expiry)
 		v.members = append(v.members, m.current(now))
 	}
-	v.members = latestAtAddress(v.members, t)
 	return v
 }
 
@@ -210,17 +223,16 @@
 	return m
 }
 
-// latestAtAddress leaves out upstreams whose address another one announced later: only one process
+// latestAtAddress tells whether no other upstream announced the address of m later: only one process
 // listens there.
-func latestAtAddress(list []manager.Member, t *Table) []manager.Member {
-	latest := make(map[manager.Address]*record, len(list))
-	for _, id := range t.order {
-		m := t.members[id]
-		if best := latest[m.Address]; best == nil || m.AnnouncedAt > best.AnnouncedAt {
-			latest[m.Address] = m
+func (t *Table) latestAtAddress(m *record) bool {
+	for _, id := range t.index.addresses[m.Address] {
+		other := t.members[id]
+		if other.AnnouncedAt > m.AnnouncedAt || other.AnnouncedAt == m.AnnouncedAt && id < m.Upstream {
+			return false
 		}
 	}
-	return slices.DeleteFunc(list, func(m manager.Member) bool { return latest[m.Address].Upstream != m.Upstream })
+	return true
 }
 
 // All returns every known upstream, ordered by id.
