--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -82,12 +82,14 @@
 	start := f.Clock.Now()
 	ctx, span := tracer.Start(ctx, "gateway attempt", attribute.String("Upstream", string(decision.Member.Upstream)))
 	ctx, cancel := in.exchangeContext(ctx)
+	ctx, release := f.Dispatcher.Hold(ctx, r.Request)
 	a, err := f.Exchanger.Exchange(ctx, f.target(decision.Member), in.message(ctx))
 	tracer.End(span, err)
 	outcome := manager.Outcome{
 		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream, RunState: runState(a, err), Failed: err != nil,
 	}
 	finish := func(whole bool) {
+		release()
 		cancel()
 		outcome.DurationMs = f.Clock.Now().Sub(start)
 		outcome.Failed = !whole
