--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/connector"
 	"github.com/mulberryhaven/mulberryhaven/internal/forwarder"
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 	"github.com/mulberryhaven/mulberryhaven/internal/operator"
@@ -39,9 +40,13 @@
 	Client    *proposer.Client
 	// Peers is the HTTP client for the other gateways.
 	Peers *http.Client
+	// Addresses are where the other gateways are reached.
+	Addresses map[manager.GatewayID]manager.Address
 
 	server        *listener.Server
 	dispatcher    *forwarder.Dispatcher
+	connector     *connector.Connector
+	claims        *forwarder.ClaimQueue
 	configuration *configurationKeeper
 	peers         *peerLoop
 	stopping      chan struct{}
@@ -65,10 +70,13 @@
 func (s *Service) Start(*supervisor.Registry) error {
 	s.stopping = make(chan struct{})
 	s.dispatcher = &forwarder.Dispatcher{Clock: s.Clock, Limiter: s.Limiter}
+	s.connector = &connector.Connector{Clock: s.Clock}
+	s.connector.Start()
+	s.claims = &forwarder.ClaimQueue{Proposer: s.Client}
 	s.configuration = &configurationKeeper{gateway: manager.GatewayID(s.Settings.Node), clock: s.Clock, client: s.Client}
 	s.peers = &peerLoop{
 		registrar: s.Registrar, slots: s.Slots, clock: s.Clock, client: s.Peers, token: s.Settings.Tokens.Peer,
-		changed: s.dispatcher.Tick,
+		changed: s.dispatcher.Tick, addresses: s.Addresses,
 	}
 	e := listener.NewEcho()
 	listener.AddHealth(e, s.ready)
@@ -76,6 +84,7 @@
 	cfg := s.Settings.Gateway
 	s.server = &listener.Server{Address: cfg.Address, TLS: cfg.TLS, Echo: e}
 	if err := s.server.Start(); err != nil {
+		s.connector.Stop()
 		return fmt.Errorf("serve gateway: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,8 +103,9 @@
 		Clock:           s.Clock,
 		Dispatcher:      s.dispatcher,
 		Retrier:         s.Retrier,
-		Claims:          s.Client,
-		Exchanger:       forwarder.NewExchanger(),
+		Claims:          s.claims,
+		Exchanger:       s.connector,
+		Gateways:        len(cfg.Peers) + 1,
 		MaxBodyBytes:    cfg.MaxBodyBytes,
 		DefaultDeadline: cfg.DefaultDeadlineMs,
 		Ready:           s.accepting,
@@ -158,6 +168,10 @@
 		s.cancel()
 	}
 	s.loops.Wait()
+	if s.connector != nil {
+		s.connector.Stop()
+		s.claims.Stop()
+	}
 	if s.peers != nil {
 		s.peers.stop()
 	}
--- a/pkg/manager/lender/voter.go
+++ b/pkg/manager/lender/voter.go
@@ -8,7 +8,7 @@
 
 // promise is the support of one holder for one shard.
 type promise struct {
-	holder manager.Address
+	holder manager.GatewayID
 	start  manager.StartID
 	// number is the request that renewed the promise last.
 	number uint64
@@ -18,35 +18,57 @@
 // voter supports at most one holder of each shard at a time. It keeps nothing on disk: after a start
 // it abstains until every gateway has said what it still relies on, or until no promise can be left.
 type voter struct {
-	gateways []manager.Address
+	gateways []manager.GatewayID
 	maxHold  manager.Duration
 	started  manager.Time
-	promises map[manager.Address]promise
-	// relied is, by gateway, the time until which it relies on a promise made before the start.
-	relied map[manager.Address]manager.Time
+	promises map[manager.GatewayID]promise
+	// heard are the gateways that have said what they rely on.
+	heard  map[manager.GatewayID]bool
 	voting bool
 }
 
-// hear takes what a gateway relies on.
-func (v *voter) hear(now manager.Time, from manager.Address, kept manager.Duration) {
+// adopt takes the promises that a gateway knows of, its own reliance among them. Should two of one
+// shard differ, nobody is supported until both have run out.
+func (v *voter) adopt(now manager.Time, from manager.GatewayID, promises []manager.SlotPromise) {
 	if v.voting {
 		return
 	}
-	v.relied[from] = max(v.relied[from], now.Add(max(kept, 0)))
+	v.heard[from] = true
+	for _, a := range promises {
+		known := v.promises[a.Shard]
+		until := max(known.until, now.Add(min(a.ForMs, v.maxHold)))
+		if known.until > now && (known.holder != a.Holder || known.start != a.Start) {
+			v.promises[a.Shard] = promise{until: until}
+			continue
+		}
+		v.promises[a.Shard] = promise{holder: a.Holder, start: a.Start, number: max(known.number, a.Number), until: until}
+	}
+}
+
+// promised returns the promises that still hold, ordered by shard.
+func (v *voter) promised(now manager.Time) []manager.SlotPromise {
+	var list []manager.SlotPromise
+	for _, s := range v.gateways {
+		if p := v.promises[s]; p.until > now {
+			list = append(list, manager.SlotPromise{
+				Shard: s, Holder: p.holder, Start: p.start, Number: p.number, ForMs: p.until.Sub(now),
+			})
+		}
+	}
+	return list
 }
 
 // ready tells whether the voter may vote.
 func (v *voter) ready(now manager.Time) bool {
-	if v.voting {
-		return true
+	if !v.voting {
+		v.voting = now.Sub(v.started) >= v.maxHold || v.allHeard()
 	}
-	v.voting = now.Sub(v.started) >= v.maxHold || v.allHeard(now)
 	return v.voting
 }
 
-func (v *voter) allHeard(now manager.Time) bool {
+func (v *voter) allHeard() bool {
 	for _, g := range v.gateways {
-		if until, ok := v.relied[g]; !ok || until > now {
+		if !v.heard[g] {
 			return false
 		}
 	}
@@ -54,7 +76,7 @@
 }
 
 // vote returns the shards for which the asking holder is supported.
-func (v *voter) vote(now manager.Time, r manager.SlotRequest) []manager.Address {
+func (v *voter) vote(now manager.Time, r manager.SlotRequest) []manager.GatewayID {
 	for _, s := range r.Release {
 		if p := v.promises[s]; p.holder == r.From && p.start == r.Start && p.number < r.Number {
 			delete(v.promises, s)
@@ -64,7 +86,7 @@
 		return nil
 	}
 	hold := min(r.HoldMs, v.maxHold)
-	var granted []manager.Address
+	var granted []manager.GatewayID
 	for _, s := range r.Shards {
 		if !slices.Contains(v.gateways, s) || hold <= 0 {
 			continue
--- a/pkg/manager/rebalancer/learner.go
+++ b/pkg/manager/rebalancer/learner.go
@@ -9,10 +9,11 @@
 const (
 	// bucketMs is the resolution at which demand is averaged.
 	bucketMs = 1 * manager.Second
-	// windowBuckets is the time over which demand is averaged, in buckets. It is about the time that a
-	// request may wait: a pool that keeps up over the window answers in time. A shorter window sizes
-	// pools for peaks that queues absorb, a longer one refuses requests.
-	windowBuckets = 10
+	// windowBuckets is the time over which demand is averaged, in buckets. A pool that keeps up over the
+	// window works off a surge within it: with the callers' usual deadline of 10 s, any surge of 2 s or
+	// more is answered in time. A shorter window sizes pools for peaks that queues absorb, a longer one
+	// lets requests wait past their deadline.
+	windowBuckets = 12
 	// slotMs is the time of which the highest demand is kept as one value.
 	slotMs = 1 * manager.Minute
 	// horizonSlots is how long a peak is remembered, in slots; a queue that surges less often than this
@@ -106,17 +107,16 @@
 // highest returns the slots that the highest demand of the horizon asked for; pools never shrink below it.
 func (l *learner) highest() float64 { return slices.Max(l.peaks) }
 
-// recurring returns the slots that at least two slots of the horizon asked for; pools grow only for
-// demand that came back, as a single surge is over before a move ends.
+// recurring returns the slots that demand asked for at two times apart; pools grow only for demand that
+// came back, as a single surge is over before a move ends. Neighbours of the highest slot are left out,
+// as one surge may reach into them.
 func (l *learner) recurring() float64 {
-	first, second := 0.0, 0.0
-	for _, x := range l.peaks {
-		switch {
-		case x > first:
-			first, second = x, first
-		case x > second:
-			second = x
+	highest := slices.Index(l.peaks, l.highest())
+	again := 0.0
+	for i, x := range l.peaks {
+		if i < highest-1 || i > highest+1 {
+			again = max(again, x)
 		}
 	}
-	return second
+	return again
 }
--- a/pkg/manager/request.go
+++ b/pkg/manager/request.go
@@ -27,9 +27,13 @@
 	RefusalClaimUnresolved  RefusalCode = "ClaimUnresolved"
 	RefusalRequestReused    RefusalCode = "RequestIdReused"
 	RefusalRequestExpired   RefusalCode = "RequestIdExpired"
+	RefusalRequestAhead     RefusalCode = "RequestIdAhead"
+	RefusalRequestUntimed   RefusalCode = "RequestIdNeedsTime"
+	RefusalAnswerForgotten  RefusalCode = "AnswerNotKept"
 	RefusalStopping         RefusalCode = "Stopping"
 	RefusalStale            RefusalCode = "ConfigurationStale"
 	RefusalTooLarge         RefusalCode = "TooLarge"
+	RefusalHeadersTooLarge  RefusalCode = "HeadersTooLarge"
 	RefusalBadRequest       RefusalCode = "BadRequest"
 )
 
@@ -48,6 +52,8 @@
 	Idempotent bool
 	// Deadline is the local time after which the answer is of no use.
 	Deadline Time
+	// Avoid is the upstream that failed the attempt before, or empty.
+	Avoid UpstreamID
 }
 
 // Router chooses the upstream of a request.
@@ -87,6 +93,8 @@
 const (
 	DecisionDispatch DecisionKind = iota + 1
 	DecisionRefuse
+	// DecisionAbort ends a running request: its slot may be another gateway's soon.
+	DecisionAbort
 )
 
 // Decision is the limiter's answer for one request.
