--- a/pkg/manager/budgeter/check.go
+++ b/pkg/manager/budgeter/check.go
@@ -121,6 +121,12 @@
 	return !broken
 }
 
+// AllowsZone tells whether VMs of v's pool and zone may be taken as far as no rack is concerned.
+func (b *Book) AllowsZone(v manager.VM) bool {
+	r, broken := b.broken(v, Spendable)
+	return !broken || r.scope == scopeRack
+}
+
 func (b *Book) check(v manager.VM, spendable func(int) int) string {
 	if _, ok := b.pools[v.Pool]; !ok {
 		return fmt.Sprintf("pool %q does not exist", v.Pool)
@@ -153,9 +159,6 @@
 	return fmt.Sprintf("budget of %s is spent: %d of %d unavailable", name, r.used, r.limit)
 }
 
-// Full tells whether no VM of a pool may be taken now, whatever its zone and rack are.
-func (b *Book) Full(id manager.PoolID) bool { return b.Left(id) == 0 }
-
 // Left returns how many more VMs of a pool its own and its service's budget let be unavailable,
 // without the part kept for an unplanned loss.
 func (b *Book) Left(id manager.PoolID) int {
--- a/pkg/manager/maintainer/simulation.go
+++ b/pkg/manager/maintainer/simulation.go
@@ -77,7 +77,10 @@
 	bestAt := 0
 	for _, g := range q.groups {
 		rules := p.profiles[g.pool].Wave
-		if !rules.Open(now) || held[g.pool] >= rules.MaxAtOnce || p.book.Full(g.pool) {
+		if len(g.waiting) == 0 || !rules.Open(now) || held[g.pool] >= rules.MaxAtOnce {
+			continue
+		}
+		if !p.book.AllowsZone(q.vms[g.waiting[0]]) {
 			continue
 		}
 		at := slices.IndexFunc(g.waiting, func(i int) bool { return p.book.Allows(q.vms[i]) })
--- a/pkg/manager/profile.go
+++ b/pkg/manager/profile.go
@@ -63,11 +63,11 @@
 	MaxPerRack int `json:",omitempty"`
 }
 
-// Limit returns how many of size VMs the budget lets be unavailable at once.
+// Limit returns how many of size VMs the budget lets be unavailable at once, at most all of them.
 func (b Budget) Limit(size int) int {
 	share := size * int(b.MaxUnavailablePercent) / 100
 	if b.MaxUnavailablePercent == 0 {
-		return b.MaxUnavailable
+		return min(b.MaxUnavailable, size)
 	}
 	if b.MaxUnavailable == 0 {
 		return share
--- a/pkg/manager/rebalancer/shared.go
+++ b/pkg/manager/rebalancer/shared.go
@@ -13,6 +13,9 @@
 	residence = 10 * manager.Minute
 	// movePercent bounds the moves in progress by a share of the fleet, as each takes a VM out of service.
 	movePercent = 4
+	// maxStarts bounds the moves that one call starts; without it the time of a call would grow with the
+	// square of the fleet.
+	maxStarts = 8
 	// leastPool is the size below which no pool shrinks, so that it spans several failure domains.
 	leastPool = 3
 )
@@ -48,7 +51,7 @@
 	t.now = now
 	t.book = budgeter.FromFleet(f)
 	moving := countMoving(f)
-	for moving < maxMoves(len(f.VMs)) {
+	for n := 0; n < maxStarts && moving < maxMoves(len(f.VMs)); n++ {
 		c, ok := t.next()
 		if !ok {
 			break
