--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 const (
 	// DefaultTimeout bounds one call; it must exceed an election, or calls fail while a leader is elected.
 	DefaultTimeout = 5 * manager.Second
+	// tryTimeout bounds the wait for one controller, so that one that is frozen or cut off does not use
+	// up the time of the call; it must exceed the wait for a newer configuration.
+	tryTimeout = 2 * manager.Second
 	// retryPause is the pause between two rounds over the controllers.
 	retryPause = 50 * time.Millisecond
 )
@@ -33,8 +37,9 @@
 	// Scheme is "http" unless the controllers listen with TLS.
 	Scheme string
 
-	mu     sync.Mutex
-	leader manager.Address
+	mu         sync.Mutex
+	leader     manager.Address
+	preference []manager.Address
 }
 
 // Propose sends a command; it is resent only if it names an id or certainly was not taken.
@@ -185,15 +190,18 @@
 	return !manager.IsErrNotLeader(err) && !manager.IsErrUnavailable(err) && !errors.Is(err, errNotSent)
 }
 
-// order lists the last known leader first.
+// order lists the last known leader first and the controllers that failed last at the end.
 func (c *Client) order() []manager.Address {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make([]manager.Address, 0, len(c.Controllers)+1)
+	if c.preference == nil {
+		c.preference = slices.Clone(c.Controllers)
+	}
+	list := make([]manager.Address, 0, len(c.preference)+1)
 	if c.leader != "" {
 		list = append(list, c.leader)
 	}
-	for _, a := range c.Controllers {
+	for _, a := range c.preference {
 		if a != c.leader {
 			list = append(list, a)
 		}
@@ -201,20 +209,38 @@
 	return list
 }
 
+// setLeader tries a controller first from now on; an address that the settings don't name is another
+// node's way to the leader and may not be this one's.
 func (c *Client) setLeader(a manager.Address) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader = a
+	c.leader = ""
+	if slices.Contains(c.Controllers, a) {
+		c.leader = a
+	}
+}
+
+// putLast forgets a controller as the leader and tries it after all others from now on.
+func (c *Client) putLast(a manager.Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = ""
+	i := slices.Index(c.preference, a)
+	if i >= 0 {
+		c.preference = append(slices.Delete(c.preference, i, i+1), a)
+	}
 }
 
 func (c *Client) try(ctx context.Context, a manager.Address, call call) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout.Std())
+	defer cancel()
 	r, err := c.request(ctx, a, call)
 	if err != nil {
 		return err
 	}
 	response, err := c.HTTP.Do(r)
 	if err != nil {
-		c.setLeader("")
+		c.putLast(a)
 		return lostOrNotSent(a, err)
 	}
 	defer response.Body.Close()
--- a/internal/prover/failures_test.go
+++ b/internal/prover/failures_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,14 +67,19 @@
 
 func TestPlannedStopsCutNothing(t *testing.T) {
 	t.Parallel()
-	s := startStand(t, 1, 2)
-	// The balancer sends nothing to a gateway that is not ready, so each is stopped without its callers.
-	s.callers.Gateways = s.cluster.GatewayAddresses()[:1]
+	s := startStand(t, 1, 3)
+	s.callers.Balanced = true
+	s.callers.Pause = time.Millisecond
 	s.callers.Run()
 	s.awaitAnswers(50)
-	second := s.cluster.Processes[s.cluster.GatewayNames()[1]]
-	require.NoError(t, second.Signal(syscall.SIGTERM))
-	require.NoError(t, second.Wait())
+	for _, g := range s.cluster.GatewayNames() {
+		p := s.cluster.Processes[g]
+		require.NoError(t, p.Signal(syscall.SIGTERM))
+		require.NoError(t, p.Wait())
+		s.awaitAnswers(200)
+		require.NoError(t, p.Start())
+		s.await("every gateway answers again", s.allAnswer)
+	}
 	s.Leave("pricing-1")
 	s.await("the leaving upstream has no work", func() bool { return s.Left("pricing-1") })
 	s.stopUpstream("pricing-1")
--- a/internal/prover/pages_test.go
+++ b/internal/prover/pages_test.go
@@ -74,3 +74,23 @@
 		require.NoError(t, err, "%s:\n%s\n%s", page, block[1], result)
 	}
 }
+
+// TestOperationsPageNamesEverything finds refusals and metrics that the operators' page leaves out.
+func TestOperationsPageNamesEverything(t *testing.T) {
+	t.Parallel()
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	sources := map[string]*regexp.Regexp{
+		"../../pkg/manager/request.go": regexp.MustCompile(`RefusalCode\s*= "(\w+)"`),
+		"../meter/meter.go":            regexp.MustCompile(`(mulberryhaven_\w+)`),
+	}
+	for file, pattern := range sources {
+		source, err := os.ReadFile(file)
+		require.NoError(t, err)
+		names := pattern.FindAllStringSubmatch(string(source), -1)
+		require.NotEmpty(t, names, file)
+		for _, name := range names {
+			require.Contains(t, string(page), "`"+name[1], "%s is not on the page", name[1])
+		}
+	}
+}
--- a/internal/prover/stand_test.go
+++ b/internal/prover/stand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -291,3 +292,13 @@
 	})
 	return node
 }
+
+// readRefusal sends a request and reads the refusal that it gets, if it gets one.
+func readRefusal(g manager.Address, refusal *manager.Refusal) bool {
+	response, err := probe.Get(fmt.Sprintf("http://%s/services/%s/probe", g, services[0]))
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusServiceUnavailable && json.NewDecoder(response.Body).Decode(refusal) == nil
+}
--- a/pkg/manager/applier/load.go
+++ b/pkg/manager/applier/load.go
@@ -6,9 +6,9 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-func (s *State) loadFleet(c manager.LoadFleet) (manager.Result, *manager.Failure) {
+func (s *State) loadFleet(c manager.LoadFleet) *manager.Failure {
 	if f := s.checkLoad(c); f != nil {
-		return manager.Result{}, f
+		return f
 	}
 	for _, p := range c.Profiles {
 		if s.currentVersion(p.Profile) == 0 {
@@ -28,7 +28,8 @@
 			s.putVM(v)
 		}
 	}
-	return manager.Result{}, nil
+	s.configuration = s.revision
+	return nil
 }
 
 func (s *State) checkLoad(c manager.LoadFleet) *manager.Failure {
