--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -31,7 +31,11 @@
 		s.Services = append(s.Services, c)
 	}
 	if slices.Contains(p.Settings.Services, configurer.ServiceGateway) {
-		s.Services = append(s.Services, p.buildGateway())
+		g, err := p.buildGateway()
+		if err != nil {
+			return nil, fmt.Errorf("build gateway: %w", err)
+		}
+		s.Services = append(s.Services, g)
 	}
 	return s, nil
 }
--- a/internal/assembler/gateway.go
+++ b/internal/assembler/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/gateway"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/lender"
@@ -27,12 +29,19 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerPeer}}
 }
 
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerPeer, DisableCompression: true}}
+// newPeerClient returns a client of the system's own processes.
+func newPeerClient(dial listener.Dial) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: connectionsPerPeer, DisableCompression: true, DialContext: dial,
+	}}
 }
 
-func (p *Process) buildGateway() *gateway.Service {
+func (p *Process) buildGateway() (*gateway.Service, error) {
 	cfg := p.Settings.Gateway
+	dial, err := listener.PeerDial(cfg.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("reach peers: %w", err)
+	}
 	start := newStart()
 	self, addresses := gatewayIDs(cfg)
 	table := &gateway.LockedRegistrar{Inner: &registrar.Table{Gateway: manager.GatewayID(p.Settings.Node), Start: start}}
@@ -52,10 +61,10 @@
 			},
 		},
 		Retrier:   &retrier.Budget{Source: rand.New(rand.NewPCG(p.Seed, 2))},
-		Client:    &proposer.Client{Controllers: p.Settings.Controllers, Token: p.Settings.Tokens.Peer, HTTP: newClient()},
-		Peers:     newPeerClient(),
+		Client:    &proposer.Client{Controllers: p.Settings.Controllers, Token: p.Settings.Tokens.Peer, HTTP: newPeerClient(dial)},
+		Peers:     newPeerClient(dial),
 		Addresses: addresses,
-	}
+	}, nil
 }
 
 // gatewayIDs returns the names by which the gateways know each other, and the peers' addresses. All
