--- a/internal/assembler/assembler_test.go
+++ b/internal/assembler/assembler_test.go
@@ -89,7 +89,10 @@
 }
 
 func send(a manager.Address, method string, id manager.RequestID) (*http.Response, error) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return sendOver(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, a, method, id)
+}
+
+func sendOver(client *http.Client, a manager.Address, method string, id manager.RequestID) (*http.Response, error) {
 	r, err := http.NewRequest(method, "http://"+string(a)+"/services/pricing/quotes/7?lot=2", nil)
 	if err != nil {
 		return nil, err
@@ -133,10 +136,14 @@
 	done := make(chan struct{})
 	failures := make(chan error, callers)
 	var work sync.WaitGroup
-	for range callers {
+	for i := range callers {
 		work.Go(func() {
+			// Half of the callers keep their connections, as the balancer does.
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}
+			defer client.CloseIdleConnections()
+			method := []string{http.MethodGet, http.MethodPost}[i/2%2]
 			for p.ready() {
-				response, err := send(p.address, http.MethodGet, "")
+				response, err := sendOver(client, p.address, method, "")
 				if err != nil {
 					failures <- err
 					return
