Avoid the upstream that failed, blame no upstream for its callers

Cause: the retry's wish to avoid an upstream was read by nobody, and a streamed answer that its caller read too slowly counted as the upstream's failure. Change: the router leaves the avoided upstream out unless there is no other; only failed exchanges count.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -88,21 +88,22 @@
 	outcome := manager.Outcome{
 		Request: r.Request, Service: r.Service, Upstream: decision.Member.Upstream, RunState: runState(a, err), Failed: err != nil,
 	}
-	finish := func(whole bool) {
+	finish := func(err error) {
 		release()
 		cancel()
 		outcome.DurationMs = f.Clock.Now().Sub(start)
-		outcome.Failed = !whole
+		// A caller that goes away or reads too slowly is not the upstream's failure.
+		outcome.Failed = connector.IsErrExchange(err)
 		f.Dispatcher.Finish(outcome)
 	}
 	if err != nil {
 		expired := ctx.Err() != nil
-		finish(false)
+		finish(err)
 		return f.failure(decision.Member, outcome.RunState, expired, err), outcome
 	}
 	out := reply{state: outcome.RunState, answer: a}
 	if a.Whole() {
-		finish(true)
+		finish(nil)
 	} else {
 		out.ended = finish
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -119,9 +119,9 @@
 		return out
 	}
 	ended := out.ended
-	out.ended = func(whole bool) {
-		ended(whole)
-		if whole {
+	out.ended = func(err error) {
+		ended(err)
+		if err == nil {
 			f.record(claim, out)
 		}
 	}
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/connector"
@@ -18,14 +19,17 @@
 // deadline is written then.
 const lateness = 1 * time.Second
 
+// errAbandoned reports an answer that no caller gets.
+var errAbandoned = eris.New("the answer was given up")
+
 // reply is what the caller gets: an upstream's answer or a refusal.
 type reply struct {
 	state   manager.RunState
 	answer  *connector.Answer
 	status  int
 	refusal *manager.Refusal
-	// ended takes whether a streamed answer came whole; nil for other replies.
-	ended func(whole bool)
+	// ended takes why a streamed answer is not whole at the caller, or nil; it is nil for other replies.
+	ended func(err error)
 }
 
 func refuse(status int, r manager.Refusal) reply {
@@ -43,7 +47,7 @@
 func (out *reply) abandon() {
 	if out.ended != nil {
 		_ = out.answer.Rest.Close()
-		out.ended(false)
+		out.ended(errAbandoned)
 		out.ended = nil
 	}
 }
@@ -122,7 +126,7 @@
 func stream(c echo.Context, out *reply) {
 	_, err := io.Copy(c.Response(), out.answer.Rest)
 	_ = out.answer.Rest.Close()
-	out.ended(err == nil)
+	out.ended(err)
 	out.ended = nil
 	if err != nil {
 		klog.V(2).InfoS("Answer cut", "Error", err.Error())
--- a/pkg/manager/router/balanced.go
+++ b/pkg/manager/router/balanced.go
@@ -27,7 +27,7 @@
 
 // Pick returns the better of two random candidates that are in use.
 func (b *Balanced) Pick(now manager.Time, r manager.Request, candidates []manager.Candidate) (manager.UpstreamID, bool) {
-	allowed := b.health.allowed(now, r, candidates)
+	allowed := b.health.allowed(now, r, avoid(r, candidates))
 	if len(allowed) == 0 {
 		return "", false
 	}
