Test lost records and a missing quorum

Cause: the resend after a gateway's death and claims without a quorum had no test of their own. Change: both over real sockets.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -257,3 +257,32 @@
 	require.Equal(t, manager.RunStateRan, a.state, "the late claim is given back")
 	require.Equal(t, 1, u.ran("late"))
 }
+
+// A gateway that dies between the answer and its record leaves the claim held for good.
+func TestResendAfterLostRecordNeverRunsAgain(t *testing.T) {
+	u := newUpstream(t, nil)
+	c := newControllers()
+	commands := 0
+	c.fate = func() (bool, bool) {
+		commands++
+		return commands != 2, commands != 2
+	}
+	first, second := newGateway(t, c, u.address()), newGateway(t, c, u.address())
+	require.Equal(t, manager.RunStateRan, first.call("POST", "x", "Request-Id", "refund-2").state)
+	first.claims.Stop()
+	a := second.call("POST", "x", "Request-Id", "refund-2")
+	require.Equal(t, manager.RunStateUnknown, a.state)
+	require.Equal(t, manager.RefusalClaimUnresolved, a.refusal.Code)
+	require.Equal(t, 1, u.ran("refund-2"))
+}
+
+func TestClaimsWithoutQuorumSendNothing(t *testing.T) {
+	u := newUpstream(t, nil)
+	c := newControllers()
+	c.fate = func() (bool, bool) { return false, false }
+	g := newGateway(t, c, u.address())
+	a := g.call("POST", "x", "Request-Id", "refund-3")
+	require.Equal(t, manager.RunStateNotRun, a.state)
+	require.Equal(t, manager.RefusalClaimUnavailable, a.refusal.Code)
+	require.Zero(t, u.ran("refund-3"))
+}
