--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,13 @@
 
 demo:
 	go run ./cmd/mulberryhaven demo
+
+# soak runs the fault tests with fresh seeds for SOAK_SECONDS and prints the seed that fails.
+SOAK_SECONDS ?= 60
+soak:
+	@end=$$(($$(date +%s) + $(SOAK_SECONDS))); \
+	while [ $$(date +%s) -lt $$end ]; do \
+		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); \
+		go test -count=1 ./pkg/manager/replicator -run Faults -rapid.seed=$$seed -rapid.checks=300 || \
+			{ echo "failing seed: $$seed"; exit 1; }; \
+	done
--- /dev/null
+++ b/internal/storer/replicated_test.go
@@ -0,0 +1,240 @@
+package storer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/internal/timekeeper"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+// group is a replica group over loopback HTTP.
+type group struct {
+	t       testing.TB
+	folder  string
+	members []manager.ReplicaMember
+	servers []*httptest.Server
+
+	mu     sync.Mutex
+	stores []*storer.Replicated
+}
+
+func (g *group) store(i int) *storer.Replicated {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stores[i]
+}
+
+func (g *group) serve(i int) http.Handler {
+	e := echo.New()
+	e.POST(storer.PathReplicate, func(c echo.Context) error {
+		var x storer.Exchange
+		if err := configurer.Decode(c.Request().Body, &x); err != nil {
+			return err
+		}
+		s := g.store(i)
+		if s == nil {
+			return echo.ErrServiceUnavailable
+		}
+		answer, err := s.Exchange(c.Request().Context(), x)
+		if err != nil {
+			return err
+		}
+		return c.JSON(http.StatusOK, answer)
+	})
+	e.POST(storer.PathProbe, func(c echo.Context) error {
+		if s := g.store(i); s != nil {
+			return c.JSON(http.StatusOK, s.Probe())
+		}
+		return echo.ErrServiceUnavailable
+	})
+	return e
+}
+
+func newGroup(tb testing.TB, n int) *group {
+	tb.Helper()
+	t := tb
+	g := &group{t: t, folder: t.TempDir(), stores: make([]*storer.Replicated, n)}
+	for i := range n {
+		server := httptest.NewServer(g.serve(i))
+		t.Cleanup(server.Close)
+		g.servers = append(g.servers, server)
+		g.members = append(g.members, manager.ReplicaMember{
+			Replica: manager.ReplicaID(i + 1), Address: manager.Address(server.Listener.Addr().String()),
+		})
+	}
+	for i := range n {
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range n {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *group) path(i int) string { return filepath.Join(g.folder, fmt.Sprint(i)) }
+
+func (g *group) start(i int) {
+	s := &storer.Replicated{
+		Clock: timekeeper.New(), Replica: g.members[i].Replica, Initial: g.members, Folder: g.path(i),
+		HTTP: &http.Client{Transport: &http.Transport{}}, Seed: uint64(i),
+		Options: replicator.Options{HeartbeatPeriod: 100, ElectionTimeout: 600}, SnapshotEvery: 50,
+	}
+	require.NoError(g.t, s.Open())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stores[i] = s
+}
+
+func (g *group) stop(i int) {
+	g.mu.Lock()
+	s := g.stores[i]
+	g.stores[i] = nil
+	g.mu.Unlock()
+	if s != nil {
+		require.NoError(g.t, s.Close())
+	}
+}
+
+// leader waits for a replica that leads.
+func (g *group) leader() (int, *storer.Replicated) {
+	at := -1
+	require.Eventually(g.t, func() bool {
+		for i := range g.members {
+			if s := g.store(i); s != nil {
+				if _, leads := s.Leader(); leads {
+					at = i
+					return true
+				}
+			}
+		}
+		return false
+	}, 20*time.Second, 5*time.Millisecond)
+	return at, g.store(at)
+}
+
+func profile(v manager.Version) manager.Profile {
+	return manager.Profile{
+		Profile: "cathode", Version: v, Budget: manager.Budget{MaxUnavailable: 1},
+		Wave: manager.WaveRules{MaxAtOnce: 1, DrainLimitMs: 1000, Order: manager.WaveOrderName},
+	}
+}
+
+func change(id string, v manager.Version) manager.Command {
+	return manager.Command{Command: manager.CommandID(id), ApplyProfile: &manager.ApplyProfile{Profile: profile(v)}}
+}
+
+func TestRacingOperatorsAndLeaderLoss(t *testing.T) {
+	g := newGroup(t, 3)
+	at, leader := g.leader()
+	results := make([]manager.Result, 8)
+	var work sync.WaitGroup
+	for i := range results {
+		work.Go(func() {
+			r, err := leader.Propose(context.Background(), change(fmt.Sprint("race-", i), 0))
+			if err == nil {
+				results[i] = r
+			}
+		})
+	}
+	work.Wait()
+	accepted := ""
+	for i, r := range results {
+		if r.Failure == nil && r.Profile != nil {
+			require.Empty(t, accepted, "two equal versions were accepted")
+			accepted = fmt.Sprint("race-", i)
+		}
+	}
+	require.NotEmpty(t, accepted)
+	g.stop(at)
+	_, next := g.leader()
+	resent, err := next.Propose(context.Background(), change(accepted, 0))
+	require.NoError(t, err)
+	require.Nil(t, resent.Failure, "a resend to the next leader gets the first answer")
+	require.Equal(t, manager.Version(1), resent.Profile.Version)
+}
+
+func TestLostDiskJoinsOnlyUnderNewID(t *testing.T) {
+	g := newGroup(t, 3)
+	at, leader := g.leader()
+	lost := (at + 1) % 3
+	g.stop(lost)
+	require.NoError(t, os.RemoveAll(g.path(lost)))
+	for i := range 120 {
+		_, err := leader.Propose(context.Background(), change(fmt.Sprint("c", i), manager.Version(i)))
+		require.NoError(t, err)
+	}
+	g.start(lost)
+	require.Eventually(t, func() bool {
+		err := g.store(lost).Ready()
+		return err != nil && manager.IsErrUnavailable(err) && g.store(lost).Status().Term == 0 && !g.store(lost).Probe().Formed
+	}, 10*time.Second, 10*time.Millisecond)
+	g.stop(lost)
+	require.NoError(t, os.RemoveAll(g.path(lost)))
+	_, leader = g.leader()
+	require.NoError(t, leader.RemoveReplica(context.Background(), g.members[lost].Replica))
+	g.members[lost].Replica = 4
+	g.start(lost)
+	require.Eventually(t, func() bool {
+		return leader.AddReplica(context.Background(), g.members[lost]) == nil
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		for _, m := range leader.Status().Members.List {
+			if m.Replica == 4 && !m.Learner {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, 10*time.Millisecond)
+	c, err := journaler.ReadFolder(g.path(lost))
+	require.NoError(t, err)
+	require.Positive(t, c.Stored.Snapshot.Index, "the new replica took a snapshot")
+}
+
+func BenchmarkCommit(b *testing.B) {
+	for _, n := range []int{1, 3, 5} {
+		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+			g := newGroup(b, n)
+			_, leader := g.leader()
+			benchmarkCommits(b, leader)
+		})
+	}
+	b.Run("naive", func(b *testing.B) {
+		s := &storer.Single{Journal: &journaler.Journal{Folder: b.TempDir()}}
+		require.NoError(b, s.Open())
+		defer s.Close()
+		benchmarkCommits(b, s)
+	})
+}
+
+// benchmarkCommits lets 64 operators propose at once.
+func benchmarkCommits(b *testing.B, s storer.Store) {
+	b.Helper()
+	b.SetParallelism(64)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c := manager.Command{MakeClaim: &manager.MakeClaim{Request: "r", Digest: "d", Gateway: "g", Attempt: "a"}}
+			if _, err := s.Propose(context.Background(), c); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+}
--- a/pkg/manager/applier/load.go
+++ b/pkg/manager/applier/load.go
@@ -28,6 +28,7 @@
 			s.putVM(v)
 		}
 	}
+	s.configuration = s.revision
 	return manager.Result{}, nil
 }
 
--- a/pkg/manager/applier/state.go
+++ b/pkg/manager/applier/state.go
@@ -116,11 +116,7 @@
 	case c.ApplyProfile != nil:
 		return s.applyProfile(*c.ApplyProfile)
 	case c.LoadFleet != nil:
-		result, failure := s.loadFleet(*c.LoadFleet)
-		if failure == nil {
-			s.configuration = s.revision
-		}
-		return result, failure
+		return s.loadFleet(*c.LoadFleet)
 	case c.ObserveVM != nil:
 		return s.observeVM(*c.ObserveVM)
 	case c.QuarantineVM != nil:
--- a/pkg/manager/replicator/append.go
+++ b/pkg/manager/replicator/append.go
@@ -56,7 +56,7 @@
 	if r.role != RoleFollower || r.leader != leader {
 		r.becomeFollower(now, r.hard.Term, leader)
 	}
-	r.heardAt, r.everHeard = now, true
+	r.heardAt, r.everHeard, r.attempts = now, true, 0
 	r.resetElection(now)
 }
 
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -8,6 +8,14 @@
 	r.electionAt = now.Add(least + manager.Duration(r.Source.Int64N(int64(least))))
 }
 
+// retryElection draws when to stand again after a split vote. The first retries come soon, as no
+// leader is there to be disturbed; later ones leave time for slow disks and networks.
+func (r *Replica) retryElection(now manager.Time) {
+	const firstShare = 4
+	span := min(r.Options.ElectionTimeout/firstShare<<min(r.attempts, firstShare), r.Options.ElectionTimeout)
+	r.electionAt = now.Add(span + manager.Duration(r.Source.Int64N(int64(span))))
+}
+
 func (r *Replica) becomeFollower(now manager.Time, t manager.Term, leader manager.ReplicaID) {
 	if r.role == RoleLeader {
 		r.dropReads()
@@ -35,7 +43,7 @@
 // preCampaign asks whether an election could be won, before the term is raised.
 func (r *Replica) preCampaign(now manager.Time) {
 	r.role, r.leader = RolePreCandidate, 0
-	r.resetElection(now)
+	r.retryElection(now)
 	r.votes = map[manager.ReplicaID]bool{r.ID: true}
 	if r.wonVotes() {
 		r.campaign(now, false)
@@ -48,7 +56,8 @@
 func (r *Replica) campaign(now manager.Time, transfer bool) {
 	r.setHard(manager.HardState{Term: r.hard.Term + 1, Vote: r.ID})
 	r.role, r.leader = RoleCandidate, 0
-	r.resetElection(now)
+	r.retryElection(now)
+	r.attempts++
 	r.votes = map[manager.ReplicaID]bool{r.ID: true}
 	if r.wonVotes() {
 		r.becomeLeader(now)
@@ -79,6 +88,11 @@
 	if granted {
 		answer.Term = m.Term
 	}
+	if granted && r.role == RolePreCandidate && m.From < r.ID {
+		// Two that stand at once would split the votes, so the one with the higher id waits.
+		r.role = RoleFollower
+		r.retryElection(now)
+	}
 	r.send(answer)
 }
 
@@ -136,6 +150,7 @@
 func (r *Replica) becomeLeader(now manager.Time) {
 	r.role, r.leader, r.votes = RoleLeader, r.ID, nil
 	r.transfer = transferState{}
+	r.attempts = 0
 	r.lead = &leadership{checkAt: now.Add(r.Options.ElectionTimeout), opened: r.log.last() + 1}
 	r.updateProgress(now)
 	r.lead.of(r.ID).match = r.log.stable
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -97,7 +97,9 @@
 	heardAt    manager.Time
 	everHeard  bool
 
-	votes    map[manager.ReplicaID]bool
+	votes map[manager.ReplicaID]bool
+	// attempts counts the elections since a leader was heard.
+	attempts int
 	transfer transferState
 	lead     *leadership
 	// sender is where the latest message came from; a replica that joins knows no members.
