--- a/internal/storer/replicated_test.go
+++ b/internal/storer/replicated_test.go
@@ -238,3 +238,54 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
 }
+
+// BenchmarkRecovery measures a restart until the replica leads with everything applied.
+func BenchmarkRecovery(b *testing.B) {
+	for _, changes := range []int{1_000, 100_000} {
+		for _, every := range []int{storer.DefaultSnapshotEvery, 1 << 30} {
+			b.Run(fmt.Sprintf("changes=%d/snapshot-every=%d", changes, every), func(b *testing.B) {
+				open := func(folder string) *storer.Replicated {
+					s := &storer.Replicated{
+						Clock: timekeeper.New(), Replica: 1, HTTP: http.DefaultClient, Folder: folder, SnapshotEvery: every,
+						Initial: []manager.ReplicaMember{{Replica: 1, Address: "127.0.0.1:1"}},
+					}
+					require.NoError(b, s.Open())
+					require.Eventually(b, func() bool { _, leads := s.Leader(); return leads }, time.Minute, time.Millisecond)
+					return s
+				}
+				folder := b.TempDir()
+				s := open(folder)
+				fill(b, s, changes)
+				require.NoError(b, s.Close())
+				var bytes int64
+				b.ResetTimer()
+				for b.Loop() {
+					require.NoError(b, open(folder).Close())
+				}
+				c, err := journaler.ReadFolder(folder)
+				require.NoError(b, err)
+				bytes = c.Bytes + c.Stored.Snapshot.Bytes
+				b.ReportMetric(float64(bytes), "disk-bytes")
+			})
+		}
+	}
+}
+
+func fill(b *testing.B, s storer.Store, changes int) {
+	b.Helper()
+	var work sync.WaitGroup
+	const callers = 100
+	for i := range callers {
+		work.Go(func() {
+			for k := range changes / callers {
+				c := change(fmt.Sprintf("%d-%d", i, k), 0)
+				c.ApplyProfile.Profile.Profile = manager.ProfileID(fmt.Sprint("p", i))
+				c.ApplyProfile.Profile.Version = manager.Version(k)
+				if _, err := s.Propose(context.Background(), c); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	work.Wait()
+}
