--- a/internal/controller/scenario_test.go
+++ b/internal/controller/scenario_test.go
@@ -129,6 +129,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := full(t, cathode, 1_500, adaptive, tt.checkpoint)
 			if tt.during != nil {
 				tt.during(s)
@@ -147,6 +148,7 @@
 func TestDoesWhatFirstFitDoes(t *testing.T) {
 	for _, d := range []deployment{cathode, qirsh} {
 		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
 			naive, actual := mixed(t, d, 1, firstFit, false), mixed(t, d, 1, adaptive, false)
 			t.Logf("right sizes: naive %+v, real %+v", naive, actual)
 			require.GreaterOrEqual(t, actual.done, naive.done)
