Test that a loss pauses waves at once and that one surge moves nothing

Cause: with the applier's pause taken out, and with one surge counted as two, every test still passed.

Change: a test of the pause in the entry that records the loss; the test of a single surge now has a pool that could give.

--- a/internal/controller/maintenance_test.go
+++ b/internal/controller/maintenance_test.go
@@ -25,8 +25,14 @@
 // bothParts runs a test with the naive and the real decision parts.
 func bothParts(t *testing.T, f func(t *testing.T, p parts)) {
 	t.Helper()
-	t.Run("naive", func(t *testing.T) { f(t, naiveParts) })
-	t.Run("real", func(t *testing.T) { f(t, realParts) })
+	t.Run("naive", func(t *testing.T) {
+		t.Parallel()
+		f(t, naiveParts)
+	})
+	t.Run("real", func(t *testing.T) {
+		t.Parallel()
+		f(t, realParts)
+	})
 }
 
 func smallWorld(t *testing.T, p parts) *world {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -38,6 +38,8 @@
 	proposals int
 	// unchecked leaves out the checks of each command, which a long run can't afford.
 	unchecked bool
+	// last is the fleet after the latest command.
+	last manager.Fleet
 	// moves counts the VMs that changed pool.
 	moves int
 }
@@ -122,9 +124,10 @@
 	if w.unchecked {
 		return w.state.Apply(c)
 	}
-	before := w.state.Fleet()
 	result := w.state.Apply(c)
-	checkChange(w.t, before, w.state.Fleet())
+	after := w.state.Fleet()
+	checkChange(w.t, w.last, after)
+	w.last = after
 	return result
 }
 
@@ -210,23 +213,16 @@
 // checkChange checks one applied command: epochs only grow, a pool changes only with a new epoch, and
 // a VM is taken only within every budget.
 func checkChange(t require.TestingT, before, after manager.Fleet) {
-	old := map[manager.VMID]manager.VM{}
-	for _, v := range before.VMs {
-		old[v.VM] = v
-	}
 	pools := map[manager.PoolID]bool{}
-	for _, v := range after.VMs {
-		was, ok := old[v.VM]
-		if !ok {
-			continue
+	for i, was := range before.VMs {
+		v := after.VMs[i]
+		if v.VM != was.VM || v.Epoch < was.Epoch || (v.Pool != was.Pool && v.Epoch == was.Epoch) {
+			require.Fail(t, "epoch or pool of a VM", "%+v after %+v", v, was)
 		}
-		require.GreaterOrEqual(t, v.Epoch, was.Epoch, "epoch of %s", v.VM)
-		require.True(t, v.Pool == was.Pool || v.Epoch > was.Epoch, "pool of %s", v.VM)
 		if was.Phase == manager.PhaseInService && v.Phase == manager.PhaseDraining {
 			pools[v.Pool] = true
 		}
 	}
-	require.Len(t, after.VMs, max(len(before.VMs), len(after.VMs)))
 	for p := range pools {
 		checkBudget(t, after, p)
 	}
--- a/pkg/manager/applier/maintenance_test.go
+++ b/pkg/manager/applier/maintenance_test.go
@@ -55,6 +55,29 @@
 	return s.Apply(manager.Command{At: at, ObserveVM: &manager.ObserveVM{VM: id, State: state}})
 }
 
+// startWave runs a wave over pool a.
+func startWave(t *testing.T, s *applier.State) {
+	t.Helper()
+	w := manager.Wave{Wave: "w", Pools: []manager.PoolID{"a"}}
+	for _, id := range []manager.VMID{"a0", "a1", "a2"} {
+		w.Steps = append(w.Steps, manager.WaveStep{VM: id, Pool: "a", State: manager.StepWaiting})
+	}
+	require.Nil(t, s.Apply(manager.Command{PlanWave: &manager.PlanWave{Wave: w}}).Failure)
+	require.Nil(t, s.Apply(manager.Command{ApproveWave: &manager.ApproveWave{Wave: "w", PlanVersion: 1}}).Failure)
+}
+
+func TestLossPausesWaveInTheSameEntry(t *testing.T) {
+	s := newFleet(t, maintenanceProfile())
+	startWave(t, s)
+	observe(s, 0, "b2", manager.VMFailed)
+	require.Equal(t, manager.WavePaused, s.Fleet().Waves[0].State, "the other pool is of the same service")
+	resume := manager.SetWaveState{Wave: "w", State: manager.WaveRunning}
+	require.Contains(t, s.Apply(manager.Command{SetWaveState: &resume}).Failure.Reason, `VM "b2" is lost`)
+	observe(s, 0, "b2", manager.VMRunning)
+	require.NotNil(t, s.Apply(manager.Command{At: 29_999, SetWaveState: &resume}).Failure, "not settled")
+	require.Nil(t, s.Apply(manager.Command{At: 30_000, SetWaveState: &resume}).Failure)
+}
+
 func TestProfileErrorsNameEveryField(t *testing.T) {
 	cases := map[string]func(p *manager.Profile){
 		"Profile":                      func(p *manager.Profile) { p.Profile = "" },
@@ -144,12 +167,7 @@
 
 func TestVMThatWasSeenBeforeItsRebootHasNotRebooted(t *testing.T) {
 	s := newFleet(t, maintenanceProfile())
-	steps := []manager.WaveStep{}
-	for _, id := range []manager.VMID{"a0", "a1", "a2"} {
-		steps = append(steps, manager.WaveStep{VM: id, Pool: "a", State: manager.StepWaiting})
-	}
-	require.Nil(t, s.Apply(manager.Command{PlanWave: &manager.PlanWave{Wave: manager.Wave{Wave: "w", Pools: []manager.PoolID{"a"}, Steps: steps}}}).Failure)
-	require.Nil(t, s.Apply(manager.Command{ApproveWave: &manager.ApproveWave{Wave: "w", PlanVersion: 1}}).Failure)
+	startWave(t, s)
 	step := func(from, to manager.StepState) *manager.Failure {
 		return s.Apply(manager.Command{AdvanceStep: &manager.AdvanceStep{Wave: "w", VM: "a0", Epoch: vmOf(t, s, "a0").Epoch, From: from, To: to}}).Failure
 	}
--- a/pkg/manager/rebalancer/rebalancer_test.go
+++ b/pkg/manager/rebalancer/rebalancer_test.go
@@ -61,7 +61,7 @@
 	f := fleet(cathodeWeights, 18, 3)
 	real, naive := &rebalancer.Shared{}, &rebalancer.Fixed{}
 	for _, r := range []manager.Rebalancer{real, naive} {
-		now := observe(r, f, 1_000, 600, 44, 44, 44)
+		now := observe(r, f, 1_000, 600, 44, 44, 4)
 		observe(r, f, now, 5, 100, 4, 4)
 	}
 	require.Empty(t, starts(real.Plan(700_000, f)))
