Bound the steps of the waves that are kept

Cause: 1,000 waves of 1,500 steps would take some 200 MB of the controllers' 64 MB, and the wave with the first name was forgotten instead of the oldest.

Change: at most 20,000 steps are kept, and the wave that ended first goes first.

--- a/pkg/manager/applier/maintenance_test.go
+++ b/pkg/manager/applier/maintenance_test.go
@@ -222,3 +222,31 @@
 	require.Equal(t, first, plan(2_000))
 	require.Equal(t, manager.Version(1), s.Fleet().Waves[0].PlanVersion)
 }
+
+func TestEndedWavesMakeRoomOldestFirst(t *testing.T) {
+	s := newFleet(t, maintenanceProfile())
+	plan := func(at manager.Time, id manager.WaveID) *manager.Failure {
+		w := manager.Wave{Wave: id, Pools: []manager.PoolID{"a"}}
+		for _, v := range []manager.VMID{"a0", "a1", "a2"} {
+			w.Steps = append(w.Steps, manager.WaveStep{VM: v, Pool: "a", State: manager.StepWaiting})
+		}
+		return s.Apply(manager.Command{At: at, PlanWave: &manager.PlanWave{Wave: w}}).Failure
+	}
+	for i := range applier.MaxWaves {
+		id := manager.WaveID(fmt.Sprintf("w%04d", applier.MaxWaves-i))
+		require.Nil(t, plan(manager.Time(i), id))
+		if i < 2 {
+			cancel := manager.SetWaveState{Wave: id, State: manager.WaveCancelled}
+			require.Nil(t, s.Apply(manager.Command{At: manager.Time(i), SetWaveState: &cancel}).Failure)
+		}
+	}
+	require.Nil(t, plan(5_000, "next"))
+	kept := map[manager.WaveID]bool{}
+	for _, w := range s.Fleet().Waves {
+		kept[w.Wave] = true
+	}
+	require.False(t, kept["w1000"], "it ended first")
+	require.True(t, kept["w0999"])
+	require.Nil(t, plan(5_000, "last"))
+	require.Contains(t, plan(5_000, "too many").Reason, "leave no room")
+}
--- a/pkg/manager/applier/waves.go
+++ b/pkg/manager/applier/waves.go
@@ -7,8 +7,13 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// MaxWaves bounds the waves kept; the oldest ended one goes first.
-const MaxWaves = 1_000
+const (
+	// MaxWaves bounds the waves kept; the one that ended first goes first.
+	MaxWaves = 1_000
+	// MaxWaveSteps bounds the steps of all waves kept, about 3 MB; waves over a large fleet push older
+	// ones out sooner.
+	MaxWaveSteps = 20_000
+)
 
 func (s *State) planWave(c manager.PlanWave) (manager.Result, *manager.Failure) {
 	w := c.Wave
@@ -22,8 +27,9 @@
 	if f := s.checkSteps(w); f != nil {
 		return manager.Result{}, f
 	}
-	if !exists && !s.makeRoomForWave() {
-		return manager.Result{}, conflict("wave", string(w.Wave), fmt.Sprintf("there are %d unfinished waves already", MaxWaves))
+	if !exists && !s.makeRoomForWave(len(w.Steps)) {
+		reason := fmt.Sprintf("the unfinished waves leave no room: at most %d waves with %d steps are kept", MaxWaves, MaxWaveSteps)
+		return manager.Result{}, conflict("wave", string(w.Wave), reason)
 	}
 	w.PlanVersion = old.PlanVersion + 1
 	w.State = manager.WavePlanned
@@ -99,18 +105,37 @@
 	return s.checkSteps(w)
 }
 
-func (s *State) makeRoomForWave() bool {
-	if len(s.waves) < MaxWaves {
-		return true
+// makeRoomForWave forgets ended waves until one with so many steps fits.
+func (s *State) makeRoomForWave(steps int) bool {
+	for _, w := range s.waves {
+		steps += len(w.Steps)
+	}
+	for len(s.waves) >= MaxWaves || steps > MaxWaveSteps {
+		oldest, ok := s.oldestEndedWave()
+		if !ok {
+			return false
+		}
+		steps -= len(oldest.Steps)
+		delete(s.waves, oldest.Wave)
 	}
+	return true
+}
+
+// oldestEndedWave returns the wave that ended first and holds no VM any more.
+func (s *State) oldestEndedWave() (manager.Wave, bool) {
+	var oldest manager.Wave
+	found := false
 	for _, id := range sorted(s.waves) {
 		w := s.waves[id]
-		if (w.State == manager.WaveDone || w.State == manager.WaveCancelled) && stepsEnded(w.Steps) {
-			delete(s.waves, id)
-			return true
+		ended := w.State == manager.WaveDone || w.State == manager.WaveCancelled
+		if !ended || !stepsEnded(w.Steps) {
+			continue
+		}
+		if !found || w.FinishedAt < oldest.FinishedAt {
+			oldest, found = w, true
 		}
 	}
-	return false
+	return oldest, found
 }
 
 func waveResult(w manager.Wave) manager.Result {
