--- a/internal/controller/replicas.go
+++ b/internal/controller/replicas.go
@@ -32,7 +32,7 @@
 	g.POST("/probe", func(c echo.Context) error { return c.JSON(http.StatusOK, p.Probe()) })
 	g.GET("/replicas", func(c echo.Context) error { return s.listReplicas(c, p) })
 	g.POST("/replicas", func(c echo.Context) error { return s.addReplica(c, p) })
-	g.DELETE("/replicas/:Replica", func(c echo.Context) error { return s.removeReplica(c, p) })
+	g.POST("/replicas/:Replica/remove", func(c echo.Context) error { return s.removeReplica(c, p) })
 }
 
 func (s *Service) listReplicas(c echo.Context, p storer.Peer) error {
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -54,6 +54,7 @@
 	a.addJobRoutes(g)
 	g.GET("/upstreams", a.listUpstreams)
 	g.GET("/status", a.status)
+	a.addReplicaRoutes(g)
 }
 
 func trace(next echo.HandlerFunc) echo.HandlerFunc {
--- a/pkg/manager/applier/view_test.go
+++ b/pkg/manager/applier/view_test.go
@@ -58,3 +58,26 @@
 		})
 	}
 }
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, vms := range []int{150, 1_500} {
+		for _, results := range []int{1_000, applier.MaxResults} {
+			b.Run(fmt.Sprintf("vms=%d/results=%d", vms, results), func(b *testing.B) {
+				s := applier.New()
+				s.Apply(manager.Command{LoadFleet: viewFleet(vms)})
+				for i := range results {
+					s.Apply(manager.Command{
+						Command: manager.CommandID(fmt.Sprint("c", i)), ObserveVM: &manager.ObserveVM{VM: "vm-0001", State: manager.VMFailed},
+					})
+				}
+				var data []byte
+				for b.Loop() {
+					var err error
+					data, err = s.Snapshot()
+					require.NoError(b, err)
+				}
+				b.ReportMetric(float64(len(data)), "bytes")
+			})
+		}
+	}
+}
--- a/pkg/manager/replicator/leader_test.go
+++ b/pkg/manager/replicator/leader_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -87,3 +88,20 @@
 		b.ReportMetric(float64(worst), "virtual-ms/worst")
 	}
 }
+
+// BenchmarkIdleGroup counts the messages and the bytes of their JSON that an idle leader sends and gets.
+func BenchmarkIdleGroup(b *testing.B) {
+	for _, n := range []int{1, 3, 5, 7} {
+		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s := newSim(1, n)
+				s.run(5_000)
+				s.sentMessages, s.sentBytes, s.countBytes = 0, 0, true
+				const seconds = 60
+				s.run(seconds * manager.Second)
+				b.ReportMetric(float64(s.sentMessages)/seconds, "messages/s")
+				b.ReportMetric(float64(s.sentBytes)/seconds, "JSON-bytes/s")
+			}
+		})
+	}
+}
--- a/pkg/manager/replicator/sim_test.go
+++ b/pkg/manager/replicator/sim_test.go
@@ -115,7 +115,11 @@
 	// snapshotEvery is the number of applied entries between snapshots.
 	snapshotEvery manager.Index
 	crashes       int
-	installs      int
+	// sentMessages and sentBytes count all messages.
+	sentMessages int
+	sentBytes    int
+	countBytes   bool
+	installs     int
 }
 
 const simStep = 10 * manager.Millisecond
@@ -349,6 +353,11 @@
 		if m.Kind == manager.MessageSnapshot && !fill(n, &m) {
 			continue
 		}
+		s.sentMessages++
+		if s.countBytes {
+			data, _ := json.Marshal(m)
+			s.sentBytes += len(data)
+		}
 		for range 1 + s.chance(s.repeat) {
 			if s.chance(s.loss) == 0 {
 				at := s.now.Add(1 + manager.Duration(s.rng.Int64N(s.delay)))
