Start a non-idempotent task only for a lease of the step's own granting

Cause: a lease counted as the leader's own if it was not in the fleet read before; another leader that led in between could have granted and started it. Change: the lease has to match a start that this step proposed.

--- a/internal/controller/delivery.go
+++ b/internal/controller/delivery.go
@@ -34,8 +34,7 @@
 }
 
 // deliver tells the workers what the leases call for and they have not been told yet.
-func (l *PlacementLoop) deliver(ctx context.Context, before, after manager.Fleet) error {
-	granted := leasesOf(before)
+func (l *PlacementLoop) deliver(ctx context.Context, own starts, after manager.Fleet) error {
 	next := make(map[manager.LeaseID]told, len(l.told))
 	byVM := map[manager.VMID][]*delivery{}
 	var all []*delivery
@@ -45,7 +44,7 @@
 		}
 		t, known := l.told[j.Lease.Lease]
 		if !known {
-			t = untold(j, granted[j.Lease.Lease])
+			t = untold(j, own.granted(*j.Lease))
 		}
 		next[j.Lease.Lease] = t
 		if !due(j, t) {
@@ -64,25 +63,15 @@
 const unknownOrder manager.TaskOrder = "unknown"
 
 // untold returns what a worker may have been told of a lease that this loop has not dealt with yet; a
-// lease that was granted before may have been started by an earlier leader.
-func untold(j manager.Job, granted bool) told {
-	t := told{barred: granted, until: j.Lease.Until}
-	if granted && j.Idempotent {
+// lease that is not of its own granting may have been started by another leader.
+func untold(j manager.Job, own bool) told {
+	t := told{barred: !own, until: j.Lease.Until}
+	if !own && j.Idempotent {
 		t.until, t.order = 0, unknownOrder
 	}
 	return t
 }
 
-func leasesOf(f manager.Fleet) map[manager.LeaseID]bool {
-	leases := map[manager.LeaseID]bool{}
-	for _, j := range f.Jobs {
-		if j.Lease != nil {
-			leases[j.Lease.Lease] = true
-		}
-	}
-	return leases
-}
-
 // mayStart tells whether a worker may be told to start a task; a non-idempotent one is started by the
 // leader that granted the lease only, and not again unless the call before certainly was not taken.
 func mayStart(j manager.Job, t told) bool {
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -39,27 +39,54 @@
 func (l *PlacementLoop) Step(ctx context.Context, now manager.Time, s storer.Store) error {
 	start := time.Now()
 	defer func() { meter.PlacementSeconds().UpdateDuration(start) }()
-	before, after, err := l.decide(ctx, now, s)
+	own, after, err := l.decide(ctx, now, s)
 	if err != nil {
 		return err
 	}
-	return l.deliver(ctx, before, after)
+	return l.deliver(ctx, own, after)
 }
 
-// decide proposes what the placer plans and returns the fleet before and after.
-func (l *PlacementLoop) decide(ctx context.Context, now manager.Time, s storer.Store) (before, after manager.Fleet, err error) {
+// starts are the starts that one step proposed.
+type starts map[manager.JobID]manager.StartTask
+
+// granted tells whether a lease comes from one of the starts.
+func (s starts) granted(l manager.Lease) bool {
+	c, ok := s[l.Job]
+	return ok && c.VM == l.VM && c.Epoch == l.Epoch && c.Until == l.Until
+}
+
+func startsOf(commands []manager.Command) starts {
+	own := starts{}
+	for _, c := range commands {
+		if c.StartTask != nil {
+			own[c.StartTask.Job] = *c.StartTask
+		}
+		if c.PlaceTasks == nil {
+			continue
+		}
+		for _, task := range c.PlaceTasks.Start {
+			own[task.Job] = task
+		}
+	}
+	return own
+}
+
+// decide proposes what the placer plans and returns its starts and the fleet after them.
+func (l *PlacementLoop) decide(ctx context.Context, now manager.Time, s storer.Store) (starts, manager.Fleet, error) {
 	reports, err := l.Worker.Usage(ctx)
 	if err != nil {
-		return before, after, fmt.Errorf("read usage: %w", err)
+		return nil, manager.Fleet{}, fmt.Errorf("read usage: %w", err)
 	}
-	if before, err = readFleet(ctx, s); err != nil {
-		return before, after, err
+	f, err := readFleet(ctx, s)
+	if err != nil {
+		return nil, f, err
 	}
-	if err = proposeAll(ctx, s, l.plan(now, before, reports)); err != nil {
-		return before, after, err
+	commands := l.plan(now, f, reports)
+	if err := proposeAll(ctx, s, commands); err != nil {
+		return nil, f, err
 	}
-	after, err = readFleet(ctx, s)
-	return before, after, err
+	f, err = readFleet(ctx, s)
+	return startsOf(commands), f, err
 }
 
 func (l *PlacementLoop) plan(now manager.Time, f manager.Fleet, reports []manager.UsageReport) []manager.Command {
--- a/internal/controller/placement_fault_test.go
+++ b/internal/controller/placement_fault_test.go
@@ -123,9 +123,9 @@
 // changeLeader deposes a leader between its proposals and its orders, which arrive late or never.
 func (x *faults) changeLeader(*rapid.T) {
 	old := x.loop
-	before, after, err := old.decide(context.Background(), x.clock.At, x.store)
+	own, after, err := old.decide(context.Background(), x.clock.At, x.store)
 	require.NoError(x.t, err)
-	x.late = append(x.late, func() { _ = old.deliver(context.Background(), before, after) })
+	x.late = append(x.late, func() { _ = old.deliver(context.Background(), own, after) })
 	x.lead()
 }
 
