--- a/internal/forwarder/dispatcher.go
+++ b/internal/forwarder/dispatcher.go
@@ -80,6 +80,13 @@
 	d.deliver(d.Limiter.Finish(d.Clock.Now(), o))
 }
 
+// Idle tells whether no request waits or runs.
+func (d *Dispatcher) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting) == 0 && len(d.running) == 0
+}
+
 // Tick lets the limiter decide what became due.
 func (d *Dispatcher) Tick() {
 	d.mu.Lock()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -25,6 +25,9 @@
 	peerPeriod = 10 * manager.Millisecond
 	// tickPeriod is the pause between two looks at waiting requests.
 	tickPeriod = 10 * manager.Millisecond
+	// idleTicks is how many of the looks above a gateway without requests leaves out between two; with
+	// more, membership and leases are renewed late.
+	idleTicks = 9
 	// reportPeriod is the pause between two reports to the controllers.
 	reportPeriod = 1 * manager.Second
 )
@@ -90,12 +93,25 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.loops.Go(func() { s.configuration.run(ctx) })
-	s.loops.Go(func() { timekeeper.Every(ctx.Done(), tickPeriod, s.dispatcher.Tick) })
+	s.loops.Go(func() { timekeeper.Every(ctx.Done(), tickPeriod, s.whenBusy(s.dispatcher.Tick)) })
 	s.loops.Go(func() { timekeeper.Every(ctx.Done(), reportPeriod, func() { s.report(ctx) }) })
-	s.loops.Go(func() { timekeeper.Every(ctx.Done(), peerPeriod, func() { s.peers.send(ctx) }) })
+	s.loops.Go(func() { timekeeper.Every(ctx.Done(), peerPeriod, s.whenBusy(func() { s.peers.send(ctx) })) })
 	return nil
 }
 
+// whenBusy returns f for a loop that does all its turns only while the gateway has requests.
+func (s *Service) whenBusy(f func()) func() {
+	left := 0
+	return func() {
+		if left > 0 && s.dispatcher.Idle() {
+			left--
+			return
+		}
+		left = idleTicks
+		f()
+	}
+}
+
 func (s *Service) addRoutes(e *echo.Echo) {
 	cfg := s.Settings.Gateway
 	f := &forwarder.Forwarder{
--- a/pkg/manager/limiter/deadline.go
+++ b/pkg/manager/limiter/deadline.go
@@ -14,6 +14,9 @@
 	// emptyWait is how long a request waits for a first slot of its service; it covers the start of a
 	// gateway and an upstream's announcement.
 	emptyWait = 1 * manager.Second
+	// forgetPeriod is the pause between two looks for services without upstreams; the queues of names
+	// that callers invent are kept for this long.
+	forgetPeriod = 1 * manager.Second
 	// tailShare is the share of service times that a request admitted to the queue leaves room for.
 	tailShare = 0.99
 	// typicalShare is the share of service times for which a request must still have time when it
@@ -43,6 +46,8 @@
 	lingering []lingerer
 	arrived   uint64
 	turn      int
+	// forgetAt is when the queues of services without upstreams are dropped next.
+	forgetAt manager.Time
 }
 
 // lingerer is a slot whose request may still run.
@@ -213,8 +218,13 @@
 	return decisions
 }
 
-// forget drops the queues of services that have no upstream and no request.
+// forget drops the queues of services that have no upstream and no request, once in a while, as it
+// reads the membership of every service.
 func (l *Deadline) forget(now manager.Time) {
+	if now < l.forgetAt {
+		return
+	}
+	l.forgetAt = now.Add(forgetPeriod)
 	l.order = slices.DeleteFunc(l.order, func(id manager.ServiceID) bool {
 		s := l.services[id]
 		if len(s.queue) > 0 || s.running > 0 || len(l.Registrar.Ready(now, id)) > 0 {
