--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
@@ -25,7 +27,7 @@
 // confirmed after the wait, so that the lease may count from then.
 func (s *Service) configuration(c echo.Context) error {
 	var r proposer.ConfigurationRequest
-	if err := decode(c, &r); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &r); err != nil {
 		return err
 	}
 	if err := s.checkLeader(); err != nil {
--- a/internal/controller/previews.go
+++ b/internal/controller/previews.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -13,7 +15,7 @@
 // preview answers what a profile change would do, without proposing it.
 func (s *Service) preview(c echo.Context) error {
 	var p manager.Profile
-	if err := decode(c, &p); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &p); err != nil {
 		return err
 	}
 	f, err := readFleet(c.Request().Context(), s.Store)
--- a/internal/controller/replicas.go
+++ b/internal/controller/replicas.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
@@ -20,7 +22,7 @@
 	}
 	g.POST("/replicate", func(c echo.Context) error {
 		var e storer.Exchange
-		if err := decode(c, &e); err != nil {
+		if err := listener.Decode(c, maxMessageBytes, &e); err != nil {
 			return err
 		}
 		answer, err := p.Exchange(c.Request().Context(), e)
@@ -47,7 +49,7 @@
 
 func (s *Service) addReplica(c echo.Context, p storer.Peer) error {
 	var m manager.ReplicaMember
-	if err := decode(c, &m); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &m); err != nil {
 		return err
 	}
 	if err := p.AddReplica(c.Request().Context(), m); err != nil {
--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -1,17 +1,15 @@
 package controller
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
-	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
-	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -21,7 +19,7 @@
 )
 
 func (s *Service) addRoutes(g *echo.Group) {
-	g.Use(trace)
+	g.Use(listener.Trace("controller"))
 	g.POST("/propose", s.propose)
 	g.GET("/fleet", s.fleet)
 	g.GET("/history", s.history)
@@ -35,26 +33,6 @@
 	s.addPeerRoutes(g)
 }
 
-// trace wraps each call in a span that continues the caller's trace.
-func trace(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		r := c.Request()
-		ctx, span := tracer.Start(tracer.Extract(r.Context(), r.Header), "controller "+c.Path(), attribute.String("url.path", r.URL.Path))
-		c.SetRequest(r.WithContext(ctx))
-		err := next(c)
-		tracer.End(span, err)
-		return err
-	}
-}
-
-func decode(c echo.Context, v any) error {
-	r := c.Request()
-	if err := configurer.Decode(http.MaxBytesReader(c.Response(), r.Body, maxMessageBytes), v); err != nil {
-		return errors.Join(manager.ErrInvalid{Field: "body", Reason: err.Error()}, err)
-	}
-	return nil
-}
-
 // checkLeader refuses calls that only the leader can answer.
 func (s *Service) checkLeader() error {
 	if a, leads := s.Store.Leader(); !leads {
@@ -65,7 +43,7 @@
 
 func (s *Service) propose(c echo.Context) error {
 	var command manager.Command
-	if err := decode(c, &command); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &command); err != nil {
 		return err
 	}
 	start := s.Clock.Now()
@@ -110,7 +88,7 @@
 
 func (s *Service) plan(c echo.Context) error {
 	var spec manager.WaveSpec
-	if err := decode(c, &spec); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &spec); err != nil {
 		return err
 	}
 	f, err := readLatest(c.Request().Context(), s.Store)
@@ -126,7 +104,7 @@
 
 func (s *Service) demand(c echo.Context) error {
 	var r proposer.DemandReport
-	if err := decode(c, &r); err != nil {
+	if err := listener.Decode(c, maxMessageBytes, &r); err != nil {
 		return err
 	}
 	if err := s.checkLeader(); err != nil {
--- a/internal/faker/server.go
+++ b/internal/faker/server.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 	"github.com/mulberryhaven/mulberryhaven/internal/platformer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -48,11 +46,10 @@
 func order[O any](act func(context.Context, O) error) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		var o O
-		r := c.Request()
-		if err := configurer.Decode(http.MaxBytesReader(c.Response(), r.Body, maxOrderBytes), &o); err != nil {
-			return errors.Join(manager.ErrInvalid{Field: "body", Reason: err.Error()}, err)
+		if err := listener.Decode(c, maxOrderBytes, &o); err != nil {
+			return err
 		}
-		if err := act(r.Context(), o); err != nil {
+		if err := act(c.Request().Context(), o); err != nil {
 			return fmt.Errorf("order: %w", err)
 		}
 		return c.JSON(http.StatusOK, platformer.Done{})
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -1,14 +1,14 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
-	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/registrar"
 )
@@ -72,7 +72,7 @@
 func announceHandler(r manager.Registrar, clock manager.Clock) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		var a manager.Announcement
-		if err := decode(c, maxAnnouncementBytes, &a); err != nil {
+		if err := listener.Decode(c, maxAnnouncementBytes, &a); err != nil {
 			return err
 		}
 		if err := r.Announce(clock.Now(), a); err != nil {
@@ -83,11 +83,3 @@
 		})
 	}
 }
-
-func decode(c echo.Context, limit int64, v any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, limit)
-	if err := configurer.Decode(body, v); err != nil {
-		return errors.Join(manager.ErrInvalid{Field: "body", Reason: err.Error()}, err)
-	}
-	return nil
-}
--- a/internal/gateway/peer.go
+++ b/internal/gateway/peer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
@@ -132,7 +134,7 @@
 // handle answers a peer's message.
 func (p *peerLoop) handle(c echo.Context) error {
 	var m manager.PeerMessage
-	if err := decode(c, maxPeerBytes, &m); err != nil {
+	if err := listener.Decode(c, maxPeerBytes, &m); err != nil {
 		return err
 	}
 	now := p.clock.Now()
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
-	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
-	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -34,7 +32,7 @@
 
 // AddRoutes adds the endpoints to a group that has checked the token.
 func (a *API) AddRoutes(g *echo.Group) {
-	g.Use(trace)
+	g.Use(listener.Trace("gateway"))
 	g.GET("/profiles", a.listProfiles)
 	g.GET("/profiles/:Profile", a.getProfile)
 	g.GET("/profiles/:Profile/history", a.profileHistory)
@@ -57,25 +55,6 @@
 	a.addReplicaRoutes(g)
 }
 
-func trace(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		r := c.Request()
-		ctx, span := tracer.Start(tracer.Extract(r.Context(), r.Header), "gateway "+c.Path(), attribute.String("url.path", r.URL.Path))
-		c.SetRequest(r.WithContext(ctx))
-		err := next(c)
-		tracer.End(span, err)
-		return err
-	}
-}
-
-func decode(c echo.Context, v any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
-	if err := configurer.Decode(body, v); err != nil {
-		return errors.Join(manager.ErrInvalid{Field: "body", Reason: err.Error()}, err)
-	}
-	return nil
-}
-
 func (a *API) propose(c echo.Context, change Change, command manager.Command) (manager.Result, error) {
 	if change.CommandID == "" {
 		return manager.Result{}, manager.ErrInvalid{Field: "Command-Id", Reason: "is missing"}
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -49,7 +51,7 @@
 
 func (a *API) submitJob(c echo.Context) error {
 	var change JobChange
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	result, err := a.propose(c, change.Change, manager.Command{SubmitJob: &manager.SubmitJob{Job: change.Job}})
@@ -61,7 +63,7 @@
 
 func (a *API) cancelJob(c echo.Context) error {
 	var change Change
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	result, err := a.propose(c, change, manager.Command{CancelJob: &manager.CancelJob{Job: manager.JobID(c.Param("Job"))}})
@@ -73,7 +75,7 @@
 
 func (a *API) cancelJobs(c echo.Context) error {
 	var change JobsCancellation
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	if len(change.Jobs) == 0 {
--- a/internal/operator/profiles.go
+++ b/internal/operator/profiles.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
@@ -32,7 +34,7 @@
 
 func (a *API) applyProfile(c echo.Context) error {
 	var change ProfileChange
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	result, err := a.propose(c, change.Change, manager.Command{ApplyProfile: &manager.ApplyProfile{Profile: change.Profile}})
@@ -63,7 +65,7 @@
 // previewProfile answers what a profile change would do, without making it.
 func (a *API) previewProfile(c echo.Context) error {
 	var p manager.Profile
-	if err := decode(c, &p); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &p); err != nil {
 		return err
 	}
 	preview, err := a.Client.Preview(c.Request().Context(), p)
--- a/internal/operator/replicas.go
+++ b/internal/operator/replicas.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -25,7 +27,7 @@
 
 func (a *API) addReplica(c echo.Context) error {
 	var m manager.ReplicaMember
-	if err := decode(c, &m); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &m); err != nil {
 		return err
 	}
 	list, err := a.Client.AddReplica(c.Request().Context(), m)
--- a/internal/operator/waves.go
+++ b/internal/operator/waves.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -31,7 +33,7 @@
 
 func (a *API) planWave(c echo.Context) error {
 	var change WaveChange
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	if change.Wave == "" {
@@ -58,7 +60,7 @@
 
 func (a *API) approveWave(c echo.Context) error {
 	var approval WaveApproval
-	if err := decode(c, &approval); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &approval); err != nil {
 		return err
 	}
 	result, err := a.propose(c, approval.Change, manager.Command{ApproveWave: &manager.ApproveWave{
@@ -86,7 +88,7 @@
 
 func (a *API) setWave(c echo.Context, set manager.SetWaveState) error {
 	var change Change
-	if err := decode(c, &change); err != nil {
+	if err := listener.Decode(c, maxBodyBytes, &change); err != nil {
 		return err
 	}
 	set.Wave = manager.WaveID(c.Param("Wave"))
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -79,19 +79,11 @@
 
 // Wait returns once the revision of the configuration is above after, or ctx ends.
 func (r *Replicated) Wait(ctx context.Context, after manager.Revision) {
-	for {
+	waitFor(ctx, after, func() (manager.Revision, <-chan struct{}) {
 		r.mu.Lock()
-		revision, changed := r.state.ConfigurationRevision(), r.changed
-		r.mu.Unlock()
-		if revision > after {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
+		defer r.mu.Unlock()
+		return r.state.ConfigurationRevision(), r.changed
+	})
 }
 
 // Leader returns the leader's address and whether it is this replica.
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -273,118 +272,6 @@
 	return nil
 }
 
-func (r *Replicated) apply(ready replicator.Ready) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := ready.Snapshot; s != nil {
-		if err := r.state.Restore(s.Data); err != nil {
-			return fmt.Errorf("restore snapshot: %w", err)
-		}
-		r.applied = s.Meta.Index
-	}
-	before := r.state.ConfigurationRevision()
-	for _, e := range ready.Committed {
-		if err := r.applyEntry(e); err != nil {
-			return err
-		}
-	}
-	if ready.Snapshot != nil || r.state.ConfigurationRevision() != before {
-		close(r.changed)
-		r.changed = make(chan struct{})
-	}
-	for _, read := range ready.Reads {
-		r.endRead(read)
-	}
-	return nil
-}
-
-func (r *Replicated) applyEntry(e manager.Entry) error {
-	r.applied = e.Index
-	var result manager.Result
-	if e.Kind == manager.EntryCommand {
-		var c manager.Command
-		if err := json.Unmarshal(e.Data, &c); err != nil {
-			return fmt.Errorf("decode entry %d: %w", e.Index, err)
-		}
-		result = r.state.Apply(c)
-	}
-	p := r.proposals[e.Index]
-	if p == nil {
-		return nil
-	}
-	delete(r.proposals, e.Index)
-	if p.term != e.Term {
-		p.end(manager.Result{}, manager.ErrNotLeader{})
-		return nil
-	}
-	p.end(result, nil)
-	return nil
-}
-
-func (r *Replicated) endRead(read replicator.ReadResult) {
-	call := r.reads[read.Read]
-	delete(r.reads, read.Read)
-	switch {
-	case call == nil:
-	case !read.Confirmed || r.applied < read.Index:
-		call.end(manager.ErrNotLeader{})
-	default:
-		call.end(nil)
-	}
-}
-
-// dropIfDeposed ends the proposals of a replica that no longer leads: another leader may or may not
-// have taken them over.
-func (r *Replicated) dropIfDeposed() {
-	if r.replica.Status().Role == replicator.RoleLeader {
-		return
-	}
-	for i, p := range r.proposals {
-		p.end(manager.Result{}, manager.ErrOutcomeUnknown{Command: p.command})
-		delete(r.proposals, i)
-	}
-}
-
-func (r *Replicated) publish() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.view.diskLost = r.former.DiskLost()
-	if r.replica == nil {
-		return
-	}
-	r.view.formed = true
-	r.view.status, r.view.leads = r.replica.Status(), r.replica.Leads()
-	r.view.confirmed = 0
-	if at, ok := r.replica.Confirmed(); ok {
-		r.view.confirmed = at
-	}
-}
-
-// maySnapshot stores the state once enough was applied since the last snapshot.
-func (r *Replicated) maySnapshot() error {
-	if r.applied < r.snapshot.Index+manager.Index(r.SnapshotEvery) || len(r.held) > 0 {
-		return nil
-	}
-	meta := r.replica.SnapshotMeta(r.applied)
-	data, err := r.state.Snapshot()
-	if err != nil {
-		return fmt.Errorf("take snapshot: %w", err)
-	}
-	meta.Bytes = int64(len(data))
-	keepFrom := max(meta.Index, keptEntries) - keptEntries
-	err = r.log.SaveSnapshot(replicator.Snapshot{Meta: meta, Data: data}, keepFrom)
-	if errors.Is(err, journaler.ErrFull) {
-		klog.ErrorS(err, "Snapshot not stored")
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("save snapshot: %w", err)
-	}
-	r.snapshot = meta
-	r.replica.Compact(meta, keptEntries)
-	return nil
-}
-
 // end refuses everything that waits and whatever comes later.
 func (r *Replicated) end(err error) {
 	b := r.inbox.close(err)
--- a/internal/storer/single.go
+++ b/internal/storer/single.go
@@ -68,19 +68,11 @@
 
 // Wait returns once the revision of the configuration is above after, or ctx ends.
 func (s *Single) Wait(ctx context.Context, after manager.Revision) {
-	for {
+	waitFor(ctx, after, func() (manager.Revision, <-chan struct{}) {
 		s.mu.Lock()
-		revision, changed := s.state.ConfigurationRevision(), s.changed
-		s.mu.Unlock()
-		if revision > after {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
+		defer s.mu.Unlock()
+		return s.state.ConfigurationRevision(), s.changed
+	})
 }
 
 // Leader returns this replica.
