Let controllers reach each other over TLS

Cause: the replicas' client ignored the settings' TLS, so that controllers with TLS listeners never elected a leader.

--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -7,6 +7,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/controller"
 	"github.com/mulberryhaven/mulberryhaven/internal/faker"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 	"github.com/mulberryhaven/mulberryhaven/internal/platformer"
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -17,9 +18,13 @@
 
 func (p *Process) buildController() (*controller.Service, error) {
 	cfg := p.Settings.Controller
+	dial, err := listener.PeerDial(cfg.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("reach replicas: %w", err)
+	}
 	store := &storer.Replicated{
 		Clock: p.Clock, Replica: cfg.Replica, Initial: initialMembers(cfg.Replicas),
-		Folder: filepath.Join(cfg.DataFolder, "replica"), Token: p.Settings.Tokens.Peer, HTTP: newClient(), Seed: p.Seed,
+		Folder: filepath.Join(cfg.DataFolder, "replica"), Token: p.Settings.Tokens.Peer, HTTP: newPeerClient(dial), Seed: p.Seed,
 	}
 	if err := store.Open(); err != nil {
 		return nil, fmt.Errorf("open store: %w", err)
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -36,6 +36,8 @@
 	Platform manager.Address
 	// Traces makes every process write its spans to a file.
 	Traces bool
+	// TLS is set on every listener.
+	TLS *configurer.TLS
 
 	Mesh      *Mesh
 	Processes map[string]*Process
@@ -145,7 +147,7 @@
 		return s, err
 	}
 	s.Controller = &configurer.Controller{
-		Address: c.Mesh.targets[node], Replica: manager.ReplicaID(i + 1), DataFolder: c.DataFolder(node), Fleet: c.Fleet,
+		Address: c.Mesh.targets[node], Replica: manager.ReplicaID(i + 1), DataFolder: c.DataFolder(node), Fleet: c.Fleet, TLS: c.TLS,
 		Platform: configurer.Platform{Kind: configurer.PlatformNone},
 	}
 	if c.Platform != "" {
@@ -171,7 +173,7 @@
 		}
 	}
 	peers, err := c.ways(node, others)
-	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node]}
+	s.Gateway = &configurer.Gateway{Address: c.Mesh.targets[node], TLS: c.TLS}
 	for i, a := range peers {
 		s.Gateway.Peers = append(s.Gateway.Peers, configurer.Peer{Gateway: manager.GatewayID(others[i]), Address: a})
 	}
