--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(LINT) fmt ./...
 
 bench:
-	go test -run "^$$" -bench . -benchtime 1x ./... | go run ./cmd/benchreport -lines benchmarks/figures.jsonl -plots docs/plots
+	go test -run "^$$" -bench . -benchtime 1x ./... | go run ./cmd/benchreport --lines benchmarks/figures.jsonl --plots docs/plots
 
 demo:
 	go run ./cmd/mulberryhaven demo
--- a/internal/bencher/plots.go
+++ b/internal/bencher/plots.go
@@ -23,6 +23,9 @@
 // sizePart is the part of a benchmark's name that gives the size of its input, such as workers=500.
 var sizePart = regexp.MustCompile(`/([A-Za-z]+)=(\d+)`)
 
+// seedPart names the random seed of a benchmark, which is no size.
+const seedPart = "seed"
+
 // line is a metric over the size of the input.
 type line struct {
 	label  string
@@ -42,19 +45,19 @@
 	byName := map[string]*figure{}
 	var order []string
 	for _, r := range rows {
-		m := sizePart.FindStringSubmatch(r.Benchmark)
-		if m == nil {
+		m := sizePart.FindStringSubmatchIndex(r.Benchmark)
+		if m == nil || r.Benchmark[m[2]:m[3]] == seedPart {
 			continue
 		}
-		size, err := strconv.ParseFloat(m[2], 64)
+		size, err := strconv.ParseFloat(r.Benchmark[m[4]:m[5]], 64)
 		if err != nil {
 			continue
 		}
-		label := sizePart.ReplaceAllString(r.Benchmark, "")
+		label := r.Benchmark[:m[0]] + r.Benchmark[m[1]:]
 		name := topName(label) + " " + r.Unit
 		f, ok := byName[name]
 		if !ok {
-			f = &figure{name: name, axis: m[1], unit: r.Unit, lines: map[string]*line{}}
+			f = &figure{name: name, axis: r.Benchmark[m[2]:m[3]], unit: r.Unit, lines: map[string]*line{}}
 			byName[name] = f
 			order = append(order, name)
 		}
@@ -94,6 +97,8 @@
 	p.Title.Text = f.name
 	p.X.Label.Text = f.axis
 	p.Y.Label.Text = f.unit
+	p.Legend.Top = true
+	p.Legend.Left = true
 	labels := make([]string, 0, len(f.lines))
 	for label := range f.lines {
 		labels = append(labels, label)
