Run the fleet in a service of its own that finds the controller by name

Change: the conductor needs the controller, finds its store and runs the loops; it stops first, so that leadership is handed over by a store without loops.

Before: 3 duties in one service.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -24,11 +24,11 @@
 func (p *Process) Build() (*supervisor.Supervisor, error) {
 	s := &supervisor.Supervisor{ReadyDelay: p.Settings.Stop.ReadyDelayMs, Grace: p.Settings.Stop.GraceMs}
 	if slices.Contains(p.Settings.Services, configurer.ServiceController) {
-		c, err := p.buildController()
+		c, leader, err := p.buildController()
 		if err != nil {
 			return nil, fmt.Errorf("build controller: %w", err)
 		}
-		s.Services = append(s.Services, c)
+		s.Services = append(s.Services, c, leader)
 	}
 	if slices.Contains(p.Settings.Services, configurer.ServiceGateway) {
 		g, err := p.buildGateway()
--- a/internal/assembler/controller.go
+++ b/internal/assembler/controller.go
@@ -16,29 +16,30 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/rebalancer"
 )
 
-func (p *Process) buildController() (*controller.Service, error) {
+// buildController returns the controller and the conductor that runs the fleet beside it.
+func (p *Process) buildController() (*controller.Service, *controller.Conductor, error) {
 	cfg := p.Settings.Controller
 	dial, err := listener.PeerDial(cfg.TLS)
 	if err != nil {
-		return nil, fmt.Errorf("reach replicas: %w", err)
+		return nil, nil, fmt.Errorf("reach replicas: %w", err)
 	}
 	store := &storer.Replicated{
 		Clock: p.Clock, Replica: cfg.Replica, Initial: initialMembers(cfg.Replicas),
 		Folder: filepath.Join(cfg.DataFolder, "replica"), Token: p.Settings.Tokens.Peer, HTTP: newPeerClient(dial), Seed: p.Seed,
 	}
 	if err := store.Open(); err != nil {
-		return nil, fmt.Errorf("open store: %w", err)
+		return nil, nil, fmt.Errorf("open store: %w", err)
 	}
-	demand := &controller.DemandTable{}
 	c := &controller.Service{
 		Settings:   p.Settings,
 		Clock:      p.Clock,
 		Store:      store,
 		Maintainer: maintainer.Pipelined{},
-		Demand:     demand,
+		Demand:     &controller.DemandTable{},
 	}
-	p.addPlatform(c, demand)
-	return c, nil
+	leader := &controller.Conductor{Clock: p.Clock, Fleet: cfg.Fleet}
+	p.addPlatform(c, leader)
+	return c, leader, nil
 }
 
 func initialMembers(replicas []configurer.Replica) []manager.ReplicaMember {
@@ -50,20 +51,20 @@
 }
 
 // addPlatform adds the loops that act on VMs and workers.
-func (p *Process) addPlatform(c *controller.Service, demand *controller.DemandTable) {
+func (p *Process) addPlatform(c *controller.Service, leader *controller.Conductor) {
 	platform, worker := p.Platform, p.Worker
 	if platform == nil {
 		platform, worker = p.settingsPlatform()
 	}
 	if platform != nil {
 		c.Maintenance = &controller.MaintenanceLoop{
-			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: demand,
+			Platform: platform, Maintainer: c.Maintainer, Rebalancer: &rebalancer.Shared{}, Demand: c.Demand,
 		}
-		c.Loops = append(c.Loops, c.Maintenance)
+		leader.Loops = append(leader.Loops, c.Maintenance)
 	}
 	if worker != nil {
 		placement := &controller.PlacementLoop{Worker: worker, Placer: &placer.Adaptive{}}
-		c.Loops = append(c.Loops, placement)
+		leader.Loops = append(leader.Loops, placement)
 		c.Explainer = placement
 	}
 }
