--- a/internal/prover/stand_test.go
+++ b/internal/prover/stand_test.go
@@ -61,7 +61,7 @@
 
 // stand is a cluster with its stand-in platform, upstreams and callers.
 type stand struct {
-	t        *testing.T
+	t        testing.TB
 	cluster  *launcher.Cluster
 	platform *faker.Platform
 	log      *responder.RunLog
@@ -97,10 +97,10 @@
 func withTraces(c *launcher.Cluster) { c.Traces = true }
 
 // startStand starts processes and upstreams and waits until every service answers at every gateway.
-func startStand(t *testing.T, controllers, gateways int, options ...func(*launcher.Cluster)) *stand {
-	t.Helper()
+func startStand(tb testing.TB, controllers, gateways int, options ...func(*launcher.Cluster)) *stand {
+	tb.Helper()
 	s := &stand{
-		t: t, log: &responder.RunLog{}, upstreams: map[manager.VMID]*responder.Upstream{},
+		t: tb, log: &responder.RunLog{}, upstreams: map[manager.VMID]*responder.Upstream{},
 		relays: map[manager.VMID]*relayer.Relay{}, leftAt: map[manager.VMID]time.Time{},
 	}
 	clock := timekeeper.New()
@@ -110,14 +110,14 @@
 		s.platform.Add(v)
 	}
 	s.cluster = &launcher.Cluster{
-		Binary: binary, Folder: t.TempDir(), Controllers: controllers, Gateways: gateways, Zones: zones, Fleet: f,
+		Binary: binary, Folder: tb.TempDir(), Controllers: controllers, Gateways: gateways, Zones: zones, Fleet: f,
 		Platform: s.servePlatform(clock),
 	}
 	for _, o := range options {
 		o(s.cluster)
 	}
-	t.Cleanup(s.close)
-	require.NoError(t, s.cluster.Start())
+	tb.Cleanup(s.close)
+	require.NoError(tb, s.cluster.Start())
 	for _, v := range f.VMs {
 		s.startUpstream(v)
 	}
