Exit with 2 when a required flag is missing

Cause: a missing flag was reported by the library after the point where usage errors are marked, and exited with 1. Change: required flags are checked before the command runs. After: 2, with a test.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -22,6 +22,8 @@
 		{"unknown command", []string{"fly"}, ExitUsage, "fly"},
 		{"unknown flag", []string{"status", "--fast"}, ExitUsage, "--fast"},
 		{"missing argument", []string{"wave", "status"}, ExitUsage, "accepts 1 arg"},
+		{"missing flag", []string{"wave", "approve", "w1"}, ExitUsage, "plan-version"},
+		{"missing settings", []string{"serve"}, ExitUsage, "config"},
 		{"wrong output", []string{"status", "--output", "xml"}, ExitUsage, "--output"},
 		{"broken settings", []string{"config", "check", broken}, ExitUsage, "Node: expected string, found number"},
 		{"good settings", []string{"config", "check", "../../configs/qirsh/gateway.json"}, ExitOK, ""},
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -74,7 +74,10 @@
 		SilenceErrors: true,
 		RunE:          group,
 		Args:          cobra.ArbitraryArgs,
-		PersistentPreRunE: func(*cobra.Command, []string) error {
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			if err := cmd.ValidateRequiredFlags(); err != nil {
+				return errUsage{err}
+			}
 			if o.output != outputText && o.output != outputJSON {
 				return errUsage{manager.ErrInvalid{Field: "--output", Reason: `must be "text" or "json"`}}
 			}
