Answer the resend of a wave plan although no new plan can be made

Cause: a plan was made before the command id was looked up, so that a resend failed when planning itself failed by then, against the promise that a resend gets the first answer. Change: the request for a plan carries the change's id and digest; the leader makes no plan for a change that was answered before. Before: such a resend gets the planning error.

--- a/internal/controller/routes.go
+++ b/internal/controller/routes.go
@@ -87,19 +87,26 @@
 }
 
 func (s *Service) plan(c echo.Context) error {
-	var spec manager.WaveSpec
-	if err := listener.Decode(c, maxMessageBytes, &spec); err != nil {
+	var r proposer.PlanRequest
+	if err := listener.Decode(c, maxMessageBytes, &r); err != nil {
 		return err
 	}
-	f, err := readLatest(c.Request().Context(), s.Store)
+	var f manager.Fleet
+	var answer proposer.PlanAnswer
+	err := s.Store.Read(c.Request().Context(), func(a manager.Applier) {
+		f = a.Fleet()
+		_, digest, ok := a.First(r.Command)
+		answer.Resent = ok && digest == r.Digest
+	})
 	if err != nil {
-		return err
+		return fmt.Errorf("read fleet: %w", err)
 	}
-	w, err := s.Maintainer.Plan(s.Clock.Now(), f, spec)
-	if err != nil {
-		return fmt.Errorf("plan wave: %w", err)
+	if !answer.Resent {
+		if answer.Wave, err = s.Maintainer.Plan(s.Clock.Now(), f, r.Spec); err != nil {
+			return fmt.Errorf("plan wave: %w", err)
+		}
 	}
-	return c.JSON(http.StatusOK, w)
+	return c.JSON(http.StatusOK, answer)
 }
 
 func (s *Service) demand(c echo.Context) error {
--- a/internal/operator/waves.go
+++ b/internal/operator/waves.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/proposer"
+
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
 
 	"github.com/labstack/echo/v4"
@@ -40,11 +42,15 @@
 		return manager.ErrInvalid{Field: "Wave", Reason: "is missing"}
 	}
 	spec := manager.WaveSpec{Wave: change.Wave, Pools: change.Pools}
-	w, err := a.Client.Plan(c.Request().Context(), spec)
+	digest := specDigest(spec)
+	plan, err := a.Client.Plan(c.Request().Context(), proposer.PlanRequest{
+		Spec: spec, Command: change.CommandID, Digest: digest,
+	})
 	if err != nil {
 		return fmt.Errorf("plan wave: %w", err)
 	}
-	result, err := a.propose(c, change.Change, manager.Command{PlanWave: &manager.PlanWave{Wave: w}, Digest: specDigest(spec)})
+	// A resend is proposed without a plan, as its first result stands.
+	result, err := a.propose(c, change.Change, manager.Command{PlanWave: &manager.PlanWave{Wave: plan.Wave}, Digest: digest})
 	if err != nil {
 		return err
 	}
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -88,10 +88,10 @@
 }
 
 // Plan asks for the plan of a wave, which is not stored yet.
-func (c *Client) Plan(ctx context.Context, spec manager.WaveSpec) (manager.Wave, error) {
-	var w manager.Wave
-	err := c.post(ctx, PathPlan, spec, &w)
-	return w, err
+func (c *Client) Plan(ctx context.Context, r PlanRequest) (PlanAnswer, error) {
+	var a PlanAnswer
+	err := c.post(ctx, PathPlan, r, &a)
+	return a, err
 }
 
 // Preview asks what a profile change would do.
--- a/internal/proposer/messages.go
+++ b/internal/proposer/messages.go
@@ -68,3 +68,19 @@
 	Commit   manager.Index
 	Replicas []manager.ReplicaMember
 }
+
+// PlanRequest asks for the plan of a wave.
+type PlanRequest struct {
+	Spec manager.WaveSpec
+	// Command and Digest are those of the operator's change, so that a resend is recognised although no
+	// plan can be made any more.
+	Command manager.CommandID
+	Digest  string
+}
+
+// PlanAnswer holds a plan that is not stored yet.
+type PlanAnswer struct {
+	Wave manager.Wave
+	// Resent says that the change was answered before, so that no plan was made.
+	Resent bool `json:",omitempty"`
+}
--- a/pkg/manager/applier/results.go
+++ b/pkg/manager/applier/results.go
@@ -33,3 +33,9 @@
 	delete(t.index, t.order[0].Command)
 	t.order = t.order[1:]
 }
+
+// First returns the first result of a command id and the digest that got it.
+func (s *State) First(c manager.CommandID) (manager.Result, string, bool) {
+	r, ok := s.results.find(c)
+	return r.Result, r.Digest, ok
+}
