--- /dev/null
+++ b/internal/assembler/fleetlisten.go
@@ -0,0 +1,78 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+	"github.com/mulberryhaven/mulberryhaven/internal/meter"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/platform"
+)
+
+const (
+	// headerTimeout bounds the wait for a request's headers.
+	headerTimeout = 3 * time.Second
+	// idleTimeout bounds the idle time of a kept connection.
+	idleTimeout = 15 * time.Second
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 16 << 10
+)
+
+// setUserTimeout makes a connection fail whose peer acknowledges nothing for a while.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
+func (f *FleetNode) listen(s configurer.FleetNode) error {
+	e := listener.NewEcho()
+	f.node.AddRoutes(e)
+	f.peers = &listener.Server{Address: s.Peer(), Echo: e}
+	if err := f.peers.Start(); err != nil {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	control := platform.Control{Desk: f.node}
+	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })
+	for _, h := range []struct {
+		address manager.Address
+		handler http.Handler
+	}{
+		{s.Front, platform.Front{Desk: f.node}},
+		{s.Ready, platform.Ready{Check: f.Ready}},
+		{s.Control, control},
+		{manager.Address(net.JoinHostPort(s.Address, fmt.Sprint(s.MetricsPort))), metrics},
+	} {
+		if err := f.serve(h.address, h.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *FleetNode) serve(a manager.Address, h http.Handler) error {
+	l, err := (&net.ListenConfig{Control: setUserTimeout}).Listen(context.Background(), "tcp", string(a))
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", a, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	f.servers = append(f.servers, s)
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "Listener failed", "Address", a)
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/commander/fleetnode.go
@@ -0,0 +1,114 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/assembler"
+	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
+	"github.com/mulberryhaven/mulberryhaven/internal/logger"
+	"github.com/mulberryhaven/mulberryhaven/internal/timekeeper"
+	"github.com/mulberryhaven/mulberryhaven/platform"
+)
+
+// settingsPeriod is the pause between two looks at the settings file, which may change without a signal.
+const settingsPeriod = time.Second
+
+func newFleetNode() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Run a node on the platform until SIGTERM",
+		Long:  "Run a node on the platform until SIGTERM. Without --config, " + platform.SettingsVariable + " names the settings file.",
+		Args:  exactly(0),
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				file = os.Getenv(platform.SettingsVariable)
+			}
+			settings, err := configurer.ReadFleetNode(file)
+			if err != nil {
+				return errUsage{err}
+			}
+			return runFleetNode(file, settings)
+		},
+	}
+	cmd.Flags().StringVar(&file, "config", "", "settings file")
+	return cmd
+}
+
+func runFleetNode(file string, settings configurer.FleetNode) error {
+	if err := logger.Setup(os.Stdout, settings.Node, settings.Log.Verbosity); err != nil {
+		return fmt.Errorf("set up log: %w", err)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		f := &assembler.FleetNode{Clock: timekeeper.NewBoot(), Seed: uint64(time.Now().UnixNano())}
+		if err := f.Start(settings); err != nil {
+			return fmt.Errorf("start node: %w", err)
+		}
+		removed := serveFleetNode(file, f, signals)
+		if err := f.Stop(); err != nil {
+			klog.InfoS("Node did not stop cleanly", "Error", err.Error())
+		}
+		if !removed {
+			klog.InfoS("Node stopped")
+			return nil
+		}
+		if err := f.Discard(); err != nil {
+			return fmt.Errorf("discard removed replica: %w", err)
+		}
+		settings.Found = false
+	}
+}
+
+// serveFleetNode waits until the node is to stop; it returns true where the node's replica was removed.
+func serveFleetNode(file string, f *assembler.FleetNode, signals <-chan os.Signal) bool {
+	t := time.NewTicker(settingsPeriod)
+	defer t.Stop()
+	changed := modified(file)
+	for {
+		select {
+		case <-f.Removed:
+			return true
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				klog.InfoS("Planned stop begins", "Signal", s.String())
+				return false
+			}
+			klog.InfoS("Settings are read again", "Signal", s.String())
+			reloadFleetNode(file, f)
+		case <-t.C:
+			if at := modified(file); !at.Equal(changed) {
+				changed = at
+				klog.InfoS("Settings are read again", "Changed", at)
+				reloadFleetNode(file, f)
+			}
+		}
+	}
+}
+
+func reloadFleetNode(file string, f *assembler.FleetNode) {
+	settings, err := configurer.ReadFleetNode(file)
+	if err != nil {
+		klog.ErrorS(err, "Settings not taken, the old ones stay")
+		return
+	}
+	f.Reload(settings)
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		klog.V(2).InfoS("Settings file not found", "Error", err.Error())
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/internal/configurer/fleet.go
@@ -0,0 +1,110 @@
+package configurer
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// FleetNode are the settings of a process that runs on a platform's entry VM.
+type FleetNode struct {
+	// Node names this VM in logs and in orders to the platform.
+	Node             string
+	AvailabilityZone manager.AvailabilityZone
+	// Address is this VM's IP address.
+	Address string
+	// PeerPort is the port for other nodes; it is the same on every node.
+	PeerPort    uint16
+	MetricsPort uint16
+	// Front takes callers, Ready the balancer's probes, Control workers and operators.
+	Front   manager.Address
+	Ready   manager.Address
+	Control manager.Address
+	// Seeds are addresses of some nodes; their ports are not used.
+	Seeds []manager.Address
+	// DataFolder is empty on a node without a disk, which holds no replica.
+	DataFolder string
+	// Found lets the seeds found the replica group on empty disks.
+	Found           bool
+	DiskMegaBytes   int64
+	MemoryMegaBytes int64
+	PlatformAddress manager.Address
+	Stop            Stop
+	Work            FleetWork
+	Log             Log `json:",omitzero"`
+}
+
+// FleetWork bounds the work on the fleet.
+type FleetWork struct {
+	// MaxLeaseMs is the longest lease that workers take.
+	MaxLeaseMs manager.Duration
+	// StopMs is how long a worker takes to stop a task.
+	StopMs manager.Duration
+	// DutyGapMs is the least time between two dispatchers' orders for one VM.
+	DutyGapMs manager.Duration
+}
+
+// ReadFleetNode reads and checks a settings file.
+func ReadFleetNode(file string) (FleetNode, error) {
+	var s FleetNode
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, fmt.Errorf("read settings: %w", err)
+	}
+	if err := Decode(bytes.NewReader(data), &s); err != nil {
+		return s, fmt.Errorf("settings in %s: %w", file, err)
+	}
+	if err := s.Validate(); err != nil {
+		return s, fmt.Errorf("settings in %s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Validate returns the first field that breaks a rule.
+func (s FleetNode) Validate() error {
+	if s.Node == "" {
+		return invalid("Node", "is missing: expected the name of this VM")
+	}
+	if _, err := netip.ParseAddr(s.Address); err != nil {
+		return invalid("Address", "is %q: expected this VM's IP address", s.Address)
+	}
+	if s.PeerPort == 0 {
+		return invalid("PeerPort", "is missing: expected the port for other nodes")
+	}
+	for field, a := range map[string]manager.Address{"Front": s.Front, "Ready": s.Ready, "Control": s.Control} {
+		if _, err := netip.ParseAddrPort(string(a)); err != nil {
+			return invalid(field, "is %q: expected an IP address and port", a)
+		}
+	}
+	if len(s.Seeds) == 0 {
+		return invalid("Seeds", "is empty: expected the address of at least one node")
+	}
+	for i, a := range s.Seeds {
+		if _, err := netip.ParseAddrPort(string(a)); err != nil {
+			return invalid(fmt.Sprintf("Seeds[%d]", i), "is %q: expected an IP address and port", a)
+		}
+	}
+	if s.Work.MaxLeaseMs <= 0 || s.Work.StopMs <= 0 || s.Work.DutyGapMs <= 0 {
+		return invalid("Work", "has a bound that is not above 0")
+	}
+	return nil
+}
+
+// Peer returns this node's address for other nodes.
+func (s FleetNode) Peer() manager.Address { return s.peerAt(netip.MustParseAddr(s.Address)) }
+
+// SeedPeers returns the seeds' addresses for other nodes, in the order of the settings.
+func (s FleetNode) SeedPeers() []manager.Address {
+	list := make([]manager.Address, 0, len(s.Seeds))
+	for _, a := range s.Seeds {
+		list = append(list, s.peerAt(netip.MustParseAddrPort(string(a)).Addr()))
+	}
+	return list
+}
+
+func (s FleetNode) peerAt(a netip.Addr) manager.Address {
+	return manager.Address(netip.AddrPortFrom(a, s.PeerPort).String())
+}
--- /dev/null
+++ b/internal/coordinator/calls.go
@@ -0,0 +1,128 @@
+package coordinator
+
+import (
+	"context"
+	"strings"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+// Call answers a call on the replica that leads.
+func (l *Leader) Call(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
+	if !l.Serving() {
+		return manager.DeskReply{}, manager.ErrNotLeader{}
+	}
+	switch c.Kind {
+	case manager.DeskSubmit, manager.DeskState, manager.DeskCancel, manager.DeskPending:
+		return l.callQueue(ctx, c)
+	case manager.DeskReport:
+		return l.await(ctx, dispatcher.Event{Report: c.Report})
+	case manager.DeskLeave:
+		return l.await(ctx, dispatcher.Event{Leave: c.Life})
+	case manager.DeskConfigure:
+		return l.await(ctx, dispatcher.Event{Configure: c.Configuration})
+	case manager.DeskWave:
+		return l.await(ctx, dispatcher.Event{Wave: c.Wave})
+	default:
+		return l.read(c)
+	}
+}
+
+// await queues an event and waits for its answer.
+func (l *Leader) await(ctx context.Context, e dispatcher.Event) (manager.DeskReply, error) {
+	done := make(chan outcome, 1)
+	if err := l.inbox.add(e, done); err != nil {
+		return manager.DeskReply{}, err
+	}
+	select {
+	case o := <-done:
+		return o.reply, o.err
+	case <-ctx.Done():
+		return manager.DeskReply{}, manager.ErrOutcomeUnknown{}
+	}
+}
+
+// callQueue finds the queue of a caller's request and answers it.
+func (l *Leader) callQueue(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
+	var queue manager.QueueSettings
+	var id manager.GraphID
+	var err error
+	l.Store.Inspect(func() { queue, id, err = locate(l.Book.Configuration, c.Host, c.Path) })
+	if err != nil {
+		return manager.DeskReply{}, err
+	}
+	switch c.Kind {
+	case manager.DeskSubmit:
+		g := *c.Graph
+		g.Graph, g.Queue = id, queue.Queue
+		return l.await(ctx, dispatcher.Event{Submit: &g})
+	case manager.DeskCancel:
+		return l.await(ctx, dispatcher.Event{Cancel: &id})
+	}
+	var reply manager.DeskReply
+	l.Store.Inspect(func() {
+		if id == "" {
+			reply.Pending = l.Book.Pending(queue.Queue)
+			return
+		}
+		j := l.Book.Jobs[id]
+		if j == nil {
+			err = manager.ErrNotExist{Kind: "job", Name: string(id)}
+			return
+		}
+		reply.State = j.State
+	})
+	return l.checked(reply, err)
+}
+
+// read answers from the book.
+func (l *Leader) read(c manager.DeskCall) (manager.DeskReply, error) {
+	var reply manager.DeskReply
+	var err error
+	l.Store.Inspect(func() {
+		switch c.Kind {
+		case manager.DeskReadBack:
+			if l.Book.Configuration == nil {
+				err = manager.ErrUnavailable{Part: "configuration", Reason: "none is known yet"}
+				return
+			}
+			reply.Document = l.Book.Configuration.Document
+		case manager.DeskWaveState:
+			w := l.Book.Waves[c.Wave.Wave]
+			if w == nil {
+				err = manager.ErrNotExist{Kind: "wave", Name: c.Path}
+				return
+			}
+			reply.Completed = w.Completed()
+		default:
+			err = manager.ErrInvalid{Field: "Kind", Reason: "is unknown: " + string(c.Kind)}
+		}
+	})
+	return l.checked(reply, err)
+}
+
+// checked returns what was read if the leadership still holds after the reading.
+func (l *Leader) checked(reply manager.DeskReply, err error) (manager.DeskReply, error) {
+	if !l.Serving() {
+		return manager.DeskReply{}, manager.ErrNotLeader{}
+	}
+	return reply, err
+}
+
+// locate returns the queue with the longest prefix of the path, and the rest of the path.
+func locate(f *manager.FleetConfiguration, host, path string) (manager.QueueSettings, manager.GraphID, error) {
+	if f == nil {
+		return manager.QueueSettings{}, "", manager.ErrUnavailable{Part: "configuration", Reason: "none is known yet"}
+	}
+	best := -1
+	for i, q := range f.Queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best < 0 || len(q.Prefix) > len(f.Queues[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return manager.QueueSettings{}, "", manager.ErrNotExist{Kind: "queue", Name: host + path}
+	}
+	return f.Queues[best], manager.GraphID(path[len(f.Queues[best].Prefix):]), nil
+}
--- /dev/null
+++ b/internal/coordinator/duties.go
@@ -0,0 +1,44 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+// dutyTimeout bounds one call to the platform, which may be slow.
+const dutyTimeout = 3 * time.Second
+
+// DutyCaller calls the platform's API for VMs.
+type DutyCaller interface {
+	// Perform orders a move or an upkeep.
+	Perform(ctx context.Context, d dispatcher.Duty) dispatcher.DutyOutcome
+	// List reads the list of VMs.
+	List(ctx context.Context) (dispatcher.Listing, error)
+}
+
+func (l *Leader) perform(d dispatcher.Duty) {
+	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
+	defer cancel()
+	r := dispatcher.DutyResult{Duty: d, Outcome: l.Duties.Perform(ctx, d)}
+	if err := l.inbox.add(dispatcher.Event{Duty: &r}, nil); err != nil {
+		klog.InfoS("Outcome of an order to the platform dropped", "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
+	}
+}
+
+func (l *Leader) list() {
+	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
+	defer cancel()
+	listing, err := l.Duties.List(ctx)
+	if err != nil {
+		klog.InfoS("Platform's list not read", "Reason", err.Error())
+		return
+	}
+	listing.At = l.Clock.Now()
+	if err := l.inbox.add(dispatcher.Event{Listing: &listing}, nil); err != nil {
+		klog.V(2).InfoS("Platform's list dropped", "Reason", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/coordinator/joiner.go
@@ -0,0 +1,157 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/finder"
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/internal/translator"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// PathJoin is the endpoint where a node with a disk asks to become a replica.
+const PathJoin = "/fleet/join"
+
+const (
+	// joinPeriod is the pause between two looks at the own membership.
+	joinPeriod = time.Second
+	// joinTimeout bounds one request to join; the change has to be committed.
+	joinTimeout = 2 * time.Second
+)
+
+// JoinRequest asks the leader to take in a replica.
+type JoinRequest struct {
+	Address          manager.Address
+	AvailabilityZone manager.AvailabilityZone
+	Disk             manager.DiskID
+	// Replica is the id that the disk holds, 0 for an empty one.
+	Replica manager.ReplicaID
+}
+
+// KindRemoved is the kind of the conflict that tells a replica that it was removed for good.
+const KindRemoved = "removed replica"
+
+// Join takes a replica into the group, one change at a time; the node asks again until it is a member.
+func (l *Leader) Join(ctx context.Context, q JoinRequest) error {
+	s := l.Store.Status()
+	for _, m := range s.Members.List {
+		if m.Disk == q.Disk {
+			return nil
+		}
+	}
+	if q.Replica != 0 && q.Replica <= s.Members.LastReplica {
+		return manager.ErrConflict{Kind: KindRemoved, Name: strconv.FormatUint(uint64(q.Replica), 10), Reason: "it needs an empty disk"}
+	}
+	for _, m := range s.Members.List {
+		if m.Address == q.Address {
+			klog.InfoS("Replica lost its disk", "Replica", m.Replica, "Address", m.Address, "Disk", m.Disk, "NewDisk", q.Disk)
+			return l.Store.RemoveReplica(ctx, m.Replica)
+		}
+	}
+	klog.InfoS("Replica joins", "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
+	return l.Store.AddReplica(ctx, manager.ReplicaMember{
+		Replica: s.Members.LastReplica + 1, Address: q.Address, AvailabilityZone: q.AvailabilityZone, Disk: q.Disk,
+	})
+}
+
+// dropReplaced removes a silent replica once another voter has come for it, so that it counts for no quorum.
+func (l *Leader) dropReplaced(ctx context.Context, founded int) {
+	s := l.Store.Status()
+	voters := 0
+	for _, m := range s.Members.List {
+		if m.Learner {
+			return
+		}
+		voters++
+	}
+	if voters <= founded || len(s.Silent) == 0 || (voters-len(s.Silent))*2 <= voters {
+		return
+	}
+	klog.InfoS("Silent replica removed", "Replica", s.Silent[0], "Voters", voters)
+	if err := l.Store.RemoveReplica(ctx, s.Silent[0]); err != nil {
+		klog.InfoS("Silent replica not removed", "Replica", s.Silent[0], "Reason", err.Error())
+	}
+}
+
+// Joiner keeps the local disk a member of the group.
+type Joiner struct {
+	Request JoinRequest
+	Store   *storer.Replicated
+	Leader  *Leader
+	Finder  *finder.Finder
+	HTTP    *http.Client
+	// Removed is called once the group has removed this disk for good.
+	Removed func()
+	// Founded is the least number of voters to keep.
+	Founded int
+}
+
+// Run asks to join until ctx ends.
+func (j *Joiner) Run(ctx context.Context) {
+	t := time.NewTicker(joinPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if j.Leader.Serving() {
+			j.Leader.dropReplaced(ctx, j.Founded)
+			continue
+		}
+		j.look(ctx)
+	}
+}
+
+func (j *Joiner) look(ctx context.Context) {
+	v := j.Finder.View()
+	if v.Leader == "" || v.Leader == j.Request.Address || len(v.Members) == 0 {
+		return
+	}
+	p := j.Store.Probe()
+	q := j.Request
+	q.Disk, q.Replica = p.Disk, p.Replica
+	if slices.ContainsFunc(v.Members, func(m manager.ReplicaMember) bool { return m.Disk == q.Disk }) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := j.post(ctx, v.Leader, q)
+	if err == nil {
+		return
+	}
+	klog.InfoS("Not joined yet", "Leader", v.Leader, "Disk", q.Disk, "Reason", err.Error())
+	if manager.IsErrConflict(err) && isRemoved(err) {
+		j.Removed()
+	}
+}
+
+func (j *Joiner) post(ctx context.Context, a manager.Address, q JoinRequest) error {
+	data, err := json.Marshal(q)
+	if err != nil {
+		return fmt.Errorf("encode request to join: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathJoin, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("create request to join: %w", err)
+	}
+	response, err := j.HTTP.Do(r)
+	if err != nil {
+		return fmt.Errorf("ask %s to join: %w", a, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return translator.ReadError(response)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/leader.go
@@ -0,0 +1,224 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
+)
+
+const (
+	// idlePause is the longest pause between two turns; leases and parked reports are looked at then.
+	idlePause = 40 * time.Millisecond
+	// gatherPause lets events gather for one commit; each commit costs a sync on every replica.
+	gatherPause = 6 * time.Millisecond
+	// commitTimeout bounds the wait for a commit; a leader without a quorum steps down earlier.
+	commitTimeout = 5 * time.Second
+)
+
+// outcome ends the wait of a call.
+type outcome struct {
+	reply manager.DeskReply
+	err   error
+}
+
+// Leader runs the dispatcher while the local replica leads.
+type Leader struct {
+	Clock   manager.Clock
+	Store   *storer.Replicated
+	Book    *recorder.Book
+	Options dispatcher.Options
+	Duties  DutyCaller
+
+	inbox   eventBox
+	calls   map[dispatcher.Ticket]chan outcome
+	current *dispatcher.Dispatcher
+	term    manager.Term
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// Init prepares the leader; it must be called before any other method.
+func (l *Leader) Init() {
+	l.calls = map[dispatcher.Ticket]chan outcome{}
+	l.inbox.wake = make(chan struct{}, 1)
+	l.stop, l.done = make(chan struct{}), make(chan struct{})
+}
+
+// Run takes events until Close.
+func (l *Leader) Run() {
+	defer close(l.done)
+	t := time.NewTimer(idlePause)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.stop:
+			l.depose("it is stopping")
+			return
+		case <-t.C:
+		case <-l.inbox.wake:
+			time.Sleep(gatherPause)
+		}
+		for l.turn() {
+		}
+		t.Reset(idlePause)
+	}
+}
+
+// Close ends Run and every call.
+func (l *Leader) Close() {
+	close(l.stop)
+	<-l.done
+}
+
+// PrepareStop refuses every call from now on, so that leadership can be handed over.
+func (l *Leader) PrepareStop() { l.inbox.prepareStop() }
+
+// Serving tells whether the local replica leads and a quorum confirmed that lately.
+func (l *Leader) Serving() bool {
+	_, ok := l.leadership()
+	return ok
+}
+
+// leadership returns the term if this replica is known to lead now.
+func (l *Leader) leadership() (manager.Term, bool) {
+	term, leads, confirmed := l.Store.Leadership()
+	limit := l.Store.Options.ElectionTimeout
+	if limit == 0 {
+		limit = replicator.DefaultElectionTimeout
+	}
+	return term, leads && confirmed != 0 && l.Clock.Now().Sub(confirmed) < limit && !l.inbox.stopping()
+}
+
+// turn runs one step and its commit; it returns whether something was committed.
+func (l *Leader) turn() bool {
+	term, ok := l.leadership()
+	if !ok {
+		if _, leads, _ := l.Store.Leadership(); !leads || l.inbox.stopping() {
+			l.depose("another replica leads")
+		}
+		return false
+	}
+	if l.current == nil || l.term != term {
+		l.depose("a new term began")
+		l.inbox.open()
+		l.term = term
+		l.Store.Inspect(func() {
+			l.current = dispatcher.New(l.Book, manager.OrderToken(term), l.Options, l.Clock.Now())
+		})
+		klog.InfoS("Dispatcher started", "Token", term, "Jobs", len(l.Book.Active()))
+	}
+	events := l.takeEvents()
+	var changes recorder.Changes
+	var answers []dispatcher.Answer
+	l.Store.Inspect(func() { changes, answers = l.current.Step(l.Clock.Now(), events) })
+	if changes.Empty() {
+		l.deliver(answers)
+		l.follow()
+		return false
+	}
+	l.deliver(answers)
+	if err := l.commit(changes); err != nil {
+		l.fail(err)
+		return false
+	}
+	l.Store.Inspect(func() { answers = l.current.Committed(l.Clock.Now()) })
+	l.deliver(answers)
+	l.follow()
+	return true
+}
+
+func (l *Leader) commit(c recorder.Changes) error {
+	data, err := recorder.Encode(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	return l.Store.ProposeEntry(ctx, data)
+}
+
+// fail ends the calls that wait for a commit which did not come, and starts over.
+func (l *Leader) fail(err error) {
+	klog.ErrorS(err, "Changes not committed", "Token", l.term)
+	forCommit, forOrders := l.current.Tickets()
+	for _, t := range forCommit {
+		l.end(t, outcome{err: err})
+	}
+	for _, t := range forOrders {
+		l.end(t, outcome{err: manager.ErrNotLeader{}})
+	}
+	l.current = nil
+}
+
+// depose ends every call, as this replica does not dispatch.
+func (l *Leader) depose(reason string) {
+	for _, e := range l.inbox.takeAndShut() {
+		l.calls[e.event.Ticket] = e.done
+	}
+	if l.current != nil {
+		klog.InfoS("Dispatcher ended", "Token", l.term, "Reason", reason)
+		forCommit, _ := l.current.Tickets()
+		for _, t := range forCommit {
+			l.end(t, outcome{err: manager.ErrOutcomeUnknown{}})
+		}
+	}
+	l.current = nil
+	for t := range l.calls {
+		l.end(t, outcome{err: manager.ErrNotLeader{}})
+	}
+}
+
+func (l *Leader) takeEvents() []dispatcher.Event {
+	list := l.inbox.take()
+	events := make([]dispatcher.Event, len(list))
+	for i, e := range list {
+		events[i] = e.event
+		if e.done != nil {
+			l.calls[e.event.Ticket] = e.done
+		}
+	}
+	return events
+}
+
+// deliver ends the calls that have an answer. Orders go out only while the leadership is known to hold.
+func (l *Leader) deliver(answers []dispatcher.Answer) {
+	if len(answers) == 0 {
+		return
+	}
+	_, leads := l.leadership()
+	for _, a := range answers {
+		o := outcome{err: a.Err, reply: manager.DeskReply{Orders: a.Orders}}
+		if a.Orders != nil && !leads {
+			o = outcome{err: manager.ErrNotLeader{}}
+		}
+		l.end(a.Ticket, o)
+	}
+}
+
+func (l *Leader) end(t dispatcher.Ticket, o outcome) {
+	done := l.calls[t]
+	delete(l.calls, t)
+	if done != nil {
+		done <- o
+	}
+}
+
+// follow does what a step left to do: log lines and calls to the platform.
+func (l *Leader) follow() {
+	for _, n := range l.current.Notes() {
+		klog.InfoS(n.Message, append(n.Fields, "Token", l.term)...)
+	}
+	for _, d := range l.current.Duties() {
+		go l.perform(d)
+	}
+	if l.current.WantsListing(l.Clock.Now()) {
+		go l.list()
+	}
+}
--- /dev/null
+++ b/internal/coordinator/node.go
@@ -0,0 +1,136 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/finder"
+	"github.com/mulberryhaven/mulberryhaven/internal/translator"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// PathCall is the endpoint for calls between nodes.
+const PathCall = "/fleet/call"
+
+const (
+	// attemptTimeout bounds one try at a leader; a commit takes a few disk syncs.
+	attemptTimeout = 900 * time.Millisecond
+	// retryPause is the pause between two tries.
+	retryPause = 60 * time.Millisecond
+	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
+	maxReplyBytes = 8 << 20
+	// readyAge is how long a node stays ready without a leader, as elections pass within it.
+	readyAge = 3 * manager.Second
+)
+
+// Node is the desk of one node: it answers calls where its replica leads and brings them to the
+// leader elsewhere.
+type Node struct {
+	Clock  manager.Clock
+	Finder *finder.Finder
+	HTTP   *http.Client
+	// Leader is nil on a node without a replica.
+	Leader *Leader
+	// Own is this node's peer address.
+	Own manager.Address
+
+	servedAt atomicTime
+}
+
+var _ manager.Desk = (*Node)(nil)
+
+// Call brings a call to the leader and tries again until ctx ends; every call may be repeated.
+func (n *Node) Call(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
+	sent := false
+	for {
+		reply, reached, err := n.try(ctx, c)
+		sent = sent || reached
+		if err == nil || final(err) {
+			n.servedAt.set(n.Clock.Now())
+			return reply, err
+		}
+		if reached && c.Kind == manager.DeskReport {
+			return reply, err
+		}
+		n.Finder.Refresh()
+		select {
+		case <-ctx.Done():
+			klog.InfoS("Call not answered", "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
+			if sent {
+				return reply, manager.ErrOutcomeUnknown{}
+			}
+			return reply, manager.ErrUnavailable{Part: "leader", Reason: "none was reached in time"}
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// final tells whether an error is the leader's own answer.
+func final(err error) bool {
+	return manager.IsErrInvalid(err) || manager.IsErrNotExist(err) || manager.IsErrConflict(err) ||
+		manager.IsErrOverloaded(err) || manager.IsErrUnavailable(err)
+}
+
+// try makes one attempt; reached says that the call may have been taken.
+func (n *Node) try(ctx context.Context, c manager.DeskCall) (reply manager.DeskReply, reached bool, err error) {
+	if n.Leader != nil && n.Leader.Serving() {
+		reply, err = n.Leader.Call(ctx, c)
+		return reply, !manager.IsErrNotLeader(err), err
+	}
+	leader := n.Finder.View().Leader
+	if leader == "" || leader == n.Own {
+		return reply, false, manager.ErrNotLeader{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	reply, err = n.post(ctx, leader, c)
+	var dial *net.OpError
+	refused := errors.As(err, &dial) && dial.Op == "dial"
+	return reply, !refused && !manager.IsErrNotLeader(err), err
+}
+
+func (n *Node) post(ctx context.Context, a manager.Address, c manager.DeskCall) (manager.DeskReply, error) {
+	var reply manager.DeskReply
+	data, err := json.Marshal(c)
+	if err != nil {
+		return reply, fmt.Errorf("encode call: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathCall, bytes.NewReader(data))
+	if err != nil {
+		return reply, fmt.Errorf("create call: %w", err)
+	}
+	// A body without GetBody keeps the transport from sending the call twice by itself.
+	r.GetBody = nil
+	response, err := n.HTTP.Do(r)
+	if err != nil {
+		return reply, fmt.Errorf("call %s: %w", a, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return reply, translator.ReadError(response)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
+		return reply, fmt.Errorf("decode reply: %w", err)
+	}
+	return reply, nil
+}
+
+// Ready returns why no call can be taken now, or nil.
+func (n *Node) Ready() error {
+	if n.Leader != nil && n.Leader.Serving() || n.Finder.View().Leader != "" {
+		n.servedAt.set(n.Clock.Now())
+	}
+	if n.Clock.Now().Sub(n.servedAt.get()) > readyAge {
+		return manager.ErrUnavailable{Part: "leader", Reason: "none is known"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/peers.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/finder"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// maxPeerBytes bounds the body of another node's call.
+const maxPeerBytes = 32 << 20
+
+func isRemoved(err error) bool {
+	e, ok := errors.AsType[manager.ErrConflict](err)
+	return ok && e.Kind == KindRemoved
+}
+
+// AddRoutes adds the endpoints for other nodes.
+func (n *Node) AddRoutes(e *echo.Echo) {
+	e.GET(finder.PathView, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Finder.View()) })
+	e.POST(PathCall, n.takeCall)
+	if n.Leader == nil {
+		return
+	}
+	e.POST(PathJoin, n.takeJoin)
+	e.POST(storer.PathReplicate, n.takeExchange)
+	e.POST(storer.PathProbe, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Leader.Store.Probe()) })
+}
+
+// takeCall answers another node's call here or not at all, so that calls never go in circles.
+func (n *Node) takeCall(c echo.Context) error {
+	var call manager.DeskCall
+	if err := listener.Decode(c, maxPeerBytes, &call); err != nil {
+		return err
+	}
+	if n.Leader == nil {
+		return manager.ErrNotLeader{}
+	}
+	reply, err := n.Leader.Call(c.Request().Context(), call)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, reply)
+}
+
+func (n *Node) takeJoin(c echo.Context) error {
+	var q JoinRequest
+	if err := listener.Decode(c, maxPeerBytes, &q); err != nil {
+		return err
+	}
+	if !n.Leader.Serving() {
+		return manager.ErrNotLeader{}
+	}
+	if err := n.Leader.Join(c.Request().Context(), q); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, struct{}{})
+}
+
+func (n *Node) takeExchange(c echo.Context) error {
+	var e storer.Exchange
+	if err := listener.Decode(c, maxPeerBytes, &e); err != nil {
+		return err
+	}
+	answer, err := n.Leader.Store.Exchange(c.Request().Context(), e)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
--- /dev/null
+++ b/internal/finder/doc.go
@@ -0,0 +1,2 @@
+// Package finder finds the leader of the replica group from the seeds and whoever else answers.
+package finder
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -44,6 +44,8 @@
 	Disk Disk
 	// SegmentBytes is the size after which a new segment begins; 0 stands for 8 MiB.
 	SegmentBytes int64
+	// MinFree is the room below which no change is taken; 0 stands for MinFreeBytes.
+	MinFree uint64
 
 	mu       sync.Mutex
 	hard     manager.HardState
@@ -253,8 +255,12 @@
 
 // HasRoom tells whether the disk has room for further changes.
 func (l *Log) HasRoom() bool {
+	limit := l.MinFree
+	if limit == 0 {
+		limit = MinFreeBytes
+	}
 	free, err := l.disk().FreeBytes(l.Folder)
-	return err == nil && free >= MinFreeBytes
+	return err == nil && free >= limit
 }
 
 // Close closes the log.
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -1,7 +1,6 @@
 package storer
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -16,7 +15,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := ready.Snapshot; s != nil {
-		if err := r.state.Restore(s.Data); err != nil {
+		if err := r.Machine.Restore(s.Data); err != nil {
 			return fmt.Errorf("restore snapshot: %w", err)
 		}
 		r.applied = s.Meta.Index
@@ -41,11 +40,10 @@
 	r.applied = e.Index
 	var result manager.Result
 	if e.Kind == manager.EntryCommand {
-		var c manager.Command
-		if err := json.Unmarshal(e.Data, &c); err != nil {
-			return fmt.Errorf("decode entry %d: %w", e.Index, err)
+		var err error
+		if result, err = r.Machine.Apply(e.Data); err != nil {
+			return fmt.Errorf("apply entry %d: %w", e.Index, err)
 		}
-		result = r.state.Apply(c)
 	}
 	p := r.proposals[e.Index]
 	if p == nil {
@@ -93,6 +91,7 @@
 	}
 	r.view.formed = true
 	r.view.status, r.view.leads = r.replica.Status(), r.replica.Leads()
+	r.view.status.Silent = r.replica.Silent(r.Clock.Now())
 	r.view.confirmed = 0
 	if at, ok := r.replica.Confirmed(); ok {
 		r.view.confirmed = at
@@ -105,7 +104,7 @@
 		return nil
 	}
 	meta := r.replica.SnapshotMeta(r.applied)
-	data, err := r.state.Snapshot()
+	data, err := r.Machine.Snapshot()
 	if err != nil {
 		return fmt.Errorf("take snapshot: %w", err)
 	}
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -16,10 +16,35 @@
 	if err != nil {
 		return manager.Result{}, fmt.Errorf("encode command: %w", err)
 	}
+	return r.submit(ctx, c.Command, data)
+}
+
+// ProposeEntry commits an entry for the Machine. It returns ErrOutcomeUnknown where the entry may or
+// may not be committed later.
+func (r *Replicated) ProposeEntry(ctx context.Context, data []byte) error {
+	_, err := r.submit(ctx, "", data)
+	return err
+}
+
+// Inspect calls f while nothing is applied; f may read the Machine's state.
+func (r *Replicated) Inspect(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// Leadership returns the replica's term, whether it leads, and when a quorum last confirmed that.
+func (r *Replicated) Leadership() (term manager.Term, leads bool, confirmed manager.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.status.Term, r.view.leads, r.view.confirmed
+}
+
+func (r *Replicated) submit(ctx context.Context, id manager.CommandID, data []byte) (manager.Result, error) {
 	if len(data) > maxCommandBytes {
 		return manager.Result{}, manager.ErrInvalid{Field: "Command", Reason: fmt.Sprintf("has %d bytes: at most %d are taken", len(data), maxCommandBytes)}
 	}
-	p := &proposal{command: c.Command, data: data, done: make(chan outcome, 1)}
+	p := &proposal{command: id, data: data, done: make(chan outcome, 1)}
 	if err := r.inbox.add(func(b *batch) { b.proposals = append(b.proposals, p) }); err != nil {
 		return manager.Result{}, err
 	}
@@ -27,7 +52,7 @@
 	case o := <-p.done:
 		return o.result, o.err
 	case <-ctx.Done():
-		return manager.Result{}, manager.ErrOutcomeUnknown{Command: c.Command}
+		return manager.Result{}, manager.ErrOutcomeUnknown{Command: id}
 	}
 }
 
@@ -156,7 +181,7 @@
 	if err != nil {
 		return fmt.Errorf("probe new replica: %w", err)
 	}
-	if a.Formed || a.Replica != m.Replica {
+	if a.Formed || a.Replica != 0 && a.Replica != m.Replica {
 		reason := fmt.Sprintf("at %s runs replica %d, in a group: %t", m.Address, a.Replica, a.Formed)
 		return manager.ErrConflict{Kind: "replica", Name: fmt.Sprint(m.Replica), Reason: reason}
 	}
--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		return fmt.Errorf("read identity: %w", err)
 	}
+	if ok && r.Replica == 0 {
+		r.Replica = id.Replica
+	}
 	if ok && id.Replica != r.Replica {
 		return fmt.Errorf("%s holds replica %d, the settings name %d: %w", r.Folder, id.Replica, r.Replica, ErrWrongFolder)
 	}
@@ -52,6 +55,7 @@
 	for _, in := range b.inbound {
 		for _, m := range in.messages {
 			if replicator.Belongs(r.identity, m) {
+				r.takeID(m.To)
 				return r.join(m.Group, replicator.Stored{})
 			}
 		}
@@ -60,6 +64,9 @@
 		c.run(now)
 	}
 	b.controls = nil
+	if len(r.Initial) == 0 {
+		return nil
+	}
 	members, ok := r.former.Found()
 	if !ok {
 		r.probeOthers(now)
@@ -74,6 +81,13 @@
 	return r.join(group, founded)
 }
 
+// takeID takes the id that the group gave to a disk without one.
+func (r *Replicated) takeID(id manager.ReplicaID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.identity.Replica, r.Replica = id, id
+}
+
 // join ties this disk to a group for good.
 func (r *Replicated) join(g manager.GroupID, stored replicator.Stored) error {
 	r.identity.Group = g
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -46,6 +46,10 @@
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery int
 	Options       replicator.Options
+	// Machine is the state that the log's commands change; nil stands for the applier's.
+	Machine Machine
+	// MinFreeBytes is the room on the disk below which no change is taken; 0 stands for the log's own.
+	MinFreeBytes uint64
 
 	// The driver's goroutine alone uses these.
 	identity  manager.ReplicaIdentity
@@ -90,6 +94,9 @@
 // Open reads the data folder and starts the driver.
 func (r *Replicated) Open() error {
 	r.state, r.changed = applier.New(), make(chan struct{})
+	if r.Machine == nil {
+		r.Machine = commandMachine{state: r.state}
+	}
 	r.proposals, r.reads = map[manager.Index]*proposal{}, map[replicator.ReadID]*readCall{}
 	r.stop, r.done, r.inbox.wake = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	if r.SnapshotEvery == 0 {
@@ -99,13 +106,13 @@
 		return err
 	}
 	r.diskID = r.identity.Disk
-	r.log = &journaler.Log{Folder: r.Folder, Disk: r.Disk}
+	r.log = &journaler.Log{Folder: r.Folder, Disk: r.Disk, MinFree: r.MinFreeBytes}
 	stored, data, err := r.log.Open()
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
 	if data != nil {
-		if err := r.state.Restore(data); err != nil {
+		if err := r.Machine.Restore(data); err != nil {
 			return errors.Join(fmt.Errorf("restore snapshot: %w", err), r.log.Close())
 		}
 	}
--- a/internal/translator/errors.go
+++ b/internal/translator/errors.go
@@ -24,6 +24,7 @@
 	CodeNotLeader     Code = "NotLeader"
 	CodeUnavailable   Code = "Unavailable"
 	CodeUnknown       Code = "OutcomeUnknown"
+	CodeOverloaded    Code = "Overloaded"
 	CodeUnauthorized  Code = "Unauthorized"
 	CodeInternal      Code = "Internal"
 )
@@ -47,6 +48,8 @@
 	Reason  string            `json:",omitempty"`
 	Leader  manager.Address   `json:",omitempty"`
 	Command manager.CommandID `json:",omitempty"`
+	// RetryAfterMs is when an overloaded part will have room.
+	RetryAfterMs manager.Duration `json:",omitempty"`
 	// Current is the profile that won against a stale version.
 	Current *manager.Profile `json:",omitempty"`
 }
@@ -69,6 +72,10 @@
 		b.Code, b.Kind, b.Reason = CodeUnavailable, e.Part, e.Reason
 		return http.StatusServiceUnavailable, b
 	}
+	if e, ok := errors.AsType[manager.ErrOverloaded](err); ok {
+		b.Code, b.RetryAfterMs = CodeOverloaded, e.RetryAfterMs
+		return http.StatusTooManyRequests, b
+	}
 	if errors.Is(err, ErrUnauthorized) {
 		b.Code = CodeUnauthorized
 		return http.StatusUnauthorized, b
@@ -118,6 +125,8 @@
 		return manager.ErrOutcomeUnknown{Command: b.Command}
 	case CodeUnavailable:
 		return manager.ErrUnavailable{Part: b.Kind, Reason: b.Reason}
+	case CodeOverloaded:
+		return manager.ErrOverloaded{RetryAfterMs: b.RetryAfterMs}
 	case CodeUnauthorized:
 		return ErrUnauthorized
 	default:
--- /dev/null
+++ b/pkg/manager/desk.go
@@ -0,0 +1,52 @@
+package manager
+
+import "context"
+
+// DeskCallKind tells the calls of a desk apart.
+type DeskCallKind string
+
+// Kinds of calls.
+const (
+	DeskSubmit    DeskCallKind = "submit"
+	DeskState     DeskCallKind = "state"
+	DeskCancel    DeskCallKind = "cancel"
+	DeskPending   DeskCallKind = "pending"
+	DeskReport    DeskCallKind = "report"
+	DeskLeave     DeskCallKind = "leave"
+	DeskConfigure DeskCallKind = "configure"
+	DeskReadBack  DeskCallKind = "read-back"
+	DeskWave      DeskCallKind = "wave"
+	DeskWaveState DeskCallKind = "wave-state"
+)
+
+// DeskCall is a call of a caller, a worker or an operator; Kind says which fields count.
+type DeskCall struct {
+	Kind DeskCallKind
+	// Host and Path select the queue of a caller's request; what follows the queue's prefix in Path is
+	// the job's id.
+	Host string `json:",omitempty"`
+	Path string `json:",omitempty"`
+	// Graph comes without its id and queue.
+	Graph         *Graph              `json:",omitempty"`
+	Report        *WorkerReport       `json:",omitempty"`
+	Life          *WorkerLife         `json:",omitempty"`
+	Configuration *FleetConfiguration `json:",omitempty"`
+	Wave          *UpkeepWave         `json:",omitempty"`
+}
+
+// DeskReply is the answer to a call that was taken.
+type DeskReply struct {
+	State     GraphState    `json:",omitempty"`
+	Pending   int           `json:",omitempty"`
+	Orders    *WorkerOrders `json:",omitempty"`
+	Document  []byte        `json:",omitempty"`
+	Completed bool          `json:",omitempty"`
+}
+
+// Desk takes calls, wherever the dispatcher runs. ErrOverloaded, ErrNotExist, ErrInvalid and
+// ErrUnavailable say that nothing was done, ErrOutcomeUnknown that it may have been.
+type Desk interface {
+	Call(ctx context.Context, c DeskCall) (DeskReply, error)
+	// Ready returns why no call can be taken now, or nil.
+	Ready() error
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/admission.go
@@ -0,0 +1,97 @@
+package dispatcher
+
+import (
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// keepRefused is how long a copy of a refused submit may still be on its way.
+	keepRefused = 10 * manager.Second
+	// retryAfter is the least pause that a refused caller is asked for.
+	retryAfter = 1 * manager.Second
+)
+
+// submit takes a job, or refuses it at once where it could not be served in time.
+func (d *Dispatcher) submit(now manager.Time, t Ticket, g manager.Graph, c *recorder.Changes) []Answer {
+	refuse := func(err error) []Answer { return []Answer{{Ticket: t, Err: err}} }
+	if d.Book.Jobs[g.Graph] != nil {
+		return []Answer{{Ticket: t}}
+	}
+	if at, ok := d.refused[g.Graph]; ok && now < at {
+		return refuse(manager.ErrOverloaded{RetryAfterMs: at.Sub(now)})
+	}
+	if d.Book.Configuration == nil {
+		return refuse(manager.ErrUnavailable{Part: "configuration", Reason: "none is known yet"})
+	}
+	q, ok := d.Book.Configuration.Queue(g.Queue)
+	if !ok {
+		return refuse(manager.ErrNotExist{Kind: "queue", Name: string(g.Queue)})
+	}
+	if q.Advised {
+		return refuse(manager.ErrInvalid{Field: "Queue", Reason: "queues with an advisor are not supported yet"})
+	}
+	if err := g.Validate(); err != nil {
+		return refuse(err)
+	}
+	if wait := d.overload(now, g, q); wait > 0 {
+		d.refused[g.Graph] = now.Add(wait)
+		d.note("job refused", "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run")
+		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
+	}
+	c.Submit = append(c.Submit, g)
+	d.note("job accepted", "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.Book.Configuration.Version)
+	return d.await(t)
+}
+
+// overload returns after which time a job that can't be served in time may come again, or 0.
+func (d *Dispatcher) overload(now manager.Time, g manager.Graph, q manager.QueueSettings) manager.Duration {
+	for id, at := range d.refused {
+		if now.Sub(at) > keepRefused {
+			delete(d.refused, id)
+		}
+	}
+	if g.Steps[0].Lasting {
+		return 0
+	}
+	free := d.freeProcessors(now, q.Pool)
+	if free == 0 {
+		return 0
+	}
+	backlog := 0.0
+	for _, j := range d.Book.Active() {
+		if !j.Lasting() && d.poolOf(j) == q.Pool {
+			backlog += d.times.work(j)
+		}
+	}
+	for _, s := range d.inFlight.Submit {
+		if s.Queue == g.Queue {
+			backlog += d.times.graphWork(s)
+		}
+	}
+	wait := manager.Duration(backlog / free)
+	probe := &recorder.Job{Graph: g, Accepted: now}
+	slack := d.objective(probe).Sub(now) - d.times.chainOf(g)
+	if wait <= slack {
+		return 0
+	}
+	return max(retryAfter, wait-slack)
+}
+
+// freeProcessors returns the millicores of a pool that lasting tasks leave.
+func (d *Dispatcher) freeProcessors(now manager.Time, p manager.PoolID) float64 {
+	total := 0.0
+	for _, w := range d.workers {
+		if w.latest.Pool != p || w.latest.Draining || w.health.distrusted(now) || now > w.lapsedUntil {
+			continue
+		}
+		free := w.latest.Capacity.ProcessorMilliCores
+		for id := range d.Book.Runs(w.life) {
+			if j := d.Book.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Lasting {
+				free -= stepRoom(j.Steps[id.Step]).ProcessorMilliCores
+			}
+		}
+		total += max(0, float64(free))
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -0,0 +1,255 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+// Ticket names a caller that waits for an answer.
+type Ticket uint64
+
+// Event is something that a caller brings; exactly one body is set.
+type Event struct {
+	Ticket    Ticket
+	Report    *manager.WorkerReport
+	Leave     *manager.WorkerLife
+	Submit    *manager.Graph
+	Cancel    *manager.GraphID
+	Configure *manager.FleetConfiguration
+	Wave      *manager.UpkeepWave
+	Duty      *DutyResult
+	Listing   *Listing
+}
+
+// Answer ends the wait of a caller.
+type Answer struct {
+	Ticket Ticket
+	// Orders answer a worker's report.
+	Orders *manager.WorkerOrders
+	// Err is the refusal of anything else, nil where it was taken.
+	Err error
+}
+
+// Options bound the dispatcher; zero fields get the defaults.
+type Options struct {
+	// LeaseMs is the time that a worker goes on without being heard.
+	LeaseMs manager.Duration
+	// ParkIdleMs and ParkBusyMs are how long a report waits for an order: the first at a worker
+	// without finite tasks, the second at one whose tasks may end meanwhile.
+	ParkIdleMs manager.Duration
+	ParkBusyMs manager.Duration
+	// NextMs is the pause between the reports of a worker without room.
+	NextMs manager.Duration
+	// StopMs bounds the time that a worker takes to stop a run.
+	StopMs manager.Duration
+	// DutyGapMs is the least time between the orders of two dispatchers for one VM.
+	DutyGapMs manager.Duration
+	// Address is where workers reach this dispatcher.
+	Address manager.Address
+}
+
+// Defaults of Options.
+const (
+	// DefaultLease outlives an election and a restart of all replicas at once.
+	DefaultLease    = 6 * manager.Second
+	DefaultParkIdle = 600 * manager.Millisecond
+	DefaultParkBusy = 150 * manager.Millisecond
+	DefaultNext     = 300 * manager.Millisecond
+	DefaultStop     = 900 * manager.Millisecond
+	DefaultDutyGap  = 3 * manager.Second
+)
+
+// Dispatcher is not safe for concurrent use; a new leader makes a new one.
+type Dispatcher struct {
+	Book *recorder.Book
+	// Token is the fencing token of this dispatcher's orders.
+	Token   manager.OrderToken
+	Options Options
+	Began   manager.Time
+
+	workers map[manager.WorkerID]*worker
+	// byVM is the latest life of each VM.
+	byVM map[manager.VMID]*worker
+	// byAddress is the latest life at each address.
+	byAddress map[manager.Address]*worker
+	waiting   []waitingCaller
+	// refused remembers refused jobs, so that a delayed copy of a refused submit is refused too.
+	refused  map[manager.GraphID]manager.Time
+	times    estimator
+	upkeep   upkeep
+	notes    []Note
+	inFlight recorder.Changes
+	duties   []Duty
+}
+
+// waitingCaller waits for the commit of the changes in flight.
+type waitingCaller struct {
+	ticket Ticket
+	err    error
+}
+
+// Note is a decision for the log.
+type Note struct {
+	Message string
+	Fields  []any
+}
+
+// New returns a dispatcher for a leader's term.
+func New(b *recorder.Book, token manager.OrderToken, o Options, now manager.Time) *Dispatcher {
+	orDefault(&o.LeaseMs, DefaultLease)
+	orDefault(&o.ParkIdleMs, DefaultParkIdle)
+	orDefault(&o.ParkBusyMs, DefaultParkBusy)
+	orDefault(&o.NextMs, DefaultNext)
+	orDefault(&o.StopMs, DefaultStop)
+	orDefault(&o.DutyGapMs, DefaultDutyGap)
+	return &Dispatcher{
+		Book: b, Token: token, Options: o, Began: now,
+		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
+		byAddress: map[manager.Address]*worker{}, refused: map[manager.GraphID]manager.Time{},
+	}
+}
+
+func orDefault(v *manager.Duration, d manager.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Step takes events and returns the changes to commit, and the answers that need no commit. Committed
+// or Abandoned must follow before the next Step.
+func (d *Dispatcher) Step(now manager.Time, events []Event) (recorder.Changes, []Answer) {
+	c := recorder.Changes{At: now}
+	var answers []Answer
+	for _, e := range events {
+		answers = append(answers, d.take(now, e, &c)...)
+	}
+	d.expire(now, &c)
+	d.stepUpkeep(now, &c)
+	d.place(now, &c)
+	d.inFlight = c
+	if c.Empty() {
+		answers = append(answers, d.answerWorkers(now)...)
+	}
+	return c, answers
+}
+
+func (d *Dispatcher) take(now manager.Time, e Event, c *recorder.Changes) []Answer {
+	switch {
+	case e.Report != nil:
+		return d.report(now, e.Ticket, *e.Report, c)
+	case e.Leave != nil:
+		d.leave(*e.Leave, c)
+	case e.Submit != nil:
+		return d.submit(now, e.Ticket, *e.Submit, c)
+	case e.Cancel != nil:
+		return d.cancel(e.Ticket, *e.Cancel, c)
+	case e.Configure != nil:
+		return d.configure(e.Ticket, e.Configure, c)
+	case e.Wave != nil:
+		return d.wave(e.Ticket, *e.Wave, c)
+	case e.Duty != nil:
+		d.takeDuty(now, *e.Duty, c)
+	case e.Listing != nil:
+		d.takeListing(*e.Listing, c)
+	}
+	return []Answer{{Ticket: e.Ticket}}
+}
+
+// Committed says that the changes of the latest Step are applied to the book.
+func (d *Dispatcher) Committed(now manager.Time) []Answer {
+	var answers []Answer
+	for _, w := range d.waiting {
+		answers = append(answers, Answer{Ticket: w.ticket, Err: w.err})
+	}
+	d.waiting = nil
+	d.confirmDuties()
+	for _, s := range d.inFlight.Start {
+		d.note("task placed", "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", s.Life.Worker)
+	}
+	d.inFlight = recorder.Changes{}
+	return append(answers, d.answerWorkers(now)...)
+}
+
+// Tickets returns those that wait for a commit or an order; a dispatcher that steps down ends them.
+func (d *Dispatcher) Tickets() (forCommit, forOrders []Ticket) {
+	for _, w := range d.waiting {
+		forCommit = append(forCommit, w.ticket)
+	}
+	for _, w := range d.sorted() {
+		if w.parked {
+			forOrders = append(forOrders, w.ticket)
+		}
+	}
+	return forCommit, forOrders
+}
+
+// Duties returns the calls to the platform that the latest commit allows.
+func (d *Dispatcher) Duties() []Duty {
+	list := d.duties
+	d.duties = nil
+	return list
+}
+
+// Notes returns the decisions since the last call.
+func (d *Dispatcher) Notes() []Note {
+	list := d.notes
+	d.notes = nil
+	return list
+}
+
+func (d *Dispatcher) note(message string, fields ...any) {
+	d.notes = append(d.notes, Note{Message: message, Fields: fields})
+}
+
+func (d *Dispatcher) await(t Ticket) []Answer {
+	d.waiting = append(d.waiting, waitingCaller{ticket: t})
+	return nil
+}
+
+func (d *Dispatcher) cancel(t Ticket, id manager.GraphID, c *recorder.Changes) []Answer {
+	j := d.Book.Jobs[id]
+	switch {
+	case j == nil:
+		return []Answer{{Ticket: t, Err: manager.ErrNotExist{Kind: "job", Name: string(id)}}}
+	case j.State.Ended():
+		return []Answer{{Ticket: t}}
+	}
+	c.Cancel = append(c.Cancel, id)
+	d.note("job cancelled", "RequestID", id, "Open", j.Open())
+	return d.await(t)
+}
+
+func (d *Dispatcher) configure(t Ticket, f *manager.FleetConfiguration, c *recorder.Changes) []Answer {
+	held := d.Book.Configuration
+	if held != nil && f.Version <= held.Version {
+		d.note("configuration overtaken", "Version", f.Version, "Held", held.Version)
+		return []Answer{{Ticket: t}}
+	}
+	if c.Configure == nil || c.Configure.Version < f.Version {
+		c.Configure = f
+	}
+	d.note("configuration taken", "Version", f.Version, "Queues", len(f.Queues))
+	return d.await(t)
+}
+
+func (d *Dispatcher) wave(t Ticket, w manager.UpkeepWave, c *recorder.Changes) []Answer {
+	if d.Book.Waves[w.Wave] != nil {
+		return []Answer{{Ticket: t}}
+	}
+	c.Wave = append(c.Wave, w)
+	d.note("wave taken", "Wave", w.Wave, "VMs", len(w.VMs), "Cap", w.Cap, "DurationMs", w.DurationMs)
+	return d.await(t)
+}
+
+// sorted returns the workers in the order of their ids.
+func (d *Dispatcher) sorted() []*worker {
+	list := make([]*worker, 0, len(d.workers))
+	for _, w := range d.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.life.Worker, b.life.Worker) })
+	return list
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/estimator.go
@@ -0,0 +1,120 @@
+package dispatcher
+
+import (
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// learnRate is the weight of the newest run in a queue's mean.
+	learnRate = 0.05
+	// fewRuns is the number of runs below which the caller's estimate counts as much as the mean.
+	fewRuns = 8
+	// unknownTask stands for the time of a task that nothing is known of.
+	unknownTask = 1000 * manager.Millisecond
+)
+
+// estimator learns how long the tasks of each queue run.
+type estimator struct {
+	queues map[manager.QueueID]*queueTimes
+}
+
+// queueTimes are the learned times of a queue's finite tasks.
+type queueTimes struct {
+	runs   int
+	meanMs float64
+	// ratio is the mean of measured time over the caller's estimate.
+	ratio float64
+}
+
+func (e *estimator) learn(q manager.QueueID, estimate, ran manager.Duration) {
+	t := e.queues[q]
+	if t == nil {
+		t = &queueTimes{}
+		e.queues[q] = t
+	}
+	t.runs++
+	rate := max(learnRate, 1/float64(t.runs))
+	t.meanMs += (float64(ran) - t.meanMs) * rate
+	if estimate > 0 {
+		t.ratio += (float64(ran)/float64(estimate) - t.ratio) * rate
+	}
+}
+
+// task returns the expected time of a task of the step.
+func (e *estimator) task(q manager.QueueID, s manager.GraphStep) manager.Duration {
+	t := e.queues[q]
+	switch {
+	case t == nil || t.runs == 0:
+		return manager.Duration(max(float64(s.EstimateMs), float64(unknownTask)))
+	case s.EstimateMs == 0:
+		return manager.Duration(t.meanMs)
+	case t.runs < fewRuns:
+		return manager.Duration((t.meanMs + float64(s.EstimateMs)) / 2)
+	}
+	return manager.Duration((t.meanMs + float64(s.EstimateMs)*t.ratio) / 2)
+}
+
+// chain returns the expected time of the longest chain of steps that is left of a job.
+func (e *estimator) chain(j *recorder.Job) manager.Duration {
+	longest := make([]manager.Duration, len(j.Steps))
+	var total manager.Duration
+	for i, s := range j.Steps {
+		if j.Left(i) > 0 {
+			longest[i] = e.task(j.Queue, s)
+		}
+		var before manager.Duration
+		for _, n := range s.Needs {
+			before = max(before, longest[n])
+		}
+		longest[i] += before
+		total = max(total, longest[i])
+	}
+	return total
+}
+
+// work returns the expected processor time of a job's tasks that are not done, in millicore-milliseconds.
+func (e *estimator) work(j *recorder.Job) float64 {
+	total := 0.0
+	for i, s := range j.Steps {
+		total += float64(j.Left(i)) * float64(s.Room.ProcessorMilliCores) * float64(e.task(j.Queue, s))
+	}
+	return total
+}
+
+// learnEnd takes the time of a run that ended done.
+func (d *Dispatcher) learnEnd(now manager.Time, w *worker, e manager.EndedRun, r *recorder.Run) {
+	j := d.Book.Jobs[e.Task.Graph]
+	if j == nil {
+		return
+	}
+	w.health.take(now, e.How)
+	s := j.Steps[e.Task.Step]
+	if e.How == manager.RunDone && !s.Lasting && !j.State.Ended() {
+		d.times.learn(j.Queue, s.EstimateMs, now.Sub(r.At))
+	}
+}
+
+// graphWork is work for a job that is not taken yet.
+func (e *estimator) graphWork(g manager.Graph) float64 {
+	total := 0.0
+	for _, s := range g.Steps {
+		total += float64(s.Count) * float64(s.Room.ProcessorMilliCores) * float64(e.task(g.Queue, s))
+	}
+	return total
+}
+
+// chainOf is chain for a job that is not taken yet.
+func (e *estimator) chainOf(g manager.Graph) manager.Duration {
+	longest := make([]manager.Duration, len(g.Steps))
+	var total manager.Duration
+	for i, s := range g.Steps {
+		var before manager.Duration
+		for _, n := range s.Needs {
+			before = max(before, longest[n])
+		}
+		longest[i] = before + e.task(g.Queue, s)
+		total = max(total, longest[i])
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/orders.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// answerWorkers answers the parked reports that have an order to carry or have waited long enough.
+func (d *Dispatcher) answerWorkers(now manager.Time) []Answer {
+	var answers []Answer
+	for _, w := range d.sorted() {
+		if !w.parked {
+			continue
+		}
+		o, urgent := d.orders(now, w)
+		if !urgent && now.Sub(w.parkedAt) < d.patience(w) {
+			continue
+		}
+		w.parked, w.ending, w.paceOrders = false, false, nil
+		w.lapsedUntil = max(w.lapsedUntil, w.parkedAt.Add(d.leaseEnd()))
+		answers = append(answers, Answer{Ticket: w.ticket, Orders: o})
+	}
+	return answers
+}
+
+// patience is how long a report may wait for an order.
+func (d *Dispatcher) patience(w *worker) manager.Duration {
+	if w.latest.Draining {
+		return 0
+	}
+	busy := false
+	for id := range d.Book.Runs(w.life) {
+		if j := d.Book.Jobs[id.Graph]; j == nil || !j.Steps[id.Step].Lasting {
+			busy = true
+			break
+		}
+	}
+	if busy {
+		return d.Options.ParkBusyMs
+	}
+	return d.Options.ParkIdleMs
+}
+
+// orders returns the answer to a worker's latest report and whether it should go out at once.
+func (d *Dispatcher) orders(now manager.Time, w *worker) (*manager.WorkerOrders, bool) {
+	o := &manager.WorkerOrders{
+		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.Options.Address, NextMs: d.Options.NextMs,
+	}
+	urgent := len(w.latest.Ended) > 0
+	o.Stop = d.stops(now, w)
+	o.Pace = w.paceOrders
+	runs := d.Book.Runs(w.life)
+	for _, id := range sortedTasks(runs) {
+		r := runs[id]
+		j, t := d.Book.Task(id)
+		if _, ok := w.running[id]; ok || t == nil || j.State.Ended() {
+			continue
+		}
+		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved})
+	}
+	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Pace) > 0
+}
+
+// stops lists the runs that must not go on: those of ended jobs, those that the book has closed and
+// those that upkeep or a stall calls back.
+func (d *Dispatcher) stops(now manager.Time, w *worker) []manager.StopOrder {
+	var list []manager.StopOrder
+	add := func(id manager.TaskID, n manager.RunNumber) {
+		if at, ok := w.sentStop[id]; ok && now.Sub(at) < d.Options.StopMs {
+			return
+		}
+		list = append(list, manager.StopOrder{Task: id, Run: n})
+	}
+	for id, r := range w.running {
+		j, _ := d.Book.Task(id)
+		open := d.Book.OpenRun(id, r.Run)
+		if open == nil || open.Life != w.life || j.State.Ended() || d.recalled(w, id) {
+			add(id, r.Run)
+		}
+	}
+	for id, r := range d.Book.Runs(w.life) {
+		if _, ok := w.running[id]; !ok && d.Book.Jobs[id.Graph].State.Ended() {
+			add(id, r.Number)
+		}
+	}
+	slices.SortFunc(list, func(a, b manager.StopOrder) int { return compareTasks(a.Task, b.Task) })
+	for _, s := range list {
+		w.sentStop[s.Task] = now
+		d.note("run stopped", "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", w.life.Worker)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/pacing.go
@@ -0,0 +1,61 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	// tailLowPercent of its target is the tail under which a serving task leaves room for fillers.
+	tailLowPercent = 70
+	// paceUp and paceDown are the steps of a filler's share.
+	paceUp = 10
+	// paceFloor is the least share of a filler; 0 stops its work but keeps its memory.
+	paceFloor = 0
+)
+
+// paces lowers the fillers of a worker while a serving task is near its target, and raises them slowly.
+// It takes one step for each report.
+func (d *Dispatcher) paces(w *worker) []manager.PaceOrder {
+	var fillers []manager.TaskID
+	worst := manager.Percent(0)
+	for id, r := range w.running {
+		j := d.Book.Jobs[id.Graph]
+		if j == nil || j.State.Ended() {
+			continue
+		}
+		s := j.Steps[id.Step]
+		switch {
+		case s.Filler:
+			fillers = append(fillers, id)
+		case s.TailTargetMs > 0:
+			worst = max(worst, manager.Percent(r.Gauge*100/int64(s.TailTargetMs)))
+		}
+	}
+	slices.SortFunc(fillers, compareTasks)
+	var list []manager.PaceOrder
+	for _, id := range fillers {
+		share, known := w.pace[id]
+		if !known {
+			share = 100
+		}
+		next := share
+		switch {
+		case worst >= 100:
+			next = max(paceFloor, share/2-paceUp)
+		case worst > tailLowPercent:
+			next = max(paceFloor, share-paceUp)
+		default:
+			next = min(100, share+paceUp)
+		}
+		if next == share && known {
+			continue
+		}
+		w.pace[id] = next
+		if next != share {
+			list = append(list, manager.PaceOrder{Task: id, Run: w.running[id].Run, Share: next})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -0,0 +1,250 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// dutyRetry is the pause before an order to the platform that was not taken goes out again.
+	dutyRetry = 500 * manager.Millisecond
+	// listingPeriod is the pause between two readings of the platform's VMs while a wave misses some.
+	listingPeriod = 2 * manager.Second
+	// evacuateAhead is how many VMs beyond a wave's cap are emptied in advance.
+	evacuateAhead = 2
+)
+
+// Duty is an order to the platform for one VM; Pool is set for a move, Wave for an upkeep.
+type Duty struct {
+	VM    manager.VMID
+	Wave  uint64
+	Pool  manager.PoolID
+	Token manager.OrderToken
+}
+
+// DutyOutcome is what came of an order to the platform.
+type DutyOutcome string
+
+// Outcomes of orders.
+const (
+	DutyTaken DutyOutcome = "taken"
+	// DutyBusy says that the VM can't take the order now.
+	DutyBusy DutyOutcome = "busy"
+	// DutyFenced says that a later dispatcher has ordered for the VM.
+	DutyFenced DutyOutcome = "fenced"
+	// DutyVoid says that the order can never be taken: no such VM, or none of that wave.
+	DutyVoid DutyOutcome = "void"
+	// DutyUnclear says that the platform may have taken the order.
+	DutyUnclear DutyOutcome = "unclear"
+)
+
+// DutyResult reports an outcome.
+type DutyResult struct {
+	Duty    Duty
+	Outcome DutyOutcome
+}
+
+// Listing is the platform's list of VMs.
+type Listing struct {
+	At  manager.Time
+	VMs map[manager.VMID]ListedVM
+}
+
+// ListedVM is a VM of the list.
+type ListedVM struct {
+	Pool manager.PoolID
+	Up   bool
+}
+
+// upkeep is what a dispatcher keeps of waves besides the book.
+type upkeep struct {
+	calling  map[manager.VMID]bool
+	retryAt  map[manager.VMID]manager.Time
+	fenced   map[manager.VMID]bool
+	recalls  map[manager.TaskID]manager.RunNumber
+	listedAt manager.Time
+	wanted   bool
+}
+
+func (u *upkeep) init() {
+	if u.calling == nil {
+		u.calling, u.retryAt = map[manager.VMID]bool{}, map[manager.VMID]manager.Time{}
+		u.fenced, u.recalls = map[manager.VMID]bool{}, map[manager.TaskID]manager.RunNumber{}
+	}
+}
+
+// stepUpkeep empties the VMs that are due, orders their upkeep within the cap and notes their return.
+func (d *Dispatcher) stepUpkeep(now manager.Time, c *recorder.Changes) {
+	d.upkeep.init()
+	d.upkeep.wanted = false
+	for _, w := range d.workers {
+		w.evacuating = false
+	}
+	for _, id := range d.waves() {
+		d.stepWave(now, d.Book.Waves[id], c)
+	}
+	d.recall(now)
+}
+
+// waves returns the waves that are not completed, in order.
+func (d *Dispatcher) waves() []uint64 {
+	var list []uint64
+	for id, w := range d.Book.Waves {
+		if !w.Completed() {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (d *Dispatcher) stepWave(now manager.Time, wave *recorder.Wave, c *recorder.Changes) {
+	down := 0
+	for _, vm := range wave.VMs {
+		switch wave.State[vm] {
+		case recorder.UpkeepOrdered:
+			down++
+			d.keepEmpty(vm)
+			d.orderAgain(now, wave, vm)
+		case recorder.UpkeepBegun:
+			if w := d.byVM[vm]; w != nil && w.life.Born > wave.Born[vm] {
+				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
+				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
+				continue
+			}
+			down++
+			d.keepEmpty(vm)
+			d.upkeep.wanted = true
+		}
+	}
+	if now.Sub(d.Began) < d.Options.DutyGapMs {
+		return
+	}
+	evacuating := 0
+	for _, vm := range d.upkeepOrder(wave) {
+		if evacuating >= wave.Cap+evacuateAhead {
+			return
+		}
+		w := d.byVM[vm]
+		if w == nil {
+			d.upkeep.wanted = true
+			if d.upkeep.retryAt[vm] < now && down < wave.Cap && d.absentLong(now) {
+				down++
+				d.order(wave, vm, 0, c)
+			}
+			continue
+		}
+		evacuating++
+		w.evacuating = true
+		if down < wave.Cap && now >= d.upkeep.retryAt[vm] && d.empty(w) {
+			down++
+			d.order(wave, vm, w.life.Born, c)
+		}
+	}
+}
+
+// keepEmpty bars starts on a VM that is ordered away.
+func (d *Dispatcher) keepEmpty(vm manager.VMID) {
+	if w := d.byVM[vm]; w != nil {
+		w.evacuating = true
+	}
+}
+
+// absentLong tells whether every worker that lives has had time to report to this dispatcher.
+func (d *Dispatcher) absentLong(now manager.Time) bool { return now.Sub(d.Began) > d.leaseEnd() }
+
+func (d *Dispatcher) empty(w *worker) bool {
+	return len(d.Book.Runs(w.life)) == 0 && len(w.running) == 0
+}
+
+// upkeepOrder returns the VMs that wait, those with the least work first.
+func (d *Dispatcher) upkeepOrder(wave *recorder.Wave) []manager.VMID {
+	var list []manager.VMID
+	load := map[manager.VMID]int{}
+	for _, vm := range wave.VMs {
+		if wave.State[vm] != recorder.UpkeepWaiting {
+			continue
+		}
+		list = append(list, vm)
+		if w := d.byVM[vm]; w != nil {
+			load[vm] = len(d.Book.Runs(w.life))
+		}
+	}
+	slices.SortStableFunc(list, func(a, b manager.VMID) int { return cmp.Compare(load[a], load[b]) })
+	return list
+}
+
+func (d *Dispatcher) order(wave *recorder.Wave, vm manager.VMID, born manager.Time, c *recorder.Changes) {
+	c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepOrdered, Born: born})
+	d.note("upkeep ordered", "VM", vm, "Wave", wave.Wave, "Born", born)
+}
+
+// confirmDuties emits the calls for the orders of the latest commit.
+func (d *Dispatcher) confirmDuties() {
+	for _, u := range d.inFlight.Upkeep {
+		if u.State == recorder.UpkeepOrdered {
+			d.call(Duty{VM: u.VM, Wave: u.Wave, Token: d.Token})
+		}
+	}
+}
+
+func (d *Dispatcher) call(duty Duty) {
+	d.upkeep.calling[duty.VM] = true
+	d.duties = append(d.duties, duty)
+}
+
+// orderAgain repeats an order whose outcome is not known, as a predecessor's may have been lost.
+func (d *Dispatcher) orderAgain(now manager.Time, wave *recorder.Wave, vm manager.VMID) {
+	if d.upkeep.calling[vm] || d.upkeep.fenced[vm] || now < d.upkeep.retryAt[vm] || now.Sub(d.Began) < d.Options.DutyGapMs {
+		return
+	}
+	if w := d.byVM[vm]; w != nil && !d.empty(w) && w.life.Born <= wave.Born[vm] {
+		return
+	}
+	d.call(Duty{VM: vm, Wave: wave.Wave, Token: d.Token})
+}
+
+func (d *Dispatcher) takeDuty(now manager.Time, r DutyResult, c *recorder.Changes) {
+	d.upkeep.init()
+	delete(d.upkeep.calling, r.Duty.VM)
+	d.note("platform answered", "VM", r.Duty.VM, "Wave", r.Duty.Wave, "Pool", r.Duty.Pool, "Outcome", r.Outcome, "Token", r.Duty.Token)
+	change := recorder.Upkeep{Wave: r.Duty.Wave, VM: r.Duty.VM}
+	switch r.Outcome {
+	case DutyTaken:
+		change.State = recorder.UpkeepBegun
+		c.Upkeep = append(c.Upkeep, change)
+	case DutyVoid:
+		change.State = recorder.UpkeepDone
+		c.Upkeep = append(c.Upkeep, change)
+	case DutyFenced:
+		d.upkeep.fenced[r.Duty.VM] = true
+	default:
+		d.upkeep.retryAt[r.Duty.VM] = now.Add(dutyRetry)
+	}
+}
+
+// WantsListing tells whether the platform's list of VMs should be read now.
+func (d *Dispatcher) WantsListing(now manager.Time) bool {
+	if !d.upkeep.wanted || now.Sub(d.upkeep.listedAt) < listingPeriod {
+		return false
+	}
+	d.upkeep.listedAt = now
+	return true
+}
+
+// takeListing ends the upkeep of VMs that are gone for good.
+func (d *Dispatcher) takeListing(l Listing, c *recorder.Changes) {
+	for _, id := range d.waves() {
+		wave := d.Book.Waves[id]
+		for _, vm := range wave.VMs {
+			if _, ok := l.VMs[vm]; ok || wave.State[vm] == recorder.UpkeepDone || d.byVM[vm] != nil {
+				continue
+			}
+			c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: id, VM: vm, State: recorder.UpkeepDone})
+			d.note("VM gone", "VM", vm, "Wave", id, "ListedAt", l.At)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/worker.go
@@ -0,0 +1,281 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// clockSlackPercent is by how much a worker's clock may be slow.
+	clockSlackPercent = 2
+	// leaseSlack covers the rounding of both clocks.
+	leaseSlack = 150 * manager.Millisecond
+	// keepSilent is how long a worker without runs stays known after its lease.
+	keepSilent = 10 * manager.Second
+)
+
+// worker is what the dispatcher knows of one life of a worker.
+type worker struct {
+	life     manager.WorkerLife
+	latest   manager.WorkerReport
+	heardAt  manager.Time
+	running  map[manager.TaskID]manager.RunningTask
+	acked    uint64
+	ending   bool
+	ticket   Ticket
+	parked   bool
+	parkedAt manager.Time
+	// lapsedUntil is when the lease of everything on the worker has ended for certain.
+	lapsedUntil manager.Time
+	// evacuating bars new starts, as the VM is to be moved or kept up.
+	evacuating bool
+	health     health
+	pace       map[manager.TaskID]manager.Percent
+	paceOrders []manager.PaceOrder
+	sentStop   map[manager.TaskID]manager.Time
+	progress   map[manager.TaskID]progressMark
+}
+
+// progressMark is the latest progress of a run and when it was first seen.
+type progressMark struct {
+	run   manager.RunNumber
+	value manager.Percent
+	since manager.Time
+}
+
+func (d *Dispatcher) report(now manager.Time, t Ticket, r manager.WorkerReport, c *recorder.Changes) []Answer {
+	w := d.workers[r.Life.Worker]
+	stale := []Answer{{Ticket: t, Orders: &manager.WorkerOrders{Token: d.Token, ReportTo: d.Options.Address}}}
+	if w != nil && (r.Life.Born < w.life.Born || r.Life == w.life && r.Sequence <= w.latest.Sequence) {
+		return stale
+	}
+	if d.overtaken(r) {
+		return stale
+	}
+	if w == nil || w.life != r.Life {
+		w = d.meet(now, r, c)
+	}
+	var answers []Answer
+	if w.parked {
+		answers = append(answers, Answer{Ticket: w.ticket, Orders: &manager.WorkerOrders{Token: d.Token}})
+	}
+	if r.Draining && !w.latest.Draining {
+		d.note("worker drains", "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
+	}
+	w.latest, w.heardAt = r, now
+	w.ticket, w.parked, w.parkedAt = t, true, now
+	d.takeEnds(now, w, c)
+	d.takeRunning(now, w)
+	d.closeStopped(now, w, c)
+	w.paceOrders = d.paces(w)
+	return answers
+}
+
+// stopSettled is the time after which an answer with a stop has surely reached its worker or never will.
+const stopSettled = 1500 * manager.Millisecond
+
+// closeStopped ends the runs that were stopped before they began: the worker refuses them from then on.
+func (d *Dispatcher) closeStopped(now manager.Time, w *worker, c *recorder.Changes) {
+	for id, at := range w.sentStop {
+		if _, ok := w.running[id]; ok || now.Sub(at) < stopSettled {
+			continue
+		}
+		r := d.Book.Runs(w.life)[id]
+		if r == nil {
+			delete(w.sentStop, id)
+			continue
+		}
+		ended := slices.ContainsFunc(w.latest.Ended, func(e manager.EndedRun) bool { return e.Task == id && e.Run == r.Number })
+		if j := d.Book.Jobs[id.Graph]; !ended && j != nil && j.State.Ended() {
+			c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunStopped})
+		}
+	}
+}
+
+// overtaken tells whether a later life is known on the report's VM or at its address.
+func (d *Dispatcher) overtaken(r manager.WorkerReport) bool {
+	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
+		if o != nil && o.life.Worker != r.Life.Worker && o.life.Born > r.Life.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// meet makes a new life known and ends what older lives of the worker, the VM and the address held.
+func (d *Dispatcher) meet(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
+	w := &worker{
+		life: r.Life, running: map[manager.TaskID]manager.RunningTask{}, pace: map[manager.TaskID]manager.Percent{},
+		sentStop: map[manager.TaskID]manager.Time{}, progress: map[manager.TaskID]progressMark{},
+	}
+	// A dispatcher that took over does not know what its predecessor granted.
+	w.lapsedUntil = max(now, d.Began).Add(d.leaseEnd())
+	for _, l := range d.sortedLives() {
+		if l.Worker == r.Life.Worker && l.Born < r.Life.Born {
+			d.lose(l, c)
+		}
+	}
+	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
+		if o != nil && o.life != r.Life && o.life.Born < r.Life.Born {
+			d.lose(o.life, c)
+			if d.workers[o.life.Worker] == o {
+				delete(d.workers, o.life.Worker)
+			}
+		}
+	}
+	if r.VM != "" {
+		d.byVM[r.VM] = w
+	}
+	d.byAddress[r.Address] = w
+	d.workers[r.Life.Worker] = w
+	d.note("worker known", "Worker", w.life.Worker, "Born", w.life.Born, "VM", r.VM, "Pool", r.Pool, "Sequence", r.Sequence)
+	return w
+}
+
+func (d *Dispatcher) sortedLives() []manager.WorkerLife {
+	list := d.Book.Lives()
+	slices.SortFunc(list, func(a, b manager.WorkerLife) int {
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Born, b.Born))
+	})
+	return list
+}
+
+func (d *Dispatcher) leaseEnd() manager.Duration {
+	return d.Options.LeaseMs + d.Options.LeaseMs*clockSlackPercent/100 + leaseSlack
+}
+
+// lose ends the runs of a life that is over.
+func (d *Dispatcher) lose(l manager.WorkerLife, c *recorder.Changes) {
+	for _, id := range sortedTasks(d.Book.Runs(l)) {
+		r := d.Book.Runs(l)[id]
+		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost})
+		d.note("run lost", "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.Born)
+	}
+}
+
+func sortedTasks(m map[manager.TaskID]*recorder.Run) []manager.TaskID {
+	list := make([]manager.TaskID, 0, len(m))
+	for id := range m {
+		list = append(list, id)
+	}
+	slices.SortFunc(list, compareTasks)
+	return list
+}
+
+func compareTasks(a, b manager.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Graph, b.Graph), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task))
+}
+
+// takeEnds proposes the ends that the book does not know yet.
+func (d *Dispatcher) takeEnds(now manager.Time, w *worker, c *recorder.Changes) {
+	w.ending = false
+	for _, e := range w.latest.Ended {
+		w.acked = max(w.acked, e.Number)
+		r := d.Book.OpenRun(e.Task, e.Run)
+		if r == nil || r.Life != w.life {
+			continue
+		}
+		w.ending = true
+		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved})
+		d.learnEnd(now, w, e, r)
+		d.note("run ended", "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.life.Worker, "RanMs", now.Sub(r.At))
+	}
+}
+
+func (d *Dispatcher) takeRunning(now manager.Time, w *worker) {
+	clear(w.running)
+	for _, r := range w.latest.Running {
+		w.running[r.Task] = r
+		m, ok := w.progress[r.Task]
+		if !ok || m.run != r.Run || m.value != r.Progress {
+			w.progress[r.Task] = progressMark{run: r.Run, value: r.Progress, since: now}
+		}
+	}
+	for id := range w.progress {
+		if _, ok := w.running[id]; !ok {
+			delete(w.progress, id)
+			delete(w.pace, id)
+			delete(w.sentStop, id)
+		}
+	}
+}
+
+// leave forgets a worker that said it is gone.
+func (d *Dispatcher) leave(l manager.WorkerLife, c *recorder.Changes) {
+	w := d.workers[l.Worker]
+	if w == nil || l.Born != 0 && l.Born < w.life.Born {
+		return
+	}
+	d.lose(w.life, c)
+	d.forget(w)
+	d.note("worker left", "Worker", l.Worker)
+}
+
+func (d *Dispatcher) forget(w *worker) {
+	delete(d.workers, w.life.Worker)
+	if d.byVM[w.latest.VM] == w {
+		delete(d.byVM, w.latest.VM)
+	}
+	if d.byAddress[w.latest.Address] == w {
+		delete(d.byAddress, w.latest.Address)
+	}
+}
+
+// expire ends the runs of workers whose leases have ended for certain.
+func (d *Dispatcher) expire(now manager.Time, c *recorder.Changes) {
+	for _, l := range d.sortedLives() {
+		w := d.workers[l.Worker]
+		until := d.Began.Add(d.leaseEnd())
+		if w != nil && w.life == l {
+			until = w.lapsedUntil
+		}
+		if now > until {
+			d.lose(l, c)
+		}
+	}
+	for _, w := range d.sorted() {
+		if now > w.lapsedUntil.Add(keepSilent) && !w.parked {
+			d.forget(w)
+			d.note("worker gone", "Worker", w.life.Worker, "SilentMs", now.Sub(w.heardAt))
+		}
+	}
+}
+
+// room returns what is free on a worker; what is being stopped still counts.
+func (d *Dispatcher) room(w *worker) manager.Resources {
+	free := w.latest.Capacity
+	for id := range d.Book.Runs(w.life) {
+		free = free.Sub(d.taskRoom(id))
+	}
+	return free
+}
+
+func (d *Dispatcher) taskRoom(id manager.TaskID) manager.Resources {
+	j := d.Book.Jobs[id.Graph]
+	if j == nil {
+		return manager.Resources{}
+	}
+	return stepRoom(j.Steps[id.Step])
+}
+
+// stepRoom returns what a task of the step counts for against a worker's capacity.
+func stepRoom(s manager.GraphStep) manager.Resources {
+	r := s.Room
+	if s.Filler {
+		r.ProcessorMilliCores = 0
+	}
+	return r
+}
+
+// foreign tells whether the worker runs something that the book holds no open run of.
+func (d *Dispatcher) foreign(w *worker) bool {
+	for id, r := range w.running {
+		if o := d.Book.OpenRun(id, r.Run); o == nil || o.Life != w.life {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/manager/errors.go
+++ b/pkg/manager/errors.go
@@ -87,6 +87,18 @@
 // IsErrUnavailable tells whether err is an ErrUnavailable.
 func IsErrUnavailable(err error) bool { return is[ErrUnavailable](err) }
 
+// ErrOverloaded refuses work that could not be served in time; it has not run and never will.
+type ErrOverloaded struct {
+	RetryAfterMs Duration
+}
+
+func (e ErrOverloaded) Error() string {
+	return fmt.Sprintf("overloaded: come back in %d ms", e.RetryAfterMs)
+}
+
+// IsErrOverloaded tells whether err is an ErrOverloaded.
+func IsErrOverloaded(err error) bool { return is[ErrOverloaded](err) }
+
 func is[E error](err error) bool {
 	_, ok := errors.AsType[E](err)
 	return ok
--- /dev/null
+++ b/pkg/manager/fleetwork.go
@@ -0,0 +1,134 @@
+package manager
+
+// WorkerReport is what a worker says of itself with each heartbeat.
+type WorkerReport struct {
+	Life WorkerLife
+	// Sequence grows with each report of one life.
+	Sequence Sequence
+	VM       VMID
+	Pool     PoolID
+	Address  Address
+	Zone     AvailabilityZone
+	Labels   []Label
+	Capacity Resources
+	// Draining says that the worker will leave; RemainingMs is the least time left.
+	Draining    bool
+	RemainingMs Duration
+	Running     []RunningTask
+	Ended       []EndedRun
+}
+
+// RunningTask is a run that a worker holds.
+type RunningTask struct {
+	Task     TaskID
+	Run      RunNumber
+	Saved    Checkpoint
+	Progress Percent
+	// Gauge is a rough figure of the last half second: the tail of the response times in milliseconds
+	// for a task that serves, the processors in use for any other.
+	Gauge int64
+}
+
+// EndedRun is the end of a run that a worker keeps until it is acknowledged.
+type EndedRun struct {
+	Number uint64
+	Task   TaskID
+	Run    RunNumber
+	How    RunEnd
+	Saved  Checkpoint
+}
+
+// WorkerOrders answer a report.
+type WorkerOrders struct {
+	// LeaseMs prolongs the lease of all that the worker holds, from the sending of its report; 0
+	// prolongs nothing and starts nothing.
+	LeaseMs Duration
+	// AckedEnds is the highest number of an end that need not be reported again.
+	AckedEnds uint64
+	Token     OrderToken
+	Start     []StartOrder
+	Stop      []StopOrder
+	Pace      []PaceOrder
+	// NextMs asks for the next report after this time; 0 leaves it to the worker.
+	NextMs Duration
+	// ReportTo is where later reports should go; empty leaves it.
+	ReportTo Address
+}
+
+// StartOrder starts a run.
+type StartOrder struct {
+	Task    TaskID
+	Run     RunNumber
+	Payload string
+	Saved   Checkpoint
+}
+
+// StopOrder stops a run.
+type StopOrder struct {
+	Task TaskID
+	Run  RunNumber
+}
+
+// PaceOrder lets a run work at a share of its speed.
+type PaceOrder struct {
+	Task  TaskID
+	Run   RunNumber
+	Share Percent
+}
+
+// QueueSettings are the settings of a queue.
+type QueueSettings struct {
+	Queue QueueID
+	// Host and Prefix select the queue of a request.
+	Host   string
+	Prefix string
+	Pool   PoolID
+	// TimeoutMs bounds one call.
+	TimeoutMs Duration
+	// SlackMs is the part of the objective that does not depend on the job's length.
+	SlackMs Duration
+	// Stretch is the part of the objective for each millisecond of the longest chain of work.
+	Stretch float64
+	// Priority 0 goes first.
+	Priority    int
+	MaxAttempts int
+	// Advised queues need a permission from outside for each worker.
+	Advised bool `json:",omitempty"`
+}
+
+// PoolSettings are the settings of a pool of workers.
+type PoolSettings struct {
+	Pool PoolID
+	// GuardsCapacity says that workers refuse what does not fit.
+	GuardsCapacity bool
+	// Standby pools hold VMs that are switched off.
+	Standby bool
+}
+
+// FleetConfiguration is the whole configuration of queues and pools.
+type FleetConfiguration struct {
+	Version Version
+	Queues  []QueueSettings
+	Pools   []PoolSettings
+	// Document is the configuration as the operator sent it.
+	Document []byte
+}
+
+// Queue returns the settings of a queue.
+func (c *FleetConfiguration) Queue(id QueueID) (QueueSettings, bool) {
+	for _, q := range c.Queues {
+		if q.Queue == id {
+			return q, true
+		}
+	}
+	return QueueSettings{}, false
+}
+
+// UpkeepWave asks that each of some VMs has its upkeep in time.
+type UpkeepWave struct {
+	Wave       uint64
+	VMs        []VMID
+	DurationMs Duration
+	// Cap bounds the VMs of the wave that are down at a time.
+	Cap int
+}
--- /dev/null
+++ b/pkg/manager/jobgraph.go
@@ -0,0 +1,199 @@
+package manager
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Ids of jobs of several steps and of the workers that run their tasks.
+type (
+	// GraphID names a job of steps; its caller chooses it.
+	GraphID string
+	// QueueID names a queue of the fleet's configuration.
+	QueueID string
+	// WorkerID names a worker; it may come back in another life.
+	WorkerID string
+	// RunNumber counts the starts of one task.
+	RunNumber uint64
+	// Checkpoint is saved progress, opaque to the manager; empty stands for none.
+	Checkpoint string
+	// ImageID names what the tasks of a step run.
+	ImageID string
+	// Label is a property of a worker, such as its kind or rack.
+	Label string
+	// OrderToken is the fencing token of a dispatcher; a worker refuses lower ones.
+	OrderToken uint64
+)
+
+// WorkerLife is one life of a worker: another start of the same worker runs and knows nothing.
+type WorkerLife struct {
+	Worker WorkerID
+	// Born is when the life began, by the worker's wall clock.
+	Born Time
+}
+
+// TaskID names a task of a job of steps.
+type TaskID struct {
+	Graph GraphID
+	// Step and Task count from 0.
+	Step int
+	Task int
+}
+
+// String returns the id as Graph.0.Step.Task; the 0 stands for the only occurrence of the job.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.0.%d.%d", t.Graph, t.Step, t.Task)
+}
+
+// MarshalText encodes the id as String does.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText decodes what MarshalText returns.
+func (t *TaskID) UnmarshalText(data []byte) error {
+	parsed, err := ParseTaskID(string(data))
+	*t = parsed
+	return err
+}
+
+// ParseTaskID decodes what TaskID.String returns.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q has not four parts", s)}
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q holds no number at part %d", s, i+1)}
+		}
+		numbers[i] = n
+	}
+	if numbers[0] != 0 {
+		return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q is of an unknown occurrence", s)}
+	}
+	return TaskID{Graph: GraphID(parts[0]), Step: numbers[1], Task: numbers[2]}, nil
+}
+
+// GraphStep is a step of a job: tasks of the same kind that may run side by side.
+type GraphStep struct {
+	Count int
+	// Room is what each task takes of a worker.
+	Room Resources
+	// EstimateMs is the caller's rough estimate of a task's time.
+	EstimateMs Duration `json:",omitempty"`
+	// Needs are earlier steps whose tasks must all be done first.
+	Needs []int `json:",omitempty"`
+	// Checkpoints says that the tasks save their progress.
+	Checkpoints bool `json:",omitempty"`
+	// Requires is a label that the worker must have.
+	Requires Label `json:",omitempty"`
+	// DataRack is the rack near the data.
+	DataRack Label `json:",omitempty"`
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 sets no bound.
+	MaxPerWorker int `json:",omitempty"`
+	// Copies says that a task may run more than once at a time.
+	Copies bool `json:",omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool    `json:",omitempty"`
+	Image   ImageID `json:",omitempty"`
+	// TailTargetMs bounds the tail of the response times of a lasting task.
+	TailTargetMs Duration `json:",omitempty"`
+	// Filler tasks take the processor time that others leave; their processors count for no room.
+	Filler bool `json:",omitempty"`
+	// MaxUnavailable bounds the lasting tasks that the manager's own actions keep from work at a time.
+	MaxUnavailable int `json:",omitempty"`
+}
+
+// Graph is a job of steps as its caller hands it in.
+type Graph struct {
+	Graph GraphID
+	Queue QueueID
+	// Payload is handed to each task.
+	Payload string
+	Steps   []GraphStep
+}
+
+// Limits of a job of steps; larger ones are refused.
+const (
+	MaxPayloadBytes = 4000
+	MaxGraphSteps   = 64
+	MaxGraphTasks   = 4096
+)
+
+// Validate returns what is wrong with the job, or nil.
+func (g Graph) Validate() error {
+	if g.Graph == "" {
+		return ErrInvalid{Field: "Graph", Reason: "is missing"}
+	}
+	if len(g.Payload) > MaxPayloadBytes {
+		return ErrInvalid{Field: "Payload", Reason: fmt.Sprintf("has more than %d bytes", MaxPayloadBytes)}
+	}
+	if n := len(g.Steps); n == 0 || n > MaxGraphSteps {
+		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("%d steps: 1 to %d are taken", n, MaxGraphSteps)}
+	}
+	tasks := 0
+	for i, s := range g.Steps {
+		if err := s.validate(i); err != nil {
+			return err
+		}
+		tasks += s.Count
+	}
+	if tasks > MaxGraphTasks {
+		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("%d tasks: at most %d are taken", tasks, MaxGraphTasks)}
+	}
+	return nil
+}
+
+func (s GraphStep) validate(i int) error {
+	field := fmt.Sprintf("Steps[%d]", i)
+	if s.Count < 1 || s.Count > MaxGraphTasks {
+		return ErrInvalid{Field: field + ".Count", Reason: fmt.Sprintf("is %d: 1 to %d are taken", s.Count, MaxGraphTasks)}
+	}
+	if s.Room.ProcessorMilliCores < 0 || s.Room.MemoryMegaBytes < 0 || s.Room.Accelerators < 0 {
+		return ErrInvalid{Field: field + ".Room", Reason: "is negative"}
+	}
+	for _, n := range s.Needs {
+		if n < 0 || n >= i {
+			return ErrInvalid{Field: field + ".Needs", Reason: fmt.Sprintf("%d is no earlier step", n)}
+		}
+	}
+	return nil
+}
+
+// GraphState is how far a job of steps is.
+type GraphState string
+
+// States of a job of steps.
+const (
+	GraphQueued    GraphState = "queued"
+	GraphRunning   GraphState = "running"
+	GraphCompleted GraphState = "completed"
+	GraphFailed    GraphState = "failed"
+	GraphCancelled GraphState = "cancelled"
+)
+
+// Ended tells whether the job is over.
+func (s GraphState) Ended() bool {
+	return s == GraphCompleted || s == GraphFailed || s == GraphCancelled
+}
+
+// RunEnd is how a run of a task ended.
+type RunEnd string
+
+// Ends of runs.
+const (
+	RunDone RunEnd = "done"
+	// RunFailed counts as an attempt.
+	RunFailed  RunEnd = "failed"
+	RunStopped RunEnd = "stopped"
+	RunLapsed  RunEnd = "lapsed"
+	// RunBroken ended as another member of its gang did, RunAlone as the others did not come.
+	RunBroken RunEnd = "broken"
+	RunAlone  RunEnd = "alone"
+	// RunRefused was not started by the worker.
+	RunRefused RunEnd = "refused"
+	// RunLost ended with its worker's life or lease, without a report.
+	RunLost RunEnd = "lost"
+)
--- /dev/null
+++ b/pkg/manager/recorder/book.go
@@ -0,0 +1,199 @@
+package recorder
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// DefaultKeepEnded is how long the state of an ended job is kept for its caller.
+const DefaultKeepEnded = 150 * manager.Second
+
+// Book is the replicated state; it is not safe for concurrent use.
+type Book struct {
+	At            manager.Time
+	Configuration *manager.FleetConfiguration `json:",omitempty"`
+	Jobs          map[manager.GraphID]*Job
+	Waves         map[uint64]*Wave
+	// Moves are the VMs that are ordered into another pool.
+	Moves map[manager.VMID]manager.PoolID `json:",omitempty"`
+	// Ended lists the ended jobs, the oldest first.
+	Ended []manager.GraphID
+
+	active  map[manager.GraphID]*Job
+	runs    map[manager.WorkerLife]map[manager.TaskID]*Run
+	pending map[manager.QueueID]int
+}
+
+// Job is a job of steps and how far it is.
+type Job struct {
+	manager.Graph
+	Accepted manager.Time
+	State    manager.GraphState
+	EndedAt  manager.Time `json:",omitempty"`
+	Started  bool         `json:",omitempty"`
+	// Tasks are those of each step; they are dropped once the job has ended and nothing runs.
+	Tasks [][]Task `json:",omitempty"`
+
+	left []int
+	open int
+}
+
+// Task is one task of a step.
+type Task struct {
+	Done     bool               `json:",omitempty"`
+	Failures int                `json:",omitempty"`
+	LastRun  manager.RunNumber  `json:",omitempty"`
+	Saved    manager.Checkpoint `json:",omitempty"`
+	Open     *Run               `json:",omitempty"`
+	// FailedOn is the worker of the latest failed run.
+	FailedOn manager.WorkerID `json:",omitempty"`
+	// EndedAt is when the latest run ended.
+	EndedAt manager.Time `json:",omitempty"`
+}
+
+// Run is a run of a task that may be at work.
+type Run struct {
+	Number manager.RunNumber
+	Life   manager.WorkerLife
+	At     manager.Time
+}
+
+// Wave is an upkeep wave and how far its VMs are.
+type Wave struct {
+	manager.UpkeepWave
+	Accepted manager.Time
+	State    map[manager.VMID]UpkeepState
+	// Born is the life that each VM had when its upkeep was ordered.
+	Born map[manager.VMID]manager.Time
+}
+
+// Completed tells whether every VM of the wave had its upkeep or is gone.
+func (w *Wave) Completed() bool {
+	for _, vm := range w.VMs {
+		if w.State[vm] != UpkeepDone {
+			return false
+		}
+	}
+	return true
+}
+
+// New returns an empty book.
+func New() *Book {
+	b := &Book{Jobs: map[manager.GraphID]*Job{}, Waves: map[uint64]*Wave{}, Moves: map[manager.VMID]manager.PoolID{}}
+	b.index()
+	return b
+}
+
+// Snapshot encodes the book.
+func (b *Book) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("encode book: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the book by what Snapshot returned.
+func (b *Book) Restore(data []byte) error {
+	restored := New()
+	if err := json.Unmarshal(data, restored); err != nil {
+		return fmt.Errorf("decode book: %w", err)
+	}
+	restored.index()
+	*b = *restored
+	return nil
+}
+
+// index builds what is derived from the other fields.
+func (b *Book) index() {
+	b.active = map[manager.GraphID]*Job{}
+	b.runs = map[manager.WorkerLife]map[manager.TaskID]*Run{}
+	b.pending = map[manager.QueueID]int{}
+	for id, j := range b.Jobs {
+		j.left = make([]int, len(j.Steps))
+		j.open = 0
+		for s := range j.Tasks {
+			for i := range j.Tasks[s] {
+				t := &j.Tasks[s][i]
+				if !t.Done {
+					j.left[s]++
+				}
+				if t.Open != nil {
+					j.open++
+					b.addRun(manager.TaskID{Graph: id, Step: s, Task: i}, t.Open)
+				}
+			}
+		}
+		if j.State.Ended() {
+			continue
+		}
+		b.active[id] = j
+		if !j.Started {
+			b.pending[j.Queue]++
+		}
+	}
+}
+
+func (b *Book) addRun(t manager.TaskID, r *Run) {
+	if b.runs[r.Life] == nil {
+		b.runs[r.Life] = map[manager.TaskID]*Run{}
+	}
+	b.runs[r.Life][t] = r
+}
+
+// Active returns the jobs that have not ended.
+func (b *Book) Active() map[manager.GraphID]*Job { return b.active }
+
+// Runs returns the open runs of one life of a worker.
+func (b *Book) Runs(l manager.WorkerLife) map[manager.TaskID]*Run { return b.runs[l] }
+
+// Lives returns the lives that hold open runs.
+func (b *Book) Lives() []manager.WorkerLife {
+	list := make([]manager.WorkerLife, 0, len(b.runs))
+	for l := range b.runs {
+		list = append(list, l)
+	}
+	return list
+}
+
+// Pending returns the number of a queue's accepted jobs that have not started.
+func (b *Book) Pending(q manager.QueueID) int { return b.pending[q] }
+
+// Task returns a task and its job, or nil.
+func (b *Book) Task(id manager.TaskID) (*Job, *Task) {
+	j := b.Jobs[id.Graph]
+	if j == nil || id.Step >= len(j.Tasks) || id.Task >= len(j.Tasks[id.Step]) {
+		return j, nil
+	}
+	return j, &j.Tasks[id.Step][id.Task]
+}
+
+// OpenRun returns the open run of a task if it has this number, or nil.
+func (b *Book) OpenRun(id manager.TaskID, n manager.RunNumber) *Run {
+	_, t := b.Task(id)
+	if t == nil || t.Open == nil || t.Open.Number != n {
+		return nil
+	}
+	return t.Open
+}
+
+// StepReady tells whether the steps that a step needs are done.
+func (j *Job) StepReady(s int) bool {
+	for _, n := range j.Steps[s].Needs {
+		if j.left[n] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Left returns the number of a step's tasks that are not done.
+func (j *Job) Left(s int) int { return j.left[s] }
+
+// Open returns the number of runs of the job that may be at work.
+func (j *Job) Open() int { return j.open }
+
+// Lasting tells whether the job runs until it is cancelled.
+func (j *Job) Lasting() bool { return j.Steps[0].Lasting }
--- /dev/null
+++ b/pkg/manager/recorder/changes.go
@@ -0,0 +1,66 @@
+package recorder
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// Changes is one entry of the log; its parts are applied in the order of the fields.
+type Changes struct {
+	// At is the dispatcher's time; the book's time is the latest seen.
+	At        manager.Time
+	Configure *manager.FleetConfiguration `json:",omitempty"`
+	End       []End                       `json:",omitempty"`
+	Cancel    []manager.GraphID           `json:",omitempty"`
+	Submit    []manager.Graph             `json:",omitempty"`
+	Wave      []manager.UpkeepWave        `json:",omitempty"`
+	Upkeep    []Upkeep                    `json:",omitempty"`
+	Move      []Move                      `json:",omitempty"`
+	Start     []Start                     `json:",omitempty"`
+}
+
+// Empty tells whether nothing changes.
+func (c *Changes) Empty() bool {
+	return c.Configure == nil && len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Upkeep)+len(c.Move)+len(c.Start) == 0
+}
+
+// Start gives a task to one life of a worker.
+type Start struct {
+	Task manager.TaskID
+	Run  manager.RunNumber
+	Life manager.WorkerLife
+}
+
+// End records the end of a run.
+type End struct {
+	Task  manager.TaskID
+	Run   manager.RunNumber
+	How   manager.RunEnd
+	Saved manager.Checkpoint `json:",omitempty"`
+}
+
+// UpkeepState is how far a VM of a wave is.
+type UpkeepState string
+
+// States of a VM's upkeep.
+const (
+	UpkeepWaiting UpkeepState = ""
+	// UpkeepOrdered is recorded before the platform is called: the VM may be down from then on.
+	UpkeepOrdered UpkeepState = "ordered"
+	// UpkeepBegun says that the platform has confirmed the order.
+	UpkeepBegun UpkeepState = "begun"
+	// UpkeepDone says that the VM is back, or gone for good.
+	UpkeepDone UpkeepState = "done"
+)
+
+// Upkeep moves a VM of a wave on.
+type Upkeep struct {
+	Wave  uint64
+	VM    manager.VMID
+	State UpkeepState
+	// Born is the life that the upkeep ends; a later one shows that the VM is back.
+	Born manager.Time `json:",omitempty"`
+}
+
+// Move records that a VM is ordered into another pool; an empty pool ends the move.
+type Move struct {
+	VM   manager.VMID
+	Pool manager.PoolID `json:",omitempty"`
+}
--- a/pkg/manager/replicator/former.go
+++ b/pkg/manager/replicator/former.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// Belongs tells whether a message proves that the group has taken in this fresh disk.
+// Belongs tells whether a message proves that the group has taken in this fresh disk. A disk without
+// a replica id takes the one that the group has given it.
 func Belongs(id manager.ReplicaIdentity, m manager.ReplicaMessage) bool {
-	return id.Group == "" && m.Group != "" && m.To == id.Replica && m.Disk == id.Disk
+	return id.Group == "" && m.Group != "" && m.Disk == id.Disk && (id.Replica == 0 && m.To != 0 || m.To == id.Replica)
 }
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -306,6 +306,25 @@
 	// First is the oldest entry that the log still holds.
 	First   manager.Index
 	Members manager.Members
+	// Silent are the members that a leader has not heard for a while.
+	Silent []manager.ReplicaID
+}
+
+// silentAfter is the time without an answer after which a leader calls a member silent.
+const silentAfter = 5 * manager.Second
+
+// Silent returns the members that this leader has not heard for a while.
+func (r *Replica) Silent(now manager.Time) []manager.ReplicaID {
+	if r.role != RoleLeader {
+		return nil
+	}
+	var list []manager.ReplicaID
+	for _, p := range r.lead.followers {
+		if p.replica != r.ID && now.Sub(p.heardAt) > silentAfter {
+			list = append(list, p.replica)
+		}
+	}
+	return list
 }
 
 // Status returns what the replica knows now.
