--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -109,6 +109,7 @@
 		Book: b, Token: token, Options: o, Began: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refused: map[manager.GraphID]manager.Time{},
+		times: estimator{queues: map[manager.QueueID]*queueTimes{}},
 	}
 }
 
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -53,14 +53,16 @@
 
 // poolOf returns the pool that runs a job, or none while no queue sends it anywhere.
 func (d *Dispatcher) poolOf(j *recorder.Job) manager.PoolID {
+	return d.queue(j).Pool
+}
+
+// queue returns the settings of a job's queue; they are empty while the queue is not in force.
+func (d *Dispatcher) queue(j *recorder.Job) manager.QueueSettings {
 	if d.Book.Configuration == nil {
-		return ""
-	}
-	q, ok := d.Book.Configuration.Queue(j.Queue)
-	if !ok {
-		return ""
+		return manager.QueueSettings{}
 	}
-	return q.Pool
+	q, _ := d.Book.Configuration.Queue(j.Queue)
+	return q
 }
 
 // turns returns the active jobs in the order in which they get workers.
@@ -68,8 +70,7 @@
 	list := make([]turn, 0, len(d.Book.Active()))
 	for _, j := range d.Book.Active() {
 		t := turn{job: j, due: d.due(j)}
-		q, _ := d.Book.Configuration.Queue(j.Queue)
-		t.priority = q.Priority
+		t.priority = d.queue(j).Priority
 		switch {
 		case j.Lasting():
 			t.class = 0
@@ -94,13 +95,7 @@
 
 // objective returns when a job should be complete.
 func (d *Dispatcher) objective(j *recorder.Job) manager.Time {
-	if d.Book.Configuration == nil {
-		return j.Accepted
-	}
-	q, ok := d.Book.Configuration.Queue(j.Queue)
-	if !ok {
-		return j.Accepted
-	}
+	q := d.queue(j)
 	whole := d.times.chainOf(j.Graph)
 	return j.Accepted.Add(manager.Duration(q.Stretch*float64(whole)) + q.SlackMs)
 }
