Keep the jobs that can be in time and serve late ones in lulls

Cause: refusing every job whose predicted wait passed its objective left workers idle between two turns of demand; orders to the platform went out twice, and VMs without a worker never counted as kept up. Ruled out: more frequent reports alone (the pools were full at the peak). Change: fewest jobs are demoted so that the rest meet their objectives; late ones run afterwards; a submit is refused only where three times its objective can't be met; a busy worker's report is answered at once while its pool has a backlog; one order a VM until the commit.

--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -32,12 +32,13 @@
 func (l *Leader) list() {
 	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
 	defer cancel()
+	asked := l.Clock.Now()
 	listing, err := l.Duties.List(ctx)
 	if err != nil {
 		klog.InfoS("Platform's list not read", "Reason", err.Error())
 		return
 	}
-	listing.At = l.Clock.Now()
+	listing.AskedAt = asked
 	if err := l.inbox.add(dispatcher.Event{Listing: &listing}, nil); err != nil {
 		klog.V(2).InfoS("Platform's list dropped", "Reason", err.Error())
 	}
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -71,7 +71,7 @@
 	}
 	wait := manager.Duration(backlog / free)
 	probe := &recorder.Job{Graph: g, Accepted: now}
-	slack := d.objective(probe).Sub(now) - d.times.chainOf(g)
+	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.chainOf(g)
 	if wait <= slack {
 		return 0
 	}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -83,6 +83,8 @@
 	notes    []Note
 	inFlight recorder.Changes
 	duties   []Duty
+	// backlog are the pools in which a ready task found no worker at the latest step.
+	backlog map[manager.PoolID]bool
 }
 
 // waitingCaller waits for the commit of the changes in flight.
--- /dev/null
+++ b/pkg/manager/dispatcher/order.go
@@ -0,0 +1,126 @@
+package dispatcher
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+// class orders the jobs of a pool.
+type class int
+
+const (
+	// classLasting jobs serve users of their own all the time.
+	classLasting class = iota
+	// classInTime jobs can all meet their objectives together.
+	classInTime
+	// classLate jobs still count, though they miss their objective.
+	classLate
+	// classOverdue jobs are later than anything that their callers wait for.
+	classOverdue
+)
+
+// overdueFactor times its objective is when a late job has lost its worth.
+const overdueFactor = 3
+
+// turn is a job in the order in which its tasks get workers.
+type turn struct {
+	job      *recorder.Job
+	class    class
+	priority int
+	// due is when the rest of the job has to run without a pause to meet its objective.
+	due manager.Time
+	// work is what is left, in millicore-milliseconds.
+	work float64
+}
+
+// line returns the active jobs of a pool in the order in which they get workers.
+func (d *Dispatcher) line(now manager.Time, p manager.PoolID) []turn {
+	var list []turn
+	for _, j := range d.Book.Active() {
+		if d.poolOf(j) == p {
+			list = append(list, d.turnOf(now, j))
+		}
+	}
+	slices.SortFunc(list, compareTurns)
+	d.demote(now, list, d.freeProcessors(now, p))
+	slices.SortStableFunc(list, func(a, b turn) int { return cmp.Compare(a.class, b.class) })
+	return list
+}
+
+func compareTurns(a, b turn) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.due, b.due), cmp.Compare(a.job.Graph.Graph, b.job.Graph.Graph))
+}
+
+func (d *Dispatcher) turnOf(now manager.Time, j *recorder.Job) turn {
+	t := turn{job: j, priority: d.queue(j).Priority}
+	if j.Lasting() {
+		return t
+	}
+	objective := d.objective(j)
+	t.due, t.work = objective.Add(-d.times.chain(j)), d.times.work(j)
+	switch {
+	case now <= t.due:
+		t.class = classInTime
+	case now.Sub(j.Accepted) < overdueFactor*objective.Sub(j.Accepted):
+		t.class = classLate
+	default:
+		t.class = classOverdue
+	}
+	return t
+}
+
+// demote makes late the jobs that can't all meet their objectives, as few as it can: while the work up
+// to some job does not fit before that job is due, the largest one so far that has not begun goes.
+// It answers a surge of several times what the pool holds, where serving by due time alone would bring
+// every job in a little too late.
+func (d *Dispatcher) demote(now manager.Time, list []turn, processors float64) {
+	if processors <= 0 {
+		return
+	}
+	var kept workHeap
+	total := 0.0
+	for i := range list {
+		t := &list[i]
+		if t.class != classInTime {
+			continue
+		}
+		total += t.work
+		if !t.job.Started {
+			heap.Push(&kept, t)
+		}
+		for total/processors > float64(t.due.Sub(now)) && len(kept) > 0 {
+			largest := heap.Pop(&kept).(*turn)
+			largest.class = classLate
+			total -= largest.work
+		}
+	}
+}
+
+// workHeap holds jobs with the largest work on top.
+type workHeap []*turn
+
+func (h workHeap) Len() int           { return len(h) }
+func (h workHeap) Less(i, j int) bool { return h[i].work > h[j].work }
+func (h workHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds a job.
+func (h *workHeap) Push(x any) { *h = append(*h, x.(*turn)) }
+
+// Pop removes the last job.
+func (h *workHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// objective returns when a job should be complete.
+func (d *Dispatcher) objective(j *recorder.Job) manager.Time {
+	q := d.queue(j)
+	return j.Accepted.Add(manager.Duration(q.Stretch*float64(d.times.chainOf(j.Graph))) + q.SlackMs)
+}
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -26,7 +26,7 @@
 
 // patience is how long a report may wait for an order.
 func (d *Dispatcher) patience(w *worker) manager.Duration {
-	if w.latest.Draining {
+	if w.latest.Draining || d.backlog[w.latest.Pool] {
 		return 0
 	}
 	busy := false
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -1,7 +1,7 @@
 package dispatcher
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -16,25 +16,16 @@
 	given int
 }
 
-// turn is a job in the order in which its tasks get workers.
-type turn struct {
-	job *recorder.Job
-	// class 0 are lasting jobs, 1 those that can meet their objective, 2 late ones.
-	class    int
-	priority int
-	// due is when the job has to be started at the latest to meet its objective.
-	due manager.Time
-}
-
 // place proposes starts on the workers whose reports wait.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
+	d.backlog = map[manager.PoolID]bool{}
 	pools := d.candidates(now)
 	if len(pools) == 0 {
 		return
 	}
-	for _, t := range d.turns(now) {
-		if list := pools[d.poolOf(t.job)]; len(list) > 0 {
-			d.placeJob(now, t.job, list, c)
+	for _, p := range slices.Sorted(maps.Keys(pools)) {
+		for _, t := range d.line(now, p) {
+			d.placeJob(t.job, pools[p], c)
 		}
 	}
 }
@@ -65,42 +56,7 @@
 	return q
 }
 
-// turns returns the active jobs in the order in which they get workers.
-func (d *Dispatcher) turns(now manager.Time) []turn {
-	list := make([]turn, 0, len(d.Book.Active()))
-	for _, j := range d.Book.Active() {
-		t := turn{job: j, due: d.due(j)}
-		t.priority = d.queue(j).Priority
-		switch {
-		case j.Lasting():
-			t.class = 0
-		case now <= t.due:
-			t.class = 1
-		default:
-			t.class = 2
-		}
-		list = append(list, t)
-	}
-	slices.SortFunc(list, func(a, b turn) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.due, b.due), cmp.Compare(a.job.Graph.Graph, b.job.Graph.Graph))
-	})
-	return list
-}
-
-// due returns when the rest of a job has to run without a pause to meet its objective.
-func (d *Dispatcher) due(j *recorder.Job) manager.Time {
-	return d.objective(j).Add(-d.times.chain(j))
-}
-
-// objective returns when a job should be complete.
-func (d *Dispatcher) objective(j *recorder.Job) manager.Time {
-	q := d.queue(j)
-	whole := d.times.chainOf(j.Graph)
-	return j.Accepted.Add(manager.Duration(q.Stretch*float64(whole)) + q.SlackMs)
-}
-
-func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, list []*candidate, c *recorder.Changes) {
+func (d *Dispatcher) placeJob(j *recorder.Job, list []*candidate, c *recorder.Changes) {
 	for s, step := range j.Steps {
 		if j.Left(s) == 0 || !j.StepReady(s) {
 			continue
@@ -113,6 +69,7 @@
 			}
 			best := choose(step, t, perWorker, list)
 			if best == nil {
+				d.backlog[d.poolOf(j)] = true
 				break
 			}
 			best.room = best.room.Sub(stepRoom(step))
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -49,8 +49,9 @@
 
 // Listing is the platform's list of VMs.
 type Listing struct {
-	At  manager.Time
-	VMs map[manager.VMID]ListedVM
+	// AskedAt is when the list was asked for; what it says is not older.
+	AskedAt manager.Time
+	VMs     map[manager.VMID]ListedVM
 }
 
 // ListedVM is a VM of the list.
@@ -61,9 +62,11 @@
 
 // upkeep is what a dispatcher keeps of waves besides the book.
 type upkeep struct {
-	calling  map[manager.VMID]bool
-	retryAt  map[manager.VMID]manager.Time
-	fenced   map[manager.VMID]bool
+	calling map[manager.VMID]bool
+	retryAt map[manager.VMID]manager.Time
+	fenced  map[manager.VMID]bool
+	// begunAt is when this dispatcher first saw that the upkeep of a VM has begun.
+	begunAt  map[manager.VMID]manager.Time
 	recalls  map[manager.TaskID]manager.RunNumber
 	listedAt manager.Time
 	wanted   bool
@@ -72,6 +75,7 @@
 func (u *upkeep) init() {
 	if u.calling == nil {
 		u.calling, u.retryAt = map[manager.VMID]bool{}, map[manager.VMID]manager.Time{}
+		u.begunAt = map[manager.VMID]manager.Time{}
 		u.fenced, u.recalls = map[manager.VMID]bool{}, map[manager.TaskID]manager.RunNumber{}
 	}
 }
@@ -110,6 +114,9 @@
 			d.keepEmpty(vm)
 			d.orderAgain(now, wave, vm)
 		case recorder.UpkeepBegun:
+			if d.upkeep.begunAt[vm] == 0 {
+				d.upkeep.begunAt[vm] = now
+			}
 			if w := d.byVM[vm]; w != nil && w.life.Born > wave.Born[vm] {
 				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
 				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
@@ -216,6 +223,8 @@
 	case DutyTaken:
 		change.State = recorder.UpkeepBegun
 		c.Upkeep = append(c.Upkeep, change)
+		// The book says so only after the commit; until then the order must not go out again.
+		d.upkeep.retryAt[r.Duty.VM] = now.Add(dutyRetry)
 	case DutyVoid:
 		change.State = recorder.UpkeepDone
 		c.Upkeep = append(c.Upkeep, change)
@@ -235,16 +244,23 @@
 	return true
 }
 
-// takeListing ends the upkeep of VMs that are gone for good.
+// takeListing ends the upkeep of VMs that are gone for good, and of those without a worker that are up
+// again.
 func (d *Dispatcher) takeListing(l Listing, c *recorder.Changes) {
 	for _, id := range d.waves() {
 		wave := d.Book.Waves[id]
 		for _, vm := range wave.VMs {
-			if _, ok := l.VMs[vm]; ok || wave.State[vm] == recorder.UpkeepDone || d.byVM[vm] != nil {
+			if wave.State[vm] == recorder.UpkeepDone || d.byVM[vm] != nil {
+				continue
+			}
+			listed, ok := l.VMs[vm]
+			begun := d.upkeep.begunAt[vm]
+			back := wave.State[vm] == recorder.UpkeepBegun && listed.Up && begun != 0 && l.AskedAt > begun
+			if ok && !back {
 				continue
 			}
 			c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: id, VM: vm, State: recorder.UpkeepDone})
-			d.note("VM gone", "VM", vm, "Wave", id, "ListedAt", l.At)
+			d.note("upkeep ended without a worker", "VM", vm, "Wave", id, "Listed", ok, "AskedAt", l.AskedAt)
 		}
 	}
 }
