Lend the standby pool's VMs to the queue in its turn

Cause: at a queue's turn its pool holds less than half of what is asked, while the standby pool is off. Change: a pool that can't work off its load within the lending horizon gets VMs; lent ones go on to the next surge or home. Moves are recorded before the platform is called.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -85,6 +85,7 @@
 	duties   []Duty
 	// backlog are the pools in which a ready task found no worker at the latest step.
 	backlog map[manager.PoolID]bool
+	lending lending
 }
 
 // waitingCaller waits for the commit of the changes in flight.
@@ -131,6 +132,7 @@
 	}
 	d.expire(now, &c)
 	d.stepUpkeep(now, &c)
+	d.stepLending(now, &c)
 	d.place(now, &c)
 	d.inFlight = c
 	if c.Empty() {
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -8,10 +8,15 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
+// lentPenalty keeps lasting tasks off lent VMs while any other has room.
+const lentPenalty = 100
+
 // candidate is a worker whose report waits for an order.
 type candidate struct {
 	*worker
 	room manager.Resources
+	// lent says that the VM is another pool's, so that lasting tasks would keep it from going back.
+	lent bool
 	// given counts the starts of this step of placement.
 	given int
 }
@@ -34,10 +39,10 @@
 func (d *Dispatcher) candidates(now manager.Time) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sorted() {
-		if !w.parked || w.ending || w.latest.Draining || w.evacuating || w.health.distrusted(now) || d.foreign(w) {
+		if !w.parked || w.ending || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
 			continue
 		}
-		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{worker: w, room: d.room(w)})
+		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{worker: w, room: d.room(w), lent: d.lent(w)})
 	}
 	return pools
 }
@@ -118,6 +123,9 @@
 			score -= 2
 		}
 		score -= float64(perWorker[w.life])
+		if step.Lasting && w.lent {
+			score -= lentPenalty
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -56,8 +56,9 @@
 
 // ListedVM is a VM of the list.
 type ListedVM struct {
-	Pool manager.PoolID
-	Up   bool
+	Pool     manager.PoolID
+	Up       bool
+	Capacity manager.Resources
 }
 
 // upkeep is what a dispatcher keeps of waves besides the book.
@@ -196,6 +197,11 @@
 			d.call(Duty{VM: u.VM, Wave: u.Wave, Token: d.Token})
 		}
 	}
+	for _, m := range d.inFlight.Move {
+		if m.Pool != "" {
+			d.call(Duty{VM: m.VM, Pool: m.Pool, Token: d.Token})
+		}
+	}
 }
 
 func (d *Dispatcher) call(duty Duty) {
@@ -218,6 +224,10 @@
 	d.upkeep.init()
 	delete(d.upkeep.calling, r.Duty.VM)
 	d.note("platform answered", "VM", r.Duty.VM, "Wave", r.Duty.Wave, "Pool", r.Duty.Pool, "Outcome", r.Outcome, "Token", r.Duty.Token)
+	if r.Duty.Pool != "" {
+		d.takeMove(now, r, c)
+		return
+	}
 	change := recorder.Upkeep{Wave: r.Duty.Wave, VM: r.Duty.VM}
 	switch r.Outcome {
 	case DutyTaken:
@@ -237,7 +247,7 @@
 
 // WantsListing tells whether the platform's list of VMs should be read now.
 func (d *Dispatcher) WantsListing(now manager.Time) bool {
-	if !d.upkeep.wanted || now.Sub(d.upkeep.listedAt) < listingPeriod {
+	if !d.upkeep.wanted && !d.lending.stale(now) || now.Sub(d.upkeep.listedAt) < listingPeriod {
 		return false
 	}
 	d.upkeep.listedAt = now
@@ -247,6 +257,7 @@
 // takeListing ends the upkeep of VMs that are gone for good, and of those without a worker that are up
 // again.
 func (d *Dispatcher) takeListing(l Listing, c *recorder.Changes) {
+	d.lending.take(l)
 	for _, id := range d.waves() {
 		wave := d.Book.Waves[id]
 		for _, vm := range wave.VMs {
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -32,6 +32,9 @@
 	lapsedUntil manager.Time
 	// evacuating bars new starts, as the VM is to be moved or kept up.
 	evacuating bool
+	// leaving bars new starts, as the VM goes to another pool once it is empty.
+	leaving    bool
+	idleSince  manager.Time
 	health     health
 	pace       map[manager.TaskID]manager.Percent
 	paceOrders []manager.PaceOrder
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -60,6 +60,9 @@
 			continue
 		}
 		b.Moves[m.VM] = m.Pool
+		if _, ok := b.Homes[m.VM]; !ok {
+			b.Homes[m.VM] = m.From
+		}
 	}
 	for _, s := range c.Start {
 		b.start(s)
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -18,6 +18,8 @@
 	Waves         map[uint64]*Wave
 	// Moves are the VMs that are ordered into another pool.
 	Moves map[manager.VMID]manager.PoolID `json:",omitempty"`
+	// Homes are the pools from which VMs were lent when they first moved.
+	Homes map[manager.VMID]manager.PoolID `json:",omitempty"`
 	// Ended lists the ended jobs, the oldest first.
 	Ended []manager.GraphID
 
@@ -81,7 +83,7 @@
 
 // New returns an empty book.
 func New() *Book {
-	b := &Book{Jobs: map[manager.GraphID]*Job{}, Waves: map[uint64]*Wave{}, Moves: map[manager.VMID]manager.PoolID{}}
+	b := &Book{Jobs: map[manager.GraphID]*Job{}, Waves: map[uint64]*Wave{}, Moves: map[manager.VMID]manager.PoolID{}, Homes: map[manager.VMID]manager.PoolID{}}
 	b.index()
 	return b
 }
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -63,4 +63,6 @@
 type Move struct {
 	VM   manager.VMID
 	Pool manager.PoolID `json:",omitempty"`
+	// From is the pool that the VM leaves; that of its first move is its home.
+	From manager.PoolID `json:",omitempty"`
 }
