--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -54,22 +54,17 @@
 	if g.Steps[0].Lasting {
 		return 0
 	}
-	free := d.freeProcessors(now, q.Pool)
-	if free == 0 {
+	free := d.freeRoom(now, q.Pool)
+	if free == (manager.Resources{}) {
 		return 0
 	}
-	backlog := 0.0
+	var backlog work
 	for _, j := range d.Book.Active() {
 		if !j.Lasting() && d.poolOf(j) == q.Pool {
-			backlog += d.times.work(j)
+			backlog.plus(d.times.work(j))
 		}
 	}
-	for _, s := range d.inFlight.Submit {
-		if s.Queue == g.Queue {
-			backlog += d.times.graphWork(s)
-		}
-	}
-	wait := manager.Duration(backlog / free)
+	wait := manager.Duration(backlog.over(free))
 	probe := &recorder.Job{Graph: g, Accepted: now}
 	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.chainOf(g)
 	if wait <= slack {
@@ -78,20 +73,20 @@
 	return max(retryAfter, wait-slack)
 }
 
-// freeProcessors returns the millicores of a pool that lasting tasks leave.
-func (d *Dispatcher) freeProcessors(now manager.Time, p manager.PoolID) float64 {
-	total := 0.0
+// freeRoom returns the capacity of a pool that lasting tasks leave.
+func (d *Dispatcher) freeRoom(now manager.Time, p manager.PoolID) manager.Resources {
+	var total manager.Resources
 	for _, w := range d.workers {
 		if w.latest.Pool != p || w.latest.Draining || w.health.distrusted(now) || now > w.lapsedUntil {
 			continue
 		}
-		free := w.latest.Capacity.ProcessorMilliCores
+		free := w.latest.Capacity
 		for id := range d.Book.Runs(w.life) {
 			if j := d.Book.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Lasting {
-				free -= stepRoom(j.Steps[id.Step]).ProcessorMilliCores
+				free = free.Sub(stepRoom(j.Steps[id.Step]))
 			}
 		}
-		total += max(0, float64(free))
+		total = total.Add(free.Max(manager.Resources{}))
 	}
 	return total
 }
--- a/pkg/manager/dispatcher/estimator.go
+++ b/pkg/manager/dispatcher/estimator.go
@@ -73,11 +73,11 @@
 	return total
 }
 
-// work returns the expected processor time of a job's tasks that are not done, in millicore-milliseconds.
-func (e *estimator) work(j *recorder.Job) float64 {
-	total := 0.0
+// work returns what is left of a job.
+func (e *estimator) work(j *recorder.Job) work {
+	var total work
 	for i, s := range j.Steps {
-		total += float64(j.Left(i)) * float64(s.Room.ProcessorMilliCores) * float64(e.task(j.Queue, s))
+		total.add(s, float64(j.Left(i))*float64(e.task(j.Queue, s)))
 	}
 	return total
 }
@@ -96,10 +96,10 @@
 }
 
 // graphWork is work for a job that is not taken yet.
-func (e *estimator) graphWork(g manager.Graph) float64 {
-	total := 0.0
+func (e *estimator) graphWork(g manager.Graph) work {
+	var total work
 	for _, s := range g.Steps {
-		total += float64(s.Count) * float64(s.Room.ProcessorMilliCores) * float64(e.task(g.Queue, s))
+		total.add(s, float64(s.Count)*float64(e.task(g.Queue, s)))
 	}
 	return total
 }
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -37,19 +37,16 @@
 
 // poolLoad is the work of a pool.
 type poolLoad struct {
-	pool       manager.PoolID
-	work       float64
-	processors float64
+	pool manager.PoolID
+	work work
+	room manager.Resources
 }
 
 // wait is the predicted time in which the pool works off what it has.
 func (p *poolLoad) wait() manager.Duration {
-	return manager.Duration(p.work / max(1, p.processors))
+	return manager.Duration(p.work.over(p.room))
 }
 
-// lacks is the processors that the pool lacks to do so in time.
-func (p *poolLoad) lacks() float64 { return p.work/float64(lendHorizon) - p.processors }
-
 // lent tells whether a worker's VM is at home in another pool.
 func (d *Dispatcher) lent(w *worker) bool {
 	home, ok := d.Book.Homes[w.latest.VM]
@@ -67,31 +64,30 @@
 	loads := d.loads(now)
 	free := d.lendable(now, loads)
 	for _, p := range loads {
-		lack := p.lacks()
-		for lack > 0 && len(free) > 0 {
+		for p.wait() > lendHorizon && len(free) > 0 {
 			vm := free[0]
 			free = free[1:]
-			lack -= float64(vm.capacity.ProcessorMilliCores)
+			p.room = p.room.Add(vm.capacity)
 			d.send(now, vm, p.pool, c)
 		}
 	}
 	d.sendHome(now, free, c)
 }
 
-// loads returns the pools that are in use, those that lack most first.
+// loads returns the pools that are in use, those that take longest first.
 func (d *Dispatcher) loads(now manager.Time) []*poolLoad {
 	byPool := map[manager.PoolID]*poolLoad{}
 	var list []*poolLoad
 	for _, p := range d.Book.Configuration.Pools {
 		if !p.Standby && byPool[p.Pool] == nil {
-			l := &poolLoad{pool: p.Pool, processors: d.freeProcessors(now, p.Pool)}
+			l := &poolLoad{pool: p.Pool, room: d.freeRoom(now, p.Pool)}
 			byPool[p.Pool] = l
 			list = append(list, l)
 		}
 	}
 	for vm, p := range d.Book.Moves {
 		if l := byPool[p]; l != nil {
-			l.processors += float64(d.lending.vms[vm].Capacity.ProcessorMilliCores)
+			l.room = l.room.Add(d.lending.vms[vm].Capacity)
 		}
 	}
 	for _, j := range d.Book.Active() {
@@ -99,10 +95,10 @@
 		if l == nil || j.Lasting() || d.turnOf(now, j).class == classOverdue {
 			continue
 		}
-		l.work += d.times.work(j)
+		l.work.plus(d.times.work(j))
 	}
 	slices.SortFunc(list, func(a, b *poolLoad) int {
-		return cmp.Or(-cmp.Compare(a.lacks(), b.lacks()), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(-cmp.Compare(a.wait(), b.wait()), cmp.Compare(a.pool, b.pool))
 	})
 	return list
 }
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -33,8 +33,8 @@
 	priority int
 	// due is when the rest of the job has to run without a pause to meet its objective.
 	due manager.Time
-	// work is what is left, in millicore-milliseconds.
-	work float64
+	// span is the time in which the whole pool would do what is left.
+	span float64
 }
 
 // line returns the active jobs of a pool in the order in which they get workers.
@@ -46,7 +46,12 @@
 		}
 	}
 	slices.SortFunc(list, compareTurns)
-	d.demote(now, list, d.freeProcessors(now, p))
+	free := d.freeRoom(now, p)
+	for i := range list {
+		left := d.times.work(list[i].job)
+		list[i].span = left.over(free)
+	}
+	demote(now, list)
 	slices.SortStableFunc(list, func(a, b turn) int { return cmp.Compare(a.class, b.class) })
 	return list
 }
@@ -62,7 +67,7 @@
 		return t
 	}
 	objective := d.objective(j)
-	t.due, t.work = objective.Add(-d.times.chain(j)), d.times.work(j)
+	t.due = objective.Add(-d.times.chain(j))
 	switch {
 	case now <= t.due:
 		t.class = classInTime
@@ -78,41 +83,38 @@
 // to some job does not fit before that job is due, the largest one so far that has not begun goes.
 // It answers a surge of several times what the pool holds, where serving by due time alone would bring
 // every job in a little too late.
-func (d *Dispatcher) demote(now manager.Time, list []turn, processors float64) {
-	if processors <= 0 {
-		return
-	}
-	var kept workHeap
+func demote(now manager.Time, list []turn) {
+	var kept spanHeap
 	total := 0.0
 	for i := range list {
 		t := &list[i]
 		if t.class != classInTime {
 			continue
 		}
-		total += t.work
+		total += t.span
 		if !t.job.Started {
 			heap.Push(&kept, t)
 		}
-		for total/processors > float64(t.due.Sub(now)) && len(kept) > 0 {
+		for total > float64(t.due.Sub(now)) && len(kept) > 0 {
 			largest := heap.Pop(&kept).(*turn)
 			largest.class = classLate
-			total -= largest.work
+			total -= largest.span
 		}
 	}
 }
 
-// workHeap holds jobs with the largest work on top.
-type workHeap []*turn
+// spanHeap holds jobs with the largest span on top.
+type spanHeap []*turn
 
-func (h workHeap) Len() int           { return len(h) }
-func (h workHeap) Less(i, j int) bool { return h[i].work > h[j].work }
-func (h workHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h spanHeap) Len() int           { return len(h) }
+func (h spanHeap) Less(i, j int) bool { return h[i].span > h[j].span }
+func (h spanHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push adds a job.
-func (h *workHeap) Push(x any) { *h = append(*h, x.(*turn)) }
+func (h *spanHeap) Push(x any) { *h = append(*h, x.(*turn)) }
 
 // Pop removes the last job.
-func (h *workHeap) Pop() any {
+func (h *spanHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
 	*h = old[:len(old)-1]
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -103,7 +103,7 @@
 	return counts
 }
 
-// choose returns the worker with the largest share of its processors free.
+// choose returns the worker that has the largest share of its capacity left afterwards.
 func choose(step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerLife]int, list []*candidate) *candidate {
 	var best *candidate
 	var bestScore float64
@@ -115,7 +115,7 @@
 		if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
 			continue
 		}
-		score := float64(w.room.ProcessorMilliCores) / float64(max(1, w.latest.Capacity.ProcessorMilliCores))
+		score := leastFree(w.room, need, w.latest.Capacity)
 		if step.DataRack != "" && slices.Contains(w.latest.Labels, step.DataRack) {
 			score++
 		}
