--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -85,12 +85,29 @@
 			return c.Stored, nil, err
 		}
 	}
+	if err := l.syncLast(); err != nil {
+		return c.Stored, nil, err
+	}
 	if err := l.openSegment(c.nextSegment()); err != nil {
 		return c.Stored, nil, err
 	}
 	return c.Stored, c.SnapshotData, nil
 }
 
+// syncLast makes the newest segment last: a process that was killed between a write and its sync left
+// records that were read now and will be built on.
+func (l *Log) syncLast() error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	f, err := os.OpenFile(segmentName(l.Folder, l.segments[len(l.segments)-1].number), os.O_RDWR, fileMode)
+	if err != nil {
+		return fmt.Errorf("open newest segment: %w", err)
+	}
+	defer f.Close()
+	return l.disk().Sync(f)
+}
+
 func cutTorn(t TornRecord) error {
 	f, err := os.OpenFile(t.File, os.O_RDWR, fileMode)
 	if err != nil {
--- a/internal/journaler/log_test.go
+++ b/internal/journaler/log_test.go
@@ -184,3 +184,28 @@
 		}
 	})
 }
+
+// syncedDisk notes which files were synced.
+type syncedDisk struct {
+	journaler.RealDisk
+	names map[string]bool
+}
+
+func (d *syncedDisk) Sync(f *os.File) error {
+	d.names[f.Name()] = true
+	return d.RealDisk.Sync(f)
+}
+
+// A process that is killed between a write and its sync leaves records that the next start reads but
+// that a later loss of power takes away.
+func TestOpenSyncsWhatAKilledProcessLeft(t *testing.T) {
+	folder := t.TempDir()
+	first := &journaler.Log{Folder: folder, Disk: &badDisk{}}
+	open(t, first)
+	require.NoError(t, first.Save(nil, []manager.Entry{entry(1, 1)}))
+	disk := &syncedDisk{names: map[string]bool{}}
+	second := &journaler.Log{Folder: folder, Disk: disk}
+	require.Equal(t, []manager.Index{1}, indexes(open(t, second)))
+	require.True(t, disk.names[filepath.Join(folder, "segment-0000000000000001")])
+	require.NoError(t, second.Close())
+}
