--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -18,6 +18,8 @@
 	calmWait = 250 * manager.Millisecond
 	// idleReturn is how long a lent VM without work stays, as another surge may come.
 	idleReturn = 1500 * manager.Millisecond
+	// notePeriod is the pause between two log lines on each pool.
+	notePeriod = 1 * manager.Second
 	// listAge is the age after which the list of VMs is read again.
 	listAge = 15 * manager.Second
 )
@@ -27,6 +29,7 @@
 	vms      map[manager.VMID]ListedVM
 	listedAt manager.Time
 	lookedAt manager.Time
+	notedAt  manager.Time
 	// barred are the VMs that the platform does not let into a pool.
 	barred map[manager.VMID]bool
 }
@@ -62,6 +65,7 @@
 	}
 	d.lending.lookedAt = now
 	loads := d.loads(now)
+	d.notePools(now, loads)
 	free := d.lendable(now, loads)
 	for _, p := range loads {
 		for p.wait() > lendHorizon && len(free) > 0 {
@@ -103,6 +107,39 @@
 	return list
 }
 
+// notePools logs the load of the pools that have any, now and then.
+func (d *Dispatcher) notePools(now manager.Time, loads []*poolLoad) {
+	if now.Sub(d.lending.notedAt) < notePeriod {
+		return
+	}
+	d.lending.notedAt = now
+	for _, p := range loads {
+		if p.work == (work{}) {
+			continue
+		}
+		used, vms := d.used(p.pool)
+		d.note("pool loaded", "Pool", p.pool, "VMs", vms, "WaitMs", p.wait(), "FreeOfLasting", p.room, "Used", used)
+	}
+}
+
+// used returns what the finite tasks of a pool take, and the number of its workers.
+func (d *Dispatcher) used(p manager.PoolID) (manager.Resources, int) {
+	var used manager.Resources
+	vms := 0
+	for _, w := range d.workers {
+		if w.latest.Pool != p {
+			continue
+		}
+		vms++
+		for id := range d.Book.Runs(w.life) {
+			if j := d.Book.Jobs[id.Graph]; j != nil && !j.Steps[id.Step].Lasting {
+				used = used.Add(stepRoom(j.Steps[id.Step]))
+			}
+		}
+	}
+	return used, vms
+}
+
 // lendableVM is a VM that may be sent to another pool.
 type lendableVM struct {
 	vm       manager.VMID
