Give the room of ended runs away before their report is answered

Cause: a report with ends was answered at their commit, before anything was placed, so that each worker idled until its next report: half of the processors were unused beside a backlog. Change: such a report waits for the next step. Upkeep takes VMs of calm pools first and those of busy ones only as fast as the wave's time asks; VMs on the move wait.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -30,6 +30,8 @@
 	listedAt manager.Time
 	lookedAt manager.Time
 	notedAt  manager.Time
+	// waits are the predicted waits of the pools at the latest look.
+	waits map[manager.PoolID]manager.Duration
 	// barred are the VMs that the platform does not let into a pool.
 	barred map[manager.VMID]bool
 }
@@ -66,7 +68,11 @@
 	d.lending.lookedAt = now
 	loads := d.loads(now)
 	d.notePools(now, loads)
-	free := d.lendable(now, loads)
+	d.lending.waits = map[manager.PoolID]manager.Duration{}
+	for _, p := range loads {
+		d.lending.waits[p.pool] = p.wait()
+	}
+	free := d.lendable()
 	for _, p := range loads {
 		for p.wait() > lendHorizon && len(free) > 0 {
 			vm := free[0]
@@ -149,15 +155,11 @@
 }
 
 // lendable returns the VMs of standby pools, then the lent ones in calm pools.
-func (d *Dispatcher) lendable(now manager.Time, loads []*poolLoad) []lendableVM {
+func (d *Dispatcher) lendable() []lendableVM {
 	standby := map[manager.PoolID]bool{}
 	for _, p := range d.Book.Configuration.Pools {
 		standby[p.Pool] = p.Standby
 	}
-	calm := map[manager.PoolID]bool{}
-	for _, p := range loads {
-		calm[p.pool] = p.wait() < calmWait
-	}
 	kept := d.inWaves()
 	var off, lent []lendableVM
 	for id, vm := range d.lending.vms {
@@ -166,7 +168,7 @@
 		}
 		if w := d.byVM[id]; w != nil {
 			w.leaving = false
-			if d.lent(w) && calm[w.latest.Pool] && !w.latest.Draining {
+			if d.lent(w) && d.calm(w.latest.Pool) && !w.latest.Draining {
 				lent = append(lent, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w})
 			}
 			continue
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -13,11 +13,16 @@
 		if !w.parked {
 			continue
 		}
+		if w.ending {
+			// The room of the ends that were just committed is given away at the next step.
+			w.ending = false
+			continue
+		}
 		o, urgent := d.orders(now, w)
 		if !urgent && now.Sub(w.parkedAt) < d.patience(w) {
 			continue
 		}
-		w.parked, w.ending, w.paceOrders = false, false, nil
+		w.parked, w.paceOrders = false, nil
 		w.lapsedUntil = max(w.lapsedUntil, w.parkedAt.Add(d.leaseEnd()))
 		answers = append(answers, Answer{Ticket: w.ticket, Orders: o})
 	}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -15,6 +16,12 @@
 	listingPeriod = 2 * manager.Second
 	// evacuateAhead is how many VMs beyond a wave's cap are emptied in advance.
 	evacuateAhead = 2
+	// upkeepSpan is how long a VM is kept from work by its upkeep: emptying, maintenance, return.
+	upkeepSpan = 4500 * manager.Millisecond
+	// upkeepMargin is kept free at the end of a wave's time.
+	upkeepMargin = 4 * manager.Second
+	// evacuationSticks keeps a VM that is being emptied first in line between two steps.
+	evacuationSticks = 500 * manager.Millisecond
 )
 
 // Duty is an order to the platform for one VM; Pool is set for a move, Wave for an upkeep.
@@ -118,7 +125,7 @@
 			if d.upkeep.begunAt[vm] == 0 {
 				d.upkeep.begunAt[vm] = now
 			}
-			if w := d.byVM[vm]; w != nil && w.life.Born > wave.Born[vm] {
+			if w := d.byVM[vm]; w != nil && d.returned(w, wave.Born[vm]) {
 				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
 				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
 				continue
@@ -131,11 +138,8 @@
 	if now.Sub(d.Began) < d.Options.DutyGapMs {
 		return
 	}
-	evacuating := 0
-	for _, vm := range d.upkeepOrder(wave) {
-		if evacuating >= wave.Cap+evacuateAhead {
-			return
-		}
+	rate := d.upkeepRate(now, wave)
+	for _, vm := range d.upkeepOrder(now, wave) {
 		w := d.byVM[vm]
 		if w == nil {
 			d.upkeep.wanted = true
@@ -145,8 +149,13 @@
 			}
 			continue
 		}
-		evacuating++
-		w.evacuating = true
+		if !d.calm(w.latest.Pool) {
+			if rate <= 0 {
+				continue
+			}
+			rate--
+		}
+		w.evacuating, w.evacuatedAt = true, now
 		if down < wave.Cap && now >= d.upkeep.retryAt[vm] && d.empty(w) {
 			down++
 			d.order(wave, vm, w.life.Born, c)
@@ -154,6 +163,32 @@
 	}
 }
 
+// upkeepRate returns how many VMs of pools with much work must be kept from it now, so that the wave
+// ends in time.
+func (d *Dispatcher) upkeepRate(now manager.Time, wave *recorder.Wave) int {
+	left := 0
+	for _, vm := range wave.VMs {
+		if wave.State[vm] == recorder.UpkeepWaiting {
+			left++
+		}
+	}
+	time := max(upkeepSpan, wave.Accepted.Add(wave.DurationMs-upkeepMargin).Sub(now))
+	need := (manager.Duration(left)*upkeepSpan + time - 1) / time
+	return min(int(need), wave.Cap+evacuateAhead)
+}
+
+// calm tells whether a pool could do without a VM for a while.
+func (d *Dispatcher) calm(p manager.PoolID) bool { return d.lending.waits[p] < calmWait }
+
+// returned tells whether a worker is a later life than the one that an upkeep ended. An upkeep of a VM
+// whose worker was not known is over once one was met after it began.
+func (d *Dispatcher) returned(w *worker, ended manager.Time) bool {
+	if ended == 0 {
+		return w.metAt > d.upkeep.begunAt[w.latest.VM]
+	}
+	return w.life.Born > ended
+}
+
 // keepEmpty bars starts on a VM that is ordered away.
 func (d *Dispatcher) keepEmpty(vm manager.VMID) {
 	if w := d.byVM[vm]; w != nil {
@@ -168,17 +203,21 @@
 	return len(d.Book.Runs(w.life)) == 0 && len(w.running) == 0
 }
 
-// upkeepOrder returns the VMs that wait, those with the least work first.
-func (d *Dispatcher) upkeepOrder(wave *recorder.Wave) []manager.VMID {
+// upkeepOrder returns the VMs that wait: those that are being emptied first, then those with the least
+// work. VMs on their way to another pool wait until they have arrived.
+func (d *Dispatcher) upkeepOrder(now manager.Time, wave *recorder.Wave) []manager.VMID {
 	var list []manager.VMID
 	load := map[manager.VMID]int{}
 	for _, vm := range wave.VMs {
-		if wave.State[vm] != recorder.UpkeepWaiting {
+		if _, moving := d.Book.Moves[vm]; moving || wave.State[vm] != recorder.UpkeepWaiting {
 			continue
 		}
 		list = append(list, vm)
 		if w := d.byVM[vm]; w != nil {
 			load[vm] = len(d.Book.Runs(w.life))
+			if now.Sub(w.evacuatedAt) < evacuationSticks {
+				load[vm] -= math.MaxInt32
+			}
 		}
 	}
 	slices.SortStableFunc(list, func(a, b manager.VMID) int { return cmp.Compare(load[a], load[b]) })
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -31,7 +31,9 @@
 	// lapsedUntil is when the lease of everything on the worker has ended for certain.
 	lapsedUntil manager.Time
 	// evacuating bars new starts, as the VM is to be moved or kept up.
-	evacuating bool
+	evacuating  bool
+	evacuatedAt manager.Time
+	metAt       manager.Time
 	// leaving bars new starts, as the VM goes to another pool once it is empty.
 	leaving    bool
 	idleSince  manager.Time
@@ -111,7 +113,7 @@
 // meet makes a new life known and ends what older lives of the worker, the VM and the address held.
 func (d *Dispatcher) meet(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
 	w := &worker{
-		life: r.Life, running: map[manager.TaskID]manager.RunningTask{}, pace: map[manager.TaskID]manager.Percent{},
+		life: r.Life, metAt: now, running: map[manager.TaskID]manager.RunningTask{}, pace: map[manager.TaskID]manager.Percent{},
 		sentStop: map[manager.TaskID]manager.Time{}, progress: map[manager.TaskID]progressMark{},
 	}
 	// A dispatcher that took over does not know what its predecessor granted.
