--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -64,7 +64,7 @@
 			backlog.plus(d.times.work(j))
 		}
 	}
-	wait := manager.Duration(backlog.over(free))
+	wait := manager.Duration(backlog.over(free.Add(d.lending.room)))
 	probe := &recorder.Job{Graph: g, Accepted: now}
 	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.chainOf(g)
 	if wait <= slack {
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -32,6 +32,8 @@
 	notedAt  manager.Time
 	// waits are the predicted waits of the pools at the latest look.
 	waits map[manager.PoolID]manager.Duration
+	// room is the capacity that could be lent at the latest look.
+	room manager.Resources
 	// barred are the VMs that the platform does not let into a pool.
 	barred map[manager.VMID]bool
 }
@@ -81,6 +83,10 @@
 			d.send(now, vm, p.pool, c)
 		}
 	}
+	d.lending.room = manager.Resources{}
+	for _, vm := range free {
+		d.lending.room = d.lending.room.Add(vm.capacity)
+	}
 	d.sendHome(now, free, c)
 }
 
