Pack lasting tasks and share all other VMs by need

Cause: at a turn the pool in question holds a fraction of the fleet's room while the others idle; a pool's predicted wait counts what runs already, so that it held on to VMs when nothing waited any more. Change: lasting tasks fill workers one after the other; every VM without one may move; a pool needs what runs, what waits over the lending horizon, and what comes in; the highest load is served from the lowest.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -40,6 +40,7 @@
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
+	d.noteDemand(now, q.Pool, g)
 	d.note("job accepted", "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.Book.Configuration.Version)
 	return d.await(t)
 }
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -11,15 +12,24 @@
 const (
 	// lendPeriod is the pause between two looks at the pools.
 	lendPeriod = 200 * manager.Millisecond
-	// lendHorizon is the time within which a pool should be able to work off what waits for it; it is
-	// well under the slack of the objectives, as a move takes a second or two.
-	lendHorizon = 700 * manager.Millisecond
-	// calmWait is the predicted wait under which a pool gives lent VMs away.
-	calmWait = 250 * manager.Millisecond
-	// idleReturn is how long a lent VM without work stays, as another surge may come.
-	idleReturn = 1500 * manager.Millisecond
+	// lendHorizon is the time within which a pool should begin what waits for it; it is under the slack
+	// of the objectives, of which a move takes a second or two.
+	lendHorizon = 1500 * manager.Millisecond
+	// demandTime is the time over which the work that comes in is averaged.
+	demandTime = 800 * manager.Millisecond
+	// calmLoad is the load under which a pool could do without some VMs.
+	calmLoad = 0.5
+	// lendGain is how much smaller a pool's load must stay, having given a VM away, than that of the pool
+	// that gets it; without a margin VMs go to and fro.
+	lendGain = 0.75
+	// offLoad ranks a VM that is off behind the idle ones that are paid for.
+	offLoad = calmLoad
+	// idleReturn is how long a VM without work stays switched on, as another surge may come.
+	idleReturn = 2500 * manager.Millisecond
 	// notePeriod is the pause between two log lines on each pool.
 	notePeriod = 1 * manager.Second
+	// leastWorkers is how many workers a pool keeps at least.
+	leastWorkers = 2
 	// listAge is the age after which the list of VMs is read again.
 	listAge = 15 * manager.Second
 )
@@ -30,10 +40,12 @@
 	listedAt manager.Time
 	lookedAt manager.Time
 	notedAt  manager.Time
-	// waits are the predicted waits of the pools at the latest look.
-	waits map[manager.PoolID]manager.Duration
-	// room is the capacity that could be lent at the latest look.
+	// loads are the loads of the pools at the latest look.
+	loads map[manager.PoolID]float64
+	// room is the capacity of all VMs without lasting tasks at the latest look.
 	room manager.Resources
+	// demand is the work that comes in for each pool.
+	demand map[manager.PoolID]*demand
 	// barred are the VMs that the platform does not let into a pool.
 	barred map[manager.VMID]bool
 }
@@ -42,18 +54,6 @@
 
 func (l *lending) take(list Listing) { l.vms, l.listedAt = list.VMs, list.AskedAt }
 
-// poolLoad is the work of a pool.
-type poolLoad struct {
-	pool manager.PoolID
-	work work
-	room manager.Resources
-}
-
-// wait is the predicted time in which the pool works off what it has.
-func (p *poolLoad) wait() manager.Duration {
-	return manager.Duration(p.work.over(p.room))
-}
-
 // lent tells whether a worker's VM is at home in another pool.
 func (d *Dispatcher) lent(w *worker) bool {
 	home, ok := d.Book.Homes[w.latest.VM]
@@ -70,53 +70,63 @@
 	d.lending.lookedAt = now
 	loads := d.loads(now)
 	d.notePools(now, loads)
-	d.lending.waits = map[manager.PoolID]manager.Duration{}
-	for _, p := range loads {
-		d.lending.waits[p.pool] = p.wait()
-	}
 	free := d.lendable()
-	for _, p := range loads {
-		for p.wait() > lendHorizon && len(free) > 0 {
-			vm := free[0]
-			free = free[1:]
-			p.room = p.room.Add(vm.capacity)
-			d.send(now, vm, p.pool, c)
-		}
-	}
 	d.lending.room = manager.Resources{}
 	for _, vm := range free {
 		d.lending.room = d.lending.room.Add(vm.capacity)
 	}
+	d.rescueStranded(now, loads, &free, c)
+	for d.lendOne(now, loads, &free, c) {
+	}
+	d.lending.loads = map[manager.PoolID]float64{}
+	for _, p := range loads {
+		d.lending.loads[p.pool] = p.load(manager.Resources{})
+	}
 	d.sendHome(now, free, c)
 }
 
-// loads returns the pools that are in use, those that take longest first.
-func (d *Dispatcher) loads(now manager.Time) []*poolLoad {
-	byPool := map[manager.PoolID]*poolLoad{}
-	var list []*poolLoad
-	for _, p := range d.Book.Configuration.Pools {
-		if !p.Standby && byPool[p.Pool] == nil {
-			l := &poolLoad{pool: p.Pool, room: d.freeRoom(now, p.Pool)}
-			byPool[p.Pool] = l
-			list = append(list, l)
+// rescueStranded gives a VM to each pool in which a lasting task finds no worker.
+func (d *Dispatcher) rescueStranded(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) {
+	for _, p := range loads {
+		i := slices.IndexFunc(*free, func(vm lendableVM) bool { return vm.pool != p.pool })
+		if d.stranded[p.pool] && i >= 0 {
+			d.send(now, (*free)[i], p.pool, c)
+			*free = slices.Delete(*free, i, i+1)
 		}
 	}
-	for vm, p := range d.Book.Moves {
-		if l := byPool[p]; l != nil {
-			l.room = l.room.Add(d.lending.vms[vm].Capacity)
-		}
+}
+
+// lendOne sends a VM to the pool with the highest load, from where it is missed least.
+func (d *Dispatcher) lendOne(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) bool {
+	if len(loads) == 0 {
+		return false
 	}
-	for _, j := range d.Book.Active() {
-		l := byPool[d.poolOf(j)]
-		if l == nil || j.Lasting() || d.turnOf(now, j).class == classOverdue {
-			continue
+	to := slices.MaxFunc(loads, func(a, b *poolLoad) int { return cmp.Compare(a.load(manager.Resources{}), b.load(manager.Resources{})) })
+	high := to.load(manager.Resources{})
+	if high <= 1 {
+		return false
+	}
+	best, bestLoad := -1, lendGain*high
+	for i, vm := range *free {
+		left := offLoad
+		if from := loadOf(loads, vm.pool); from != nil {
+			left = from.load(manager.Resources{}.Sub(vm.capacity))
+		}
+		if vm.pool != to.pool && left < bestLoad {
+			best, bestLoad = i, left
 		}
-		l.work.plus(d.times.work(j))
 	}
-	slices.SortFunc(list, func(a, b *poolLoad) int {
-		return cmp.Or(-cmp.Compare(a.wait(), b.wait()), cmp.Compare(a.pool, b.pool))
-	})
-	return list
+	if best < 0 {
+		return false
+	}
+	vm := (*free)[best]
+	*free = slices.Delete(*free, best, best+1)
+	to.room = to.room.Add(vm.capacity)
+	if from := loadOf(loads, vm.pool); from != nil {
+		from.room = from.room.Sub(vm.capacity)
+	}
+	d.send(now, vm, to.pool, c)
+	return true
 }
 
 // notePools logs the load of the pools that have any, now and then.
@@ -126,11 +136,11 @@
 	}
 	d.lending.notedAt = now
 	for _, p := range loads {
-		if p.work == (work{}) {
+		if p.need == (work{}) {
 			continue
 		}
 		used, vms := d.used(p.pool)
-		d.note("pool loaded", "Pool", p.pool, "VMs", vms, "WaitMs", p.wait(), "FreeOfLasting", p.room, "Used", used)
+		d.note("pool loaded", "Pool", p.pool, "VMs", vms, "Load", math.Round(100*p.load(manager.Resources{}))/100, "FreeOfLasting", p.room, "Used", used)
 	}
 }
 
@@ -158,35 +168,79 @@
 	pool     manager.PoolID
 	capacity manager.Resources
 	worker   *worker
+	// chosen says that the worker was to go at the latest look.
+	chosen bool
 }
 
-// lendable returns the VMs of standby pools, then the lent ones in calm pools.
+// lendable returns the VMs that may change their pool: those that are paid for and without work first,
+// then those that are off.
 func (d *Dispatcher) lendable() []lendableVM {
-	standby := map[manager.PoolID]bool{}
-	for _, p := range d.Book.Configuration.Pools {
-		standby[p.Pool] = p.Standby
-	}
 	kept := d.inWaves()
-	var off, lent []lendableVM
-	for id, vm := range d.lending.vms {
+	var on, off []lendableVM
+	spare := d.spareWorkers()
+	for _, id := range sortedListed(d.lending.vms) {
 		if _, moving := d.Book.Moves[id]; moving || kept[id] || d.lending.barred[id] || d.upkeep.fenced[id] {
 			continue
 		}
-		if w := d.byVM[id]; w != nil {
+		vm, w := d.lending.vms[id], d.byVM[id]
+		switch {
+		case w != nil:
+			chosen := w.leaving
 			w.leaving = false
-			if d.lent(w) && d.calm(w.latest.Pool) && !w.latest.Draining {
-				lent = append(lent, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w})
+			if spare[w.latest.Pool] > 0 && d.floats(w) {
+				spare[w.latest.Pool]--
+				on = append(on, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w, chosen: chosen})
 			}
-			continue
-		}
-		if vm.Up && standby[vm.Pool] {
+		case vm.Up && d.standbyPool(vm.Pool):
 			off = append(off, lendableVM{vm: id, pool: vm.Pool, capacity: vm.Capacity})
 		}
 	}
-	for _, list := range [][]lendableVM{off, lent} {
-		slices.SortFunc(list, func(a, b lendableVM) int { return cmp.Compare(a.vm, b.vm) })
+	slices.SortStableFunc(on, func(a, b lendableVM) int { return cmp.Compare(d.hold(a), d.hold(b)) })
+	return append(on, off...)
+}
+
+// hold ranks the VMs that may go: those that were chosen before, then those with the fewest runs.
+func (d *Dispatcher) hold(vm lendableVM) int {
+	if vm.chosen {
+		return -1
+	}
+	return len(d.Book.Runs(vm.worker.life))
+}
+
+// floats tells whether a worker holds no lasting task and takes work.
+func (d *Dispatcher) floats(w *worker) bool {
+	return !w.latest.Draining && d.lastingOn(w) == (manager.Resources{})
+}
+
+// spareWorkers returns how many workers each pool may give away. A pool that has had no job yet gives
+// none, as its lasting tasks may still come.
+func (d *Dispatcher) spareWorkers() map[manager.PoolID]int {
+	spare := map[manager.PoolID]int{}
+	for _, w := range d.workers {
+		spare[w.latest.Pool]++
+	}
+	used := map[manager.PoolID]bool{}
+	for _, j := range d.Book.Jobs {
+		used[d.poolOf(j)] = true
+	}
+	for p, n := range spare {
+		spare[p] = n - leastWorkers
+		if !used[p] || d.stranded[p] {
+			spare[p] = 0
+		}
+	}
+	return spare
+}
+
+// lastingOn returns what lasting tasks take of a worker.
+func (d *Dispatcher) lastingOn(w *worker) manager.Resources {
+	var total manager.Resources
+	for id := range d.Book.Runs(w.life) {
+		if j := d.Book.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Lasting {
+			total = total.Add(j.Steps[id.Step].Room)
+		}
 	}
-	return append(lent, off...)
+	return total
 }
 
 // inWaves returns the VMs whose upkeep is not done.
@@ -221,14 +275,15 @@
 	d.note("VM moves", "VM", vm.vm, "From", vm.pool, "To", to)
 }
 
-// sendHome returns the lent VMs that have had no work for a while.
+// sendHome switches off the VMs that have had no work for a while.
 func (d *Dispatcher) sendHome(now manager.Time, free []lendableVM, c *recorder.Changes) {
+	home := d.standby()
 	for _, vm := range free {
 		w := vm.worker
-		if w == nil {
+		if w == nil || home == "" {
 			continue
 		}
-		if !d.empty(w) {
+		if !d.empty(w) || !d.calm(w.latest.Pool) {
 			w.idleSince = 0
 			continue
 		}
@@ -236,7 +291,7 @@
 			w.idleSince = now
 		}
 		if now.Sub(w.idleSince) > idleReturn {
-			d.send(now, vm, d.Book.Homes[vm.vm], c)
+			d.send(now, vm, home, c)
 		}
 	}
 }
@@ -307,6 +362,25 @@
 	}
 }
 
+// standby returns a pool whose VMs are off, or none.
+func (d *Dispatcher) standby() manager.PoolID {
+	for _, p := range d.Book.Configuration.Pools {
+		if p.Standby {
+			return p.Pool
+		}
+	}
+	return ""
+}
+
+func sortedListed(m map[manager.VMID]ListedVM) []manager.VMID {
+	list := make([]manager.VMID, 0, len(m))
+	for vm := range m {
+		list = append(list, vm)
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (d *Dispatcher) standbyPool(p manager.PoolID) bool {
 	return slices.ContainsFunc(d.Book.Configuration.Pools, func(s manager.PoolSettings) bool { return s.Pool == p && s.Standby })
 }
--- /dev/null
+++ b/pkg/manager/dispatcher/load.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"math"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+// demand is the mean of the work that comes in, as capacity.
+type demand struct {
+	mean work
+	at   manager.Time
+}
+
+// take adds work, after what came before has faded.
+func (d *demand) take(now manager.Time, w work) {
+	d.fade(now)
+	w.scale(1 / float64(demandTime))
+	d.mean.plus(w)
+}
+
+func (d *demand) fade(now manager.Time) {
+	d.mean.scale(math.Exp(-float64(now.Sub(d.at)) / float64(demandTime)))
+	d.at = now
+}
+
+// noteDemand takes a job that was accepted for a pool.
+func (d *Dispatcher) noteDemand(now manager.Time, p manager.PoolID, g manager.Graph) {
+	if g.Steps[0].Lasting {
+		return
+	}
+	if d.lending.demand == nil {
+		d.lending.demand = map[manager.PoolID]*demand{}
+	}
+	if d.lending.demand[p] == nil {
+		d.lending.demand[p] = &demand{at: now}
+	}
+	d.lending.demand[p].take(now, d.times.graphWork(g))
+}
+
+// poolLoad is what a pool needs and has.
+type poolLoad struct {
+	pool manager.PoolID
+	// need is the capacity for what runs, what waits and what comes in.
+	need work
+	room manager.Resources
+}
+
+// load is the need as a share of what the pool has, once it has gained some capacity.
+func (p *poolLoad) load(gain manager.Resources) float64 { return p.need.over(p.room.Add(gain)) }
+
+func loadOf(loads []*poolLoad, p manager.PoolID) *poolLoad {
+	for _, l := range loads {
+		if l.pool == p {
+			return l
+		}
+	}
+	return nil
+}
+
+// loads returns what the pools that are in use need and have.
+func (d *Dispatcher) loads(now manager.Time) []*poolLoad {
+	var list []*poolLoad
+	for _, p := range d.Book.Configuration.Pools {
+		if p.Standby || loadOf(list, p.Pool) != nil {
+			continue
+		}
+		l := &poolLoad{pool: p.Pool, room: d.freeRoom(now, p.Pool)}
+		if in := d.lending.demand[p.Pool]; in != nil {
+			in.fade(now)
+			l.need = in.mean
+		}
+		list = append(list, l)
+	}
+	for vm, p := range d.Book.Moves {
+		if l := loadOf(list, p); l != nil {
+			l.room = l.room.Add(d.lending.vms[vm].Capacity)
+		}
+	}
+	for _, j := range d.Book.Active() {
+		if l := loadOf(list, d.poolOf(j)); l != nil && !j.Lasting() {
+			d.addNeed(l, j)
+		}
+	}
+	return list
+}
+
+// addNeed adds what a job's running tasks take and what its waiting ones take to begin in time.
+func (d *Dispatcher) addNeed(l *poolLoad, j *recorder.Job) {
+	for s, step := range j.Steps {
+		running := 0
+		for i := range j.Tasks[s] {
+			if j.Tasks[s][i].Open != nil {
+				running++
+			}
+		}
+		l.need.add(step, float64(running))
+		waiting := float64(j.Left(s) - running)
+		l.need.add(step, waiting*float64(d.times.task(j.Queue, step))/float64(lendHorizon))
+	}
+}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -8,8 +8,15 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
-// lentPenalty keeps lasting tasks off lent VMs while any other has room.
-const lentPenalty = 100
+const (
+	// lentPenalty keeps lasting tasks off lent VMs while any other has room.
+	lentPenalty = 100
+	// packShare is the share of a worker that lasting tasks fill before the next worker gets some; the
+	// rest takes those of a neighbour that is emptied.
+	packShare = 0.75
+	// baseBonus draws finite tasks of a calm pool to workers that can't be lent anyway.
+	baseBonus = 1
+)
 
 // candidate is a worker whose report waits for an order.
 type candidate struct {
@@ -17,13 +24,16 @@
 	room manager.Resources
 	// lent says that the VM is another pool's, so that lasting tasks would keep it from going back.
 	lent bool
+	// lasting is what lasting tasks take.
+	lasting manager.Resources
+	calm    bool
 	// given counts the starts of this step of placement.
 	given int
 }
 
 // place proposes starts on the workers whose reports wait.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
-	d.backlog = map[manager.PoolID]bool{}
+	d.backlog, d.stranded = map[manager.PoolID]bool{}, map[manager.PoolID]bool{}
 	pools := d.candidates(now)
 	if len(pools) == 0 {
 		return
@@ -42,7 +52,9 @@
 		if !w.parked || w.ending || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
 			continue
 		}
-		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{worker: w, room: d.room(w), lent: d.lent(w)})
+		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
+			worker: w, room: d.room(w), lent: d.lent(w), lasting: d.lastingOn(w), calm: d.calm(w.latest.Pool),
+		})
 	}
 	return pools
 }
@@ -75,9 +87,15 @@
 			best := choose(step, t, perWorker, list)
 			if best == nil {
 				d.backlog[d.poolOf(j)] = true
+				if step.Lasting {
+					d.stranded[d.poolOf(j)] = true
+				}
 				break
 			}
 			best.room = best.room.Sub(stepRoom(step))
+			if step.Lasting {
+				best.lasting = best.lasting.Add(stepRoom(step))
+			}
 			best.given++
 			if perWorker != nil {
 				perWorker[best.life]++
@@ -103,7 +121,7 @@
 	return counts
 }
 
-// choose returns the worker that has the largest share of its capacity left afterwards.
+// choose returns the worker that suits a task best.
 func choose(step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerLife]int, list []*candidate) *candidate {
 	var best *candidate
 	var bestScore float64
@@ -115,7 +133,10 @@
 		if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
 			continue
 		}
-		score := leastFree(w.room, need, w.latest.Capacity)
+		score := w.spread(need)
+		if step.Lasting {
+			score = w.pack(need)
+		}
 		if step.DataRack != "" && slices.Contains(w.latest.Labels, step.DataRack) {
 			score++
 		}
@@ -123,12 +144,30 @@
 			score -= 2
 		}
 		score -= float64(perWorker[w.life])
-		if step.Lasting && w.lent {
-			score -= lentPenalty
-		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
 	return best
 }
+
+// spread prefers the worker with the largest share of its capacity left afterwards.
+func (w *candidate) spread(need manager.Resources) float64 {
+	score := leastFree(w.room, need, w.latest.Capacity)
+	if w.calm && w.lasting != (manager.Resources{}) {
+		score += baseBonus
+	}
+	return score
+}
+
+// pack prefers the worker with the most lasting tasks, so that the others stay free to be lent.
+func (w *candidate) pack(need manager.Resources) float64 {
+	share := 1 - leastFree(w.latest.Capacity, w.lasting.Add(need), w.latest.Capacity)
+	if share > packShare {
+		share = -share
+	}
+	if w.lent {
+		share -= lentPenalty
+	}
+	return share
+}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -178,7 +178,7 @@
 }
 
 // calm tells whether a pool could do without a VM for a while.
-func (d *Dispatcher) calm(p manager.PoolID) bool { return d.lending.waits[p] < calmWait }
+func (d *Dispatcher) calm(p manager.PoolID) bool { return d.lending.loads[p] < calmLoad }
 
 // returned tells whether a worker is a later life than the one that an upkeep ended. An upkeep of a VM
 // whose worker was not known is over once one was met after it began.
--- a/pkg/manager/dispatcher/work.go
+++ b/pkg/manager/dispatcher/work.go
@@ -23,6 +23,12 @@
 	w.accelerators += o.accelerators
 }
 
+func (w *work) scale(x float64) {
+	w.processors *= x
+	w.memory *= x
+	w.accelerators *= x
+}
+
 // over returns the time in which the capacity does the work; the scarcest resource decides.
 func (w *work) over(r manager.Resources) float64 {
 	return max(
