Count what is ready, not what waits for other steps, as a pool's need

Cause: a job's later steps were counted beside those that they wait for, so that a pool with half its processors idle asked for more VMs.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -14,9 +14,11 @@
 	lendPeriod = 200 * manager.Millisecond
 	// lendHorizon is the time within which a pool should begin what waits for it; it is under the slack
 	// of the objectives, of which a move takes a second or two.
-	lendHorizon = 1500 * manager.Millisecond
+	lendHorizon = 2000 * manager.Millisecond
 	// demandTime is the time over which the work that comes in is averaged.
 	demandTime = 800 * manager.Millisecond
+	// demandShare is the share of the work that comes in for which VMs are got before it waits.
+	demandShare = 0.5
 	// calmLoad is the load under which a pool could do without some VMs.
 	calmLoad = 0.5
 	// lendGain is how much smaller a pool's load must stay, having given a VM away, than that of the pool
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -42,13 +42,17 @@
 // poolLoad is what a pool needs and has.
 type poolLoad struct {
 	pool manager.PoolID
-	// need is the capacity for what runs, what waits and what comes in.
-	need work
-	room manager.Resources
+	// need is the capacity for what is ready and what comes in, running that for what runs.
+	need    work
+	running work
+	room    manager.Resources
 }
 
 // load is the need as a share of what the pool has, once it has gained some capacity.
-func (p *poolLoad) load(gain manager.Resources) float64 { return p.need.over(p.room.Add(gain)) }
+func (p *poolLoad) load(gain manager.Resources) float64 {
+	room := p.room.Add(gain)
+	return max(p.need.over(room), p.running.over(room))
+}
 
 func loadOf(loads []*poolLoad, p manager.PoolID) *poolLoad {
 	for _, l := range loads {
@@ -70,6 +74,7 @@
 		if in := d.lending.demand[p.Pool]; in != nil {
 			in.fade(now)
 			l.need = in.mean
+			l.need.scale(demandShare)
 		}
 		list = append(list, l)
 	}
@@ -86,17 +91,23 @@
 	return list
 }
 
-// addNeed adds what a job's running tasks take and what its waiting ones take to begin in time.
+// addNeed adds what a job's running tasks take, or what it takes to work off all that is ready within the
+// horizon.
 func (d *Dispatcher) addNeed(l *poolLoad, j *recorder.Job) {
 	for s, step := range j.Steps {
+		if j.Left(s) == 0 || !j.StepReady(s) {
+			// Tasks that are not ready take the place of those that they wait for.
+			continue
+		}
 		running := 0
 		for i := range j.Tasks[s] {
 			if j.Tasks[s][i].Open != nil {
 				running++
 			}
 		}
-		l.need.add(step, float64(running))
-		waiting := float64(j.Left(s) - running)
-		l.need.add(step, waiting*float64(d.times.task(j.Queue, step))/float64(lendHorizon))
+		// A running task is half done on average.
+		left := float64(j.Left(s)) - float64(running)/2
+		l.need.add(step, left*float64(d.times.task(j.Queue, step))/float64(lendHorizon))
+		l.running.add(step, float64(running))
 	}
 }
