Elect within a second and refuse nothing before the fleet is known

Cause: after a loss of all replicas the next leader came 1.2 to 2.4 s later, and its dispatcher counted only the workers heard so far as room: it refused with workers free. Change: heartbeats of 150 ms and elections after 0.7 to 1.4 s on the platform (one region); an exchange is bounded by half of that; a new dispatcher refuses nothing for 5 s.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 	"github.com/mulberryhaven/mulberryhaven/platform"
 )
 
@@ -32,6 +33,10 @@
 	memorySharePercent = 70
 	// minFreeDiskShare is the share of the disk below which no change is taken.
 	minFreeDiskShare = 8
+	// heartbeatPeriod and electionTimeout are shorter than the replicator's own, as all replicas are in one
+	// region; the time-out still holds several syncs of a slow disk.
+	heartbeatPeriod = 150 * manager.Millisecond
+	electionTimeout = 700 * manager.Millisecond
 	// readyDelay lets the balancer notice that the node is not ready any more.
 	readyDelay = 2300 * time.Millisecond
 	// stopMargin is kept free at the end of the grace.
@@ -101,6 +106,7 @@
 	f.store = &storer.Replicated{
 		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{Book: book},
 		MinFreeBytes: uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
+		Options:      replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout},
 	}
 	if s.Found {
 		f.store.Replica, f.store.Initial = seedMembers(s)
--- a/internal/storer/peers.go
+++ b/internal/storer/peers.go
@@ -134,7 +134,7 @@
 		}
 		filled = append(filled, m)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, exchangeTimeout.Std())
+	ctx, cancel := context.WithTimeout(s.ctx, s.store.exchangeTimeout().Std())
 	defer cancel()
 	var answer Exchange
 	if err := s.post(ctx, a, PathReplicate, Exchange{From: s.store.Replica, Messages: filled}, &answer); err != nil {
@@ -147,6 +147,14 @@
 	return s.store.inbox.add(func(b *batch) { b.inbound = append(b.inbound, in) })
 }
 
+// exchangeTimeout returns the bound of one exchange: half an election time-out at most.
+func (r *Replicated) exchangeTimeout() manager.Duration {
+	if t := r.Options.ElectionTimeout; t > 0 {
+		return min(exchangeTimeout, t/2)
+	}
+	return exchangeTimeout
+}
+
 // fill puts the data of a snapshot piece into its message, or drops a piece of an older snapshot.
 func (s *peerSet) fill(m *manager.ReplicaMessage) bool {
 	s.piece.mu.Lock()
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -8,6 +8,8 @@
 const (
 	// keepRefused is how long a copy of a refused submit may still be on its way.
 	keepRefused = 10 * manager.Second
+	// learnTime is how long a new dispatcher refuses nothing: it does not know all workers and VMs yet.
+	learnTime = 5 * manager.Second
 	// retryAfter is the least pause that a refused caller is asked for.
 	retryAfter = 1 * manager.Second
 )
@@ -52,7 +54,7 @@
 			delete(d.refused, id)
 		}
 	}
-	if g.Steps[0].Lasting {
+	if g.Steps[0].Lasting || now.Sub(d.Began) < learnTime {
 		return 0
 	}
 	free := d.freeRoom(now, q.Pool)
