Lend VMs that wait for their upkeep; keep VMs up only as fast as the wave asks in a surge

Cause: half of the fleet was not lent while a wave ran, and up to the cap's number of VMs was emptied at once in the middle of a surge. Change: a VM is kept out of lending only from its emptying to its return; beyond the rate that the wave's time asks, VMs follow only while no pool lacks any; 6 s are kept free at a wave's end.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -44,6 +44,8 @@
 	notedAt  manager.Time
 	// loads are the loads of the pools at the latest look.
 	loads map[manager.PoolID]float64
+	// surging says that some pool lacks VMs.
+	surging bool
 	// room is the capacity of all VMs without lasting tasks at the latest look.
 	room manager.Resources
 	// demand is the work that comes in for each pool.
@@ -80,9 +82,10 @@
 	d.rescueStranded(now, loads, &free, c)
 	for d.lendOne(now, loads, &free, c) {
 	}
-	d.lending.loads = map[manager.PoolID]float64{}
+	d.lending.loads, d.lending.surging = map[manager.PoolID]float64{}, false
 	for _, p := range loads {
 		d.lending.loads[p.pool] = p.load(manager.Resources{})
+		d.lending.surging = d.lending.surging || d.lending.loads[p.pool] > 1
 	}
 	d.sendHome(now, free, c)
 }
@@ -245,14 +248,18 @@
 	return total
 }
 
-// inWaves returns the VMs whose upkeep is not done.
+// inWaves returns the VMs that are in their upkeep or are being emptied for it.
 func (d *Dispatcher) inWaves() map[manager.VMID]bool {
 	kept := map[manager.VMID]bool{}
 	for _, id := range d.waves() {
 		wave := d.Book.Waves[id]
 		for _, vm := range wave.VMs {
-			if wave.State[vm] != recorder.UpkeepDone {
+			w := d.byVM[vm]
+			switch wave.State[vm] {
+			case recorder.UpkeepOrdered, recorder.UpkeepBegun:
 				kept[vm] = true
+			case recorder.UpkeepWaiting:
+				kept[vm] = w == nil || w.evacuating
 			}
 		}
 	}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -19,7 +19,7 @@
 	// upkeepSpan is how long a VM is kept from work by its upkeep: emptying, maintenance, return.
 	upkeepSpan = 4500 * manager.Millisecond
 	// upkeepMargin is kept free at the end of a wave's time.
-	upkeepMargin = 4 * manager.Second
+	upkeepMargin = 6 * manager.Second
 	// evacuationSticks keeps a VM that is being emptied first in line between two steps.
 	evacuationSticks = 500 * manager.Millisecond
 )
@@ -149,12 +149,10 @@
 			}
 			continue
 		}
-		if !d.calm(w.latest.Pool) {
-			if rate <= 0 {
-				continue
-			}
-			rate--
+		if rate <= 0 && (d.lending.surging || !d.calm(w.latest.Pool)) {
+			continue
 		}
+		rate--
 		w.evacuating, w.evacuatedAt = true, now
 		if down < wave.Cap && now >= d.upkeep.retryAt[vm] && d.empty(w) {
 			down++
@@ -163,8 +161,8 @@
 	}
 }
 
-// upkeepRate returns how many VMs of pools with much work must be kept from it now, so that the wave
-// ends in time.
+// upkeepRate returns how many VMs must be kept from work now, so that the wave ends in time; more follow
+// only while no pool lacks VMs.
 func (d *Dispatcher) upkeepRate(now manager.Time, wave *recorder.Wave) int {
 	left := 0
 	for _, vm := range wave.VMs {
