Find stranded lasting tasks in the book, not in the latest placement

One way there: a pool whose workers were not waiting at the look counted as having no stranded task, so that it got no VM.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -85,9 +85,7 @@
 	duties   []Duty
 	// backlog are the pools in which a ready task found no worker at the latest step.
 	backlog map[manager.PoolID]bool
-	// stranded are the pools in which a lasting task found no worker at the latest step.
-	stranded map[manager.PoolID]bool
-	lending  lending
+	lending lending
 }
 
 // waitingCaller waits for the commit of the changes in flight.
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -74,7 +74,7 @@
 	d.lending.lookedAt = now
 	loads := d.loads(now)
 	d.notePools(now, loads)
-	free := d.lendable()
+	free := d.lendable(loads)
 	d.lending.room = manager.Resources{}
 	for _, vm := range free {
 		d.lending.room = d.lending.room.Add(vm.capacity)
@@ -94,7 +94,8 @@
 func (d *Dispatcher) rescueStranded(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) {
 	for _, p := range loads {
 		i := slices.IndexFunc(*free, func(vm lendableVM) bool { return vm.pool != p.pool })
-		if d.stranded[p.pool] && i >= 0 {
+		if p.stranded && i >= 0 {
+			d.note("lasting task stranded", "Pool", p.pool, "VM", (*free)[i].vm)
 			d.send(now, (*free)[i], p.pool, c)
 			*free = slices.Delete(*free, i, i+1)
 		}
@@ -179,10 +180,10 @@
 
 // lendable returns the VMs that may change their pool: those that are paid for and without work first,
 // then those that are off.
-func (d *Dispatcher) lendable() []lendableVM {
+func (d *Dispatcher) lendable(loads []*poolLoad) []lendableVM {
 	kept := d.inWaves()
 	var on, off []lendableVM
-	spare := d.spareWorkers()
+	spare := d.spareWorkers(loads)
 	for _, id := range sortedListed(d.lending.vms) {
 		if _, moving := d.Book.Moves[id]; moving || kept[id] || d.lending.barred[id] || d.upkeep.fenced[id] {
 			continue
@@ -219,7 +220,7 @@
 
 // spareWorkers returns how many workers each pool may give away. A pool that has had no job yet gives
 // none, as its lasting tasks may still come.
-func (d *Dispatcher) spareWorkers() map[manager.PoolID]int {
+func (d *Dispatcher) spareWorkers(loads []*poolLoad) map[manager.PoolID]int {
 	spare := map[manager.PoolID]int{}
 	for _, w := range d.workers {
 		spare[w.latest.Pool]++
@@ -230,7 +231,7 @@
 	}
 	for p, n := range spare {
 		spare[p] = n - leastWorkers
-		if !used[p] || d.stranded[p] {
+		if l := loadOf(loads, p); !used[p] || l != nil && l.stranded {
 			spare[p] = 0
 		}
 	}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -33,7 +33,7 @@
 
 // place proposes starts on the workers whose reports wait.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
-	d.backlog, d.stranded = map[manager.PoolID]bool{}, map[manager.PoolID]bool{}
+	d.backlog = map[manager.PoolID]bool{}
 	pools := d.candidates(now)
 	if len(pools) == 0 {
 		return
@@ -87,9 +87,6 @@
 			best := choose(step, t, perWorker, list)
 			if best == nil {
 				d.backlog[d.poolOf(j)] = true
-				if step.Lasting {
-					d.stranded[d.poolOf(j)] = true
-				}
 				break
 			}
 			best.room = best.room.Sub(stepRoom(step))
