--- /dev/null
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -0,0 +1,156 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+func (f *fleet) list(vms map[manager.VMID]dispatcher.ListedVM) {
+	for _, w := range f.workers {
+		vms[w.report.VM] = dispatcher.ListedVM{Pool: w.report.Pool, Up: true, Capacity: w.report.Capacity}
+	}
+	f.send(dispatcher.Event{Listing: &dispatcher.Listing{AskedAt: f.now, VMs: vms}})
+	f.step()
+}
+
+// away counts the tasks of the first step of a job that no worker has at work.
+func (f *fleet) away(id manager.GraphID) int {
+	n := 0
+	for i := range f.book.Jobs[id].Tasks[0] {
+		at := false
+		for _, w := range f.workers {
+			_, ok := w.runs[manager.TaskID{Graph: id, Task: i}]
+			at = at || ok
+		}
+		if !at {
+			n++
+		}
+	}
+	return n
+}
+
+// Emptying VMs for their upkeep takes lasting tasks from work within their budget only, and no more VMs
+// are down than the cap allows.
+func TestWaveKeepsBudgetAndCap(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []manager.WorkerID{"w1", "w2", "w3", "w4", "w5"} {
+		f.worker(id, pool, 4000)
+	}
+	f.run(200)
+	f.submit("a", lasting(1000, 3, 1))
+	f.run(4 * manager.Second)
+	require.Zero(t, f.away("a"))
+	wave := manager.UpkeepWave{Wave: 1, VMs: []manager.VMID{"vm-w1", "vm-w2", "vm-w3", "vm-w4", "vm-w5"}, DurationMs: 30_000, Cap: 1}
+	f.send(dispatcher.Event{Wave: &wave})
+	down := map[manager.VMID]manager.Time{}
+	for range 600 {
+		f.run(50)
+		require.LessOrEqual(t, f.away("a"), 1, "the budget of the step is spent")
+		for _, duty := range f.duties {
+			require.Equal(t, uint64(1), duty.Wave)
+			down[duty.VM] = f.now
+			f.send(dispatcher.Event{Duty: &dispatcher.DutyResult{Duty: duty, Outcome: dispatcher.DutyTaken}})
+		}
+		f.duties = nil
+		require.LessOrEqual(t, len(down), 1, "more VMs are down than the cap allows")
+		f.comeBack(down)
+	}
+	require.True(t, f.book.Waves[1].Completed())
+}
+
+// comeBack gives the VMs that were down for two seconds a new life.
+func (f *fleet) comeBack(down map[manager.VMID]manager.Time) {
+	for _, w := range f.workers {
+		at, ok := down[w.report.VM]
+		if !ok {
+			continue
+		}
+		w.silent = f.now.Sub(at) < 2*manager.Second
+		require.Empty(f.t, w.runs, "a VM went down with work on it")
+		if !w.silent {
+			w.report.Life.Born, w.report.Sequence, w.report.Ended, w.ends, w.ticket = f.now, 0, nil, 0, 0
+			delete(down, w.report.VM)
+		}
+	}
+}
+
+func TestOrderThatMayHaveBeenTakenGoesOutAgain(t *testing.T) {
+	f := newFleet(t)
+	f.worker("w1", pool, 4000)
+	f.worker("w2", pool, 4000)
+	f.run(4 * manager.Second)
+	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{Wave: 1, VMs: []manager.VMID{"vm-w1"}, DurationMs: 20_000, Cap: 1}})
+	f.run(500)
+	require.Len(t, f.duties, 1)
+	f.send(dispatcher.Event{Duty: &dispatcher.DutyResult{Duty: f.duties[0], Outcome: dispatcher.DutyUnclear}})
+	f.run(1 * manager.Second)
+	require.Len(t, f.duties, 2)
+	require.Equal(t, f.duties[0], f.duties[1])
+	require.Equal(t, recorder.UpkeepOrdered, f.book.Waves[1].State["vm-w1"])
+	f.lead(2)
+	f.run(2 * manager.Second)
+	require.Len(t, f.duties, 2, "the platform was called too soon after another dispatcher")
+	f.run(2 * manager.Second)
+	require.Len(t, f.duties, 3)
+	require.Equal(t, manager.OrderToken(2), f.duties[2].Token)
+}
+
+// A queue in its turn asks several times what its pool holds: VMs that are off come and go.
+func TestSurgeGetsTheVMsThatAreOff(t *testing.T) {
+	f := newFleet(t)
+	f.answerDuty = true
+	f.worker("w1", pool, 4000)
+	f.worker("w2", pool, 4000)
+	f.worker("w3", other, 4000)
+	f.run(4 * manager.Second)
+	off := manager.Resources{ProcessorMilliCores: 4000, MemoryMegaBytes: 1 << 20}
+	f.list(map[manager.VMID]dispatcher.ListedVM{
+		"vm-w8": {Pool: spare, Up: true, Capacity: off}, "vm-w9": {Pool: spare, Up: true, Capacity: off},
+	})
+	f.submit("first", task(100, 1))
+	f.run(3 * manager.Second)
+	require.Empty(t, f.duties, "nothing lacks room")
+	for _, id := range []manager.GraphID{"a", "b", "c", "d", "e", "f"} {
+		f.submit(id, task(1000, 6))
+	}
+	f.run(500)
+	require.Len(t, f.duties, 2)
+	for _, duty := range f.duties {
+		require.Equal(t, pool, duty.Pool)
+	}
+	f.duties = nil
+	f.worker("w8", pool, 4000)
+	f.worker("w9", pool, 4000)
+	f.run(4 * manager.Second)
+	require.Empty(t, f.book.Moves)
+	require.NotEmpty(t, f.workers[3].started)
+	f.run(8 * manager.Second)
+	require.Len(t, f.duties, 2, "as many VMs as were lent are switched off again")
+	for _, duty := range f.duties {
+		require.Equal(t, spare, duty.Pool)
+	}
+}
+
+func TestLastingTasksFillOneWorkerAfterTheOther(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []manager.WorkerID{"w1", "w2", "w3", "w4"} {
+		f.worker(id, pool, 4000)
+	}
+	f.run(700)
+	for _, id := range []manager.GraphID{"a", "b", "c"} {
+		f.submit(id, lasting(1000, 1, 1))
+	}
+	f.run(1 * manager.Second)
+	busy := 0
+	for _, w := range f.workers {
+		if len(w.runs) > 0 {
+			busy++
+		}
+	}
+	require.Equal(t, 1, busy)
+}
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -64,6 +64,7 @@
 func (d *Dispatcher) turnOf(now manager.Time, j *recorder.Job) turn {
 	t := turn{job: j, priority: d.queue(j).Priority}
 	if j.Lasting() {
+		t.class = classLasting
 		return t
 	}
 	objective := d.objective(j)
--- a/pkg/manager/dispatcher/pacing.go
+++ b/pkg/manager/dispatcher/pacing.go
@@ -40,7 +40,7 @@
 		if !known {
 			share = 100
 		}
-		next := share
+		var next manager.Percent
 		switch {
 		case worst >= 100:
 			next = max(paceFloor, share/2-paceUp)
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -14,6 +14,11 @@
 	// packShare is the share of a worker that lasting tasks fill before the next worker gets some; the
 	// rest takes those of a neighbour that is emptied.
 	packShare = 0.75
+	// avoidTime is how long a task waits for another worker than the one on which it failed; the others
+	// report within that.
+	avoidTime = 1500 * manager.Millisecond
+	// failedPenalty keeps it away later too, while any other has room.
+	failedPenalty = 2
 	// baseBonus draws finite tasks of a calm pool to workers that can't be lent anyway.
 	baseBonus = 1
 )
@@ -40,7 +45,7 @@
 	}
 	for _, p := range slices.Sorted(maps.Keys(pools)) {
 		for _, t := range d.line(now, p) {
-			d.placeJob(t.job, pools[p], c)
+			d.placeJob(now, t.job, pools[p], c)
 		}
 	}
 }
@@ -73,7 +78,7 @@
 	return q
 }
 
-func (d *Dispatcher) placeJob(j *recorder.Job, list []*candidate, c *recorder.Changes) {
+func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, list []*candidate, c *recorder.Changes) {
 	for s, step := range j.Steps {
 		if j.Left(s) == 0 || !j.StepReady(s) {
 			continue
@@ -84,7 +89,7 @@
 			if t.Done || t.Open != nil {
 				continue
 			}
-			best := choose(step, t, perWorker, list)
+			best := choose(now, step, t, perWorker, list)
 			if best == nil {
 				d.backlog[d.poolOf(j)] = true
 				break
@@ -119,28 +124,14 @@
 }
 
 // choose returns the worker that suits a task best.
-func choose(step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerLife]int, list []*candidate) *candidate {
+func choose(now manager.Time, step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerLife]int, list []*candidate) *candidate {
 	var best *candidate
 	var bestScore float64
-	need := stepRoom(step)
 	for _, w := range list {
-		if !w.room.Fits(need) || step.MaxPerWorker > 0 && perWorker[w.life] >= step.MaxPerWorker {
+		if !w.takes(now, step, t) || step.MaxPerWorker > 0 && perWorker[w.life] >= step.MaxPerWorker {
 			continue
 		}
-		if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
-			continue
-		}
-		score := w.spread(need)
-		if step.Lasting {
-			score = w.pack(need)
-		}
-		if step.DataRack != "" && slices.Contains(w.latest.Labels, step.DataRack) {
-			score++
-		}
-		if t.FailedOn == w.life.Worker {
-			score -= 2
-		}
-		score -= float64(perWorker[w.life])
+		score := w.score(step, t) - float64(perWorker[w.life])
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -148,6 +139,32 @@
 	return best
 }
 
+// takes tells whether the worker may run a task.
+func (w *candidate) takes(now manager.Time, step manager.GraphStep, t *recorder.Task) bool {
+	if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
+		return false
+	}
+	if t.FailedOn == w.life.Worker && now.Sub(t.EndedAt) < avoidTime {
+		return false
+	}
+	return w.room.Fits(stepRoom(step))
+}
+
+// score ranks the workers that may run a task.
+func (w *candidate) score(step manager.GraphStep, t *recorder.Task) float64 {
+	score := w.spread(stepRoom(step))
+	if step.Lasting {
+		score = w.pack(stepRoom(step))
+	}
+	if step.DataRack != "" && slices.Contains(w.latest.Labels, step.DataRack) {
+		score++
+	}
+	if t.FailedOn == w.life.Worker {
+		score -= failedPenalty
+	}
+	return score
+}
+
 // spread prefers the worker with the largest share of its capacity left afterwards.
 func (w *candidate) spread(need manager.Resources) float64 {
 	score := leastFree(w.room, need, w.latest.Capacity)
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -114,27 +114,7 @@
 }
 
 func (d *Dispatcher) stepWave(now manager.Time, wave *recorder.Wave, c *recorder.Changes) {
-	down := 0
-	for _, vm := range wave.VMs {
-		switch wave.State[vm] {
-		case recorder.UpkeepOrdered:
-			down++
-			d.keepEmpty(vm)
-			d.orderAgain(now, wave, vm)
-		case recorder.UpkeepBegun:
-			if d.upkeep.begunAt[vm] == 0 {
-				d.upkeep.begunAt[vm] = now
-			}
-			if w := d.byVM[vm]; w != nil && d.returned(w, wave.Born[vm]) {
-				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
-				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
-				continue
-			}
-			down++
-			d.keepEmpty(vm)
-			d.upkeep.wanted = true
-		}
-	}
+	down := d.followOrdered(now, wave, c)
 	if now.Sub(d.Began) < d.Options.DutyGapMs {
 		return
 	}
@@ -161,6 +141,33 @@
 	}
 }
 
+// followOrdered notes the VMs that are back, repeats orders without an outcome and returns how many VMs
+// may be down.
+func (d *Dispatcher) followOrdered(now manager.Time, wave *recorder.Wave, c *recorder.Changes) int {
+	down := 0
+	for _, vm := range wave.VMs {
+		switch wave.State[vm] {
+		case recorder.UpkeepOrdered:
+			down++
+			d.keepEmpty(vm)
+			d.orderAgain(now, wave, vm)
+		case recorder.UpkeepBegun:
+			if d.upkeep.begunAt[vm] == 0 {
+				d.upkeep.begunAt[vm] = now
+			}
+			if w := d.byVM[vm]; w != nil && d.returned(w, wave.Born[vm]) {
+				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
+				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
+				continue
+			}
+			down++
+			d.keepEmpty(vm)
+			d.upkeep.wanted = true
+		}
+	}
+	return down
+}
+
 // upkeepRate returns how many VMs must be kept from work now, so that the wave ends in time; more follow
 // only while no pool lacks VMs.
 func (d *Dispatcher) upkeepRate(now manager.Time, wave *recorder.Wave) int {
