--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -179,6 +179,9 @@
 	return f.node.Ready()
 }
 
+// Leads tells whether this node's replica leads the group.
+func (f *FleetNode) Leads() bool { return f.leader != nil && f.leader.Serving() }
+
 // Reload takes changed settings; only the seeds can change while the process runs.
 func (f *FleetNode) Reload(s configurer.FleetNode) {
 	old := f.settings.Swap(&s)
