Weigh the learned mean and the caller's estimate by their errors; pack lasting tasks tighter

Cause: the mean of measured over estimated time is drawn up by estimates that were far too low, so that pools asked for twice the VMs that they used; lasting tasks went only to workers whose report waited at that moment and so spread over most of a pool. Change: the correction is a mean of logarithms, and both predictors count by their errors; lasting tasks may go to any worker heard lately.

--- a/pkg/manager/dispatcher/estimator.go
+++ b/pkg/manager/dispatcher/estimator.go
@@ -1,17 +1,21 @@
 package dispatcher
 
 import (
+	"math"
+
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
 const (
-	// learnRate is the weight of the newest run in a queue's mean.
+	// learnRate is the weight of the newest run in a queue's figures.
 	learnRate = 0.05
 	// fewRuns is the number of runs below which the caller's estimate counts as much as the mean.
 	fewRuns = 8
 	// unknownTask stands for the time of a task that nothing is known of.
 	unknownTask = 1000 * manager.Millisecond
+	// leastError keeps the weight of a predictor that was always right finite, in squared milliseconds.
+	leastError = 100
 )
 
 // estimator learns how long the tasks of each queue run.
@@ -19,12 +23,16 @@
 	queues map[manager.QueueID]*queueTimes
 }
 
-// queueTimes are the learned times of a queue's finite tasks.
+// queueTimes are the learned times of a queue's finite tasks. Two predictors are weighed by their errors:
+// the mean, and the caller's estimate, corrected by how far such estimates were off on average.
 type queueTimes struct {
 	runs   int
 	meanMs float64
-	// ratio is the mean of measured time over the caller's estimate.
-	ratio float64
+	// offLog is the mean of the logarithm of measured over estimated time; a plain mean of the ratios is
+	// drawn up by the estimates that were far too low.
+	offLog    float64
+	meanError float64
+	offError  float64
 }
 
 func (e *estimator) learn(q manager.QueueID, estimate, ran manager.Duration) {
@@ -35,12 +43,22 @@
 	}
 	t.runs++
 	rate := max(learnRate, 1/float64(t.runs))
-	t.meanMs += (float64(ran) - t.meanMs) * rate
+	ms := max(1, float64(ran))
+	t.meanError += (square(ms-t.meanMs) - t.meanError) * rate
+	t.meanMs += (ms - t.meanMs) * rate
 	if estimate > 0 {
-		t.ratio += (float64(ran)/float64(estimate) - t.ratio) * rate
+		t.offError += (square(ms-t.corrected(estimate)) - t.offError) * rate
+		t.offLog += (math.Log(ms/float64(estimate)) - t.offLog) * rate
 	}
 }
 
+func square(x float64) float64 { return x * x }
+
+// corrected returns a caller's estimate, corrected by how far earlier ones were off.
+func (t *queueTimes) corrected(estimate manager.Duration) float64 {
+	return float64(estimate) * math.Exp(t.offLog)
+}
+
 // task returns the expected time of a task of the step.
 func (e *estimator) task(q manager.QueueID, s manager.GraphStep) manager.Duration {
 	t := e.queues[q]
@@ -52,7 +70,8 @@
 	case t.runs < fewRuns:
 		return manager.Duration((t.meanMs + float64(s.EstimateMs)) / 2)
 	}
-	return manager.Duration((t.meanMs + float64(s.EstimateMs)*t.ratio) / 2)
+	mean, hint := 1/(t.meanError+leastError), 1/(t.offError+leastError)
+	return manager.Duration((t.meanMs*mean + t.corrected(s.EstimateMs)*hint) / (mean + hint))
 }
 
 // chain returns the expected time of the longest chain of steps that is left of a job.
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -14,6 +14,8 @@
 	// packShare is the share of a worker that lasting tasks fill before the next worker gets some; the
 	// rest takes those of a neighbour that is emptied.
 	packShare = 0.75
+	// freshWorker is the age of the latest report up to which a worker counts as there.
+	freshWorker = 1200 * manager.Millisecond
 	// avoidTime is how long a task waits for another worker than the one on which it failed; the others
 	// report within that.
 	avoidTime = 1500 * manager.Millisecond
@@ -23,7 +25,7 @@
 	baseBonus = 1
 )
 
-// candidate is a worker whose report waits for an order.
+// candidate is a worker that may take tasks: at once if its report waits, else with its next one.
 type candidate struct {
 	*worker
 	room manager.Resources
@@ -40,9 +42,6 @@
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
 	d.backlog = map[manager.PoolID]bool{}
 	pools := d.candidates(now)
-	if len(pools) == 0 {
-		return
-	}
 	for _, p := range slices.Sorted(maps.Keys(pools)) {
 		for _, t := range d.line(now, p) {
 			d.placeJob(now, t.job, pools[p], c)
@@ -50,11 +49,11 @@
 	}
 }
 
-// candidates returns the parked workers with room, by pool.
+// candidates returns the workers that may take tasks, by pool.
 func (d *Dispatcher) candidates(now manager.Time) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sorted() {
-		if !w.parked || w.ending || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
+		if w.ending || !w.parked && now.Sub(w.heardAt) > freshWorker || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
@@ -147,7 +146,8 @@
 	if t.FailedOn == w.life.Worker && now.Sub(t.EndedAt) < avoidTime {
 		return false
 	}
-	return w.room.Fits(stepRoom(step))
+	// Finite tasks wait for a worker that can begin at once.
+	return (w.parked || step.Lasting) && w.room.Fits(stepRoom(step))
 }
 
 // score ranks the workers that may run a task.
