Lend at once after a takeover; keep learned times in the book

Cause: a new dispatcher ordered nothing from the platform for 3 s, in the middle of a turn, and knew no task's time. Ruled out: shortening that time (two holders must not take turns within it). Change: the time counts for each VM from its last order in the log, and from the takeover only where an order has no outcome; the learned times are part of the replicated book.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -83,6 +83,9 @@
 	notes    []Note
 	inFlight recorder.Changes
 	duties   []Duty
+	// bookAt is the book's time at the takeover, and unsettled the VMs whose orders had no outcome then.
+	bookAt    manager.Time
+	unsettled map[manager.VMID]bool
 	// backlog are the pools in which a ready task found no worker at the latest step.
 	backlog map[manager.PoolID]bool
 	lending lending
@@ -112,7 +115,7 @@
 		Book: b, Token: token, Options: o, Began: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refused: map[manager.GraphID]manager.Time{},
-		times: estimator{queues: map[manager.QueueID]*queueTimes{}},
+		times: estimator{book: b}, bookAt: b.At, unsettled: unsettled(b),
 	}
 }
 
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -68,7 +68,7 @@
 // It answers queues that surge in turns: each for some seconds, by more than its own pool holds.
 func (d *Dispatcher) stepLending(now manager.Time, c *recorder.Changes) {
 	d.endMoves(now, c)
-	if d.Book.Configuration == nil || now.Sub(d.Began) < d.Options.DutyGapMs || now.Sub(d.lending.lookedAt) < lendPeriod {
+	if d.Book.Configuration == nil || now.Sub(d.lending.lookedAt) < lendPeriod {
 		return
 	}
 	d.lending.lookedAt = now
@@ -278,7 +278,7 @@
 			return
 		}
 	}
-	if now < d.upkeep.retryAt[vm.vm] {
+	if !d.mayOrder(now, vm.vm) {
 		return
 	}
 	c.Move = append(c.Move, recorder.Move{VM: vm.vm, Pool: to, From: vm.pool})
@@ -315,7 +315,7 @@
 			d.lending.arrived(vm, to)
 			continue
 		}
-		if d.upkeep.calling[vm] || d.upkeep.fenced[vm] || now < d.upkeep.retryAt[vm] || now.Sub(d.Began) < d.Options.DutyGapMs {
+		if !d.mayOrder(now, vm) {
 			continue
 		}
 		if w := d.byVM[vm]; w == nil || d.empty(w) {
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -115,15 +115,12 @@
 
 func (d *Dispatcher) stepWave(now manager.Time, wave *recorder.Wave, c *recorder.Changes) {
 	down := d.followOrdered(now, wave, c)
-	if now.Sub(d.Began) < d.Options.DutyGapMs {
-		return
-	}
 	rate := d.upkeepRate(now, wave)
 	for _, vm := range d.upkeepOrder(now, wave) {
 		w := d.byVM[vm]
 		if w == nil {
 			d.upkeep.wanted = true
-			if d.upkeep.retryAt[vm] < now && down < wave.Cap && d.absentLong(now) {
+			if d.mayOrder(now, vm) && down < wave.Cap && d.absentLong(now) {
 				down++
 				d.order(wave, vm, 0, c)
 			}
@@ -134,7 +131,7 @@
 		}
 		rate--
 		w.evacuating, w.evacuatedAt = true, now
-		if down < wave.Cap && now >= d.upkeep.retryAt[vm] && d.empty(w) {
+		if down < wave.Cap && d.mayOrder(now, vm) && d.empty(w) {
 			down++
 			d.order(wave, vm, w.life.Born, c)
 		}
@@ -253,9 +250,41 @@
 	d.duties = append(d.duties, duty)
 }
 
+// mayOrder tells whether the platform may be called for a VM now. A predecessor that was cut off may have
+// called until it was deposed, so that its last order must be old enough.
+func (d *Dispatcher) mayOrder(now manager.Time, vm manager.VMID) bool {
+	if d.upkeep.calling[vm] || d.upkeep.fenced[vm] || now < d.upkeep.retryAt[vm] {
+		return false
+	}
+	since := now.Sub(d.Began)
+	if at, ok := d.Book.OrderedAt[vm]; ok && !d.unsettled[vm] && at <= d.bookAt {
+		// Both times are by the predecessor's clock.
+		since += d.bookAt.Sub(at)
+	} else if !d.unsettled[vm] {
+		return true
+	}
+	return since >= d.Options.DutyGapMs
+}
+
+// unsettled returns the VMs with orders whose outcome is not known: they may be repeated at any time.
+func unsettled(b *recorder.Book) map[manager.VMID]bool {
+	list := map[manager.VMID]bool{}
+	for vm := range b.Moves {
+		list[vm] = true
+	}
+	for _, w := range b.Waves {
+		for vm, state := range w.State {
+			if state == recorder.UpkeepOrdered {
+				list[vm] = true
+			}
+		}
+	}
+	return list
+}
+
 // orderAgain repeats an order whose outcome is not known, as a predecessor's may have been lost.
 func (d *Dispatcher) orderAgain(now manager.Time, wave *recorder.Wave, vm manager.VMID) {
-	if d.upkeep.calling[vm] || d.upkeep.fenced[vm] || now < d.upkeep.retryAt[vm] || now.Sub(d.Began) < d.Options.DutyGapMs {
+	if !d.mayOrder(now, vm) {
 		return
 	}
 	if w := d.byVM[vm]; w != nil && !d.empty(w) && w.life.Born <= wave.Born[vm] {
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -185,7 +185,7 @@
 		}
 		w.ending = true
 		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved})
-		d.learnEnd(now, w, e, r)
+		w.health.take(now, e.How)
 		d.note("run ended", "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.life.Worker, "RanMs", now.Sub(r.At))
 	}
 }
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -47,6 +47,7 @@
 		}
 	}
 	for _, u := range c.Upkeep {
+		b.OrderedAt[u.VM] = b.At
 		if w := b.Waves[u.Wave]; w != nil {
 			w.State[u.VM] = u.State
 			if u.Born != 0 {
@@ -55,6 +56,7 @@
 		}
 	}
 	for _, m := range c.Move {
+		b.OrderedAt[m.VM] = b.At
 		if m.Pool == "" {
 			delete(b.Moves, m.VM)
 			continue
@@ -110,7 +112,7 @@
 	if t == nil || t.Open == nil || t.Open.Number != e.Run {
 		return
 	}
-	life := t.Open.Life
+	life, began := t.Open.Life, t.Open.At
 	delete(b.runs[life], e.Task)
 	if len(b.runs[life]) == 0 {
 		delete(b.runs, life)
@@ -124,6 +126,7 @@
 	case j.State.Ended():
 	case e.How == manager.RunDone && !j.Steps[e.Task.Step].Lasting:
 		t.Done = true
+		b.learn(j.Queue, j.Steps[e.Task.Step].EstimateMs, b.At.Sub(began))
 		j.left[e.Task.Step]--
 	case e.How == manager.RunFailed:
 		t.Failures++
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -20,6 +20,10 @@
 	Moves map[manager.VMID]manager.PoolID `json:",omitempty"`
 	// Homes are the pools from which VMs were lent when they first moved.
 	Homes map[manager.VMID]manager.PoolID `json:",omitempty"`
+	// OrderedAt is when something about a VM was last ordered from the platform.
+	OrderedAt map[manager.VMID]manager.Time `json:",omitempty"`
+	// Times are the learned times of each queue's tasks.
+	Times map[manager.QueueID]*QueueTimes `json:",omitempty"`
 	// Ended lists the ended jobs, the oldest first.
 	Ended []manager.GraphID
 
@@ -83,7 +87,10 @@
 
 // New returns an empty book.
 func New() *Book {
-	b := &Book{Jobs: map[manager.GraphID]*Job{}, Waves: map[uint64]*Wave{}, Moves: map[manager.VMID]manager.PoolID{}, Homes: map[manager.VMID]manager.PoolID{}}
+	b := &Book{
+		Jobs: map[manager.GraphID]*Job{}, Waves: map[uint64]*Wave{}, Moves: map[manager.VMID]manager.PoolID{},
+		Homes: map[manager.VMID]manager.PoolID{}, OrderedAt: map[manager.VMID]manager.Time{}, Times: map[manager.QueueID]*QueueTimes{},
+	}
 	b.index()
 	return b
 }
--- /dev/null
+++ b/pkg/manager/recorder/times.go
@@ -0,0 +1,70 @@
+package recorder
+
+import (
+	"math"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+const (
+	// learnRate is the weight of the newest run in a queue's figures.
+	learnRate = 0.05
+	// fewRuns is the number of runs below which the caller's estimate counts as much as the mean.
+	fewRuns = 8
+	// unknownTask stands for the time of a task that nothing is known of.
+	unknownTask = 1000 * manager.Millisecond
+	// leastError keeps the weight of a predictor that was always right finite, in squared milliseconds.
+	leastError = 100
+)
+
+// QueueTimes are the learned times of a queue's finite tasks. Two predictors are weighed by their errors:
+// the mean, and the caller's estimate, corrected by how far such estimates were off on average. They are
+// part of the book, so that the next dispatcher need not learn them anew.
+type QueueTimes struct {
+	Runs   int
+	MeanMs float64
+	// OffLog is the mean of the logarithm of measured over estimated time; a plain mean of the ratios is
+	// drawn up by the estimates that were far too low.
+	OffLog float64
+	// MeanError and OffError are the mean squared errors of the two predictors.
+	MeanError float64
+	OffError  float64
+}
+
+func (b *Book) learn(q manager.QueueID, estimate, ran manager.Duration) {
+	t := b.Times[q]
+	if t == nil {
+		t = &QueueTimes{}
+		b.Times[q] = t
+	}
+	t.Runs++
+	rate := max(learnRate, 1/float64(t.Runs))
+	ms := max(1, float64(ran))
+	t.MeanError += (square(ms-t.MeanMs) - t.MeanError) * rate
+	t.MeanMs += (ms - t.MeanMs) * rate
+	if estimate > 0 {
+		t.OffError += (square(ms-t.corrected(estimate)) - t.OffError) * rate
+		t.OffLog += (math.Log(ms/float64(estimate)) - t.OffLog) * rate
+	}
+}
+
+func square(x float64) float64 { return x * x }
+
+// corrected returns a caller's estimate, corrected by how far earlier ones were off.
+func (t *QueueTimes) corrected(estimate manager.Duration) float64 {
+	return float64(estimate) * math.Exp(t.OffLog)
+}
+
+// Expect returns the expected time of a task of the step; t is nil where nothing was learned.
+func (t *QueueTimes) Expect(s manager.GraphStep) manager.Duration {
+	switch {
+	case t == nil || t.Runs == 0:
+		return manager.Duration(max(float64(s.EstimateMs), float64(unknownTask)))
+	case s.EstimateMs == 0:
+		return manager.Duration(t.MeanMs)
+	case t.Runs < fewRuns:
+		return manager.Duration((t.MeanMs + float64(s.EstimateMs)) / 2)
+	}
+	mean, hint := 1/(t.MeanError+leastError), 1/(t.OffError+leastError)
+	return manager.Duration((t.MeanMs*mean + t.corrected(s.EstimateMs)*hint) / (mean + hint))
+}
