Forget a worker whose address another one has, with its VM

Ruled out: moves under way, refusals of the platform (none for that VM in the log). Test: TestReusedAddressEndsTheUpkeepOfTheOldVM failed before.

--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -154,3 +154,22 @@
 	}
 	require.Equal(t, 1, busy)
 }
+
+// A worker whose address went to one of another VM is gone, and so may its VM be.
+func TestReusedAddressEndsTheUpkeepOfTheOldVM(t *testing.T) {
+	f := newFleet(t)
+	f.answerDuty = true
+	old := f.worker("w1", pool, 4000)
+	f.worker("w2", pool, 4000)
+	f.run(8 * manager.Second)
+	old.silent = true
+	f.run(100)
+	f.worker("w3", pool, 4000).report.Address = old.report.Address
+	f.run(1 * manager.Second)
+	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{Wave: 1, VMs: []manager.VMID{"vm-w1"}, DurationMs: 20_000, Cap: 1}})
+	f.run(1 * manager.Second)
+	require.True(t, f.d.WantsListing(f.now), "nobody asks whether the VM is still there")
+	f.send(dispatcher.Event{Listing: &dispatcher.Listing{AskedAt: f.now, VMs: map[manager.VMID]dispatcher.ListedVM{}}})
+	f.run(1 * manager.Second)
+	require.True(t, f.book.Waves[1].Completed())
+}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -126,9 +126,7 @@
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
 		if o != nil && o.life != r.Life && o.life.Born < r.Life.Born {
 			d.lose(o.life, c)
-			if d.workers[o.life.Worker] == o {
-				delete(d.workers, o.life.Worker)
-			}
+			d.forget(o)
 		}
 	}
 	if r.VM != "" {
@@ -220,7 +218,9 @@
 }
 
 func (d *Dispatcher) forget(w *worker) {
-	delete(d.workers, w.life.Worker)
+	if d.workers[w.life.Worker] == w {
+		delete(d.workers, w.life.Worker)
+	}
 	if d.byVM[w.latest.VM] == w {
 		delete(d.byVM, w.latest.VM)
 	}
