Name every log line in one list, bound the log and count decisions

The log never blocks: lines wait in bounded memory, minor ones are dropped first, drops are counted and logged. Ended jobs, refused calls and the age of what a decision rests on are logged; counters and histograms for calls, decisions, commits and jobs are on the metrics address.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	f.work.Go(func() { f.finder.Run(f.ctx) })
-	klog.InfoS("Node started", "Peer", s.Peer(), "Replica", s.DataFolder != "", "Found", s.Found, "Seeds", s.Seeds)
+	klog.InfoS(manager.LogNodeStarted, "Peer", s.Peer(), "Replica", s.DataFolder != "", "Found", s.Found, "Seeds", s.Seeds)
 	return nil
 }
 
@@ -186,7 +186,7 @@
 func (f *FleetNode) Reload(s configurer.FleetNode) {
 	old := f.settings.Swap(&s)
 	if !slices.Equal(old.Seeds, s.Seeds) {
-		klog.InfoS("Seeds changed", "Seeds", s.Seeds, "Before", old.Seeds)
+		klog.InfoS(manager.LogSeedsChanged, "Seeds", s.Seeds, "Before", old.Seeds)
 	}
 }
 
@@ -239,6 +239,6 @@
 			return fmt.Errorf("empty data folder: %w", err)
 		}
 	}
-	klog.InfoS("Data folder emptied, as the group has removed this replica")
+	klog.InfoS(manager.LogDataFolderEmptiedGroupRemoved)
 	return nil
 }
--- a/internal/assembler/fleetlisten.go
+++ b/internal/assembler/fleetlisten.go
@@ -71,7 +71,7 @@
 	f.servers = append(f.servers, s)
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "Listener failed", "Address", a)
+			klog.ErrorS(err, manager.LogListenerFailed, "Address", a)
 		}
 	}()
 	return nil
--- a/internal/commander/fleetnode.go
+++ b/internal/commander/fleetnode.go
@@ -14,12 +14,16 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 	"github.com/mulberryhaven/mulberryhaven/internal/logger"
 	"github.com/mulberryhaven/mulberryhaven/internal/timekeeper"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/platform"
 )
 
 // settingsPeriod is the pause between two looks at the settings file, which may change without a signal.
 const settingsPeriod = time.Second
 
+// flushPatience bounds the wait for the log's reader at the end.
+const flushPatience = 300 * time.Millisecond
+
 func newFleetNode() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
@@ -43,9 +47,12 @@
 }
 
 func runFleetNode(file string, settings configurer.FleetNode) error {
-	if err := logger.Setup(os.Stdout, settings.Node, settings.Log.Verbosity); err != nil {
+	out := &logger.Bounded{To: os.Stdout, Node: settings.Node}
+	out.Start()
+	if err := logger.Setup(out, settings.Node, max(logger.Minor, settings.Log.Verbosity)); err != nil {
 		return fmt.Errorf("set up log: %w", err)
 	}
+	defer out.Stop(flushPatience)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -56,10 +63,10 @@
 		}
 		removed := serveFleetNode(file, f, signals)
 		if err := f.Stop(); err != nil {
-			klog.InfoS("Node did not stop cleanly", "Error", err.Error())
+			klog.InfoS(manager.LogNodeDidNotStopCleanly, "Error", err.Error())
 		}
 		if !removed {
-			klog.InfoS("Node stopped")
+			klog.InfoS(manager.LogNodeStopped)
 			return nil
 		}
 		if err := f.Discard(); err != nil {
@@ -80,15 +87,15 @@
 			return true
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				klog.InfoS("Planned stop begins", "Signal", s.String())
+				klog.InfoS(manager.LogPlannedStopBegins, "Signal", s.String())
 				return false
 			}
-			klog.InfoS("Settings are read again", "Signal", s.String())
+			klog.InfoS(manager.LogSettingsAreReadAgain, "Signal", s.String())
 			reloadFleetNode(file, f)
 		case <-t.C:
 			if at := modified(file); !at.Equal(changed) {
 				changed = at
-				klog.InfoS("Settings are read again", "Changed", at)
+				klog.InfoS(manager.LogSettingsAreReadAgain, "Changed", at)
 				reloadFleetNode(file, f)
 			}
 		}
@@ -98,7 +105,7 @@
 func reloadFleetNode(file string, f *assembler.FleetNode) {
 	settings, err := configurer.ReadFleetNode(file)
 	if err != nil {
-		klog.ErrorS(err, "Settings not taken, the old ones stay")
+		klog.ErrorS(err, manager.LogSettingsNotTakenOldOnes)
 		return
 	}
 	f.Reload(settings)
--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 )
 
@@ -25,7 +26,7 @@
 	defer cancel()
 	r := dispatcher.DutyResult{Duty: d, Outcome: l.Duties.Perform(ctx, d)}
 	if err := l.inbox.add(dispatcher.Event{Duty: &r}, nil); err != nil {
-		klog.InfoS("Outcome of an order to the platform dropped", "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
+		klog.InfoS(manager.LogOutcomeOrderPlatformDropped, "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
 	}
 }
 
@@ -35,7 +36,7 @@
 	asked := l.Clock.Now()
 	listing, err := l.Duties.List(ctx)
 	if err != nil {
-		klog.InfoS("Platform's list not read", "Reason", err.Error())
+		klog.InfoS(manager.LogPlatformsListNotRead, "Reason", err.Error())
 		return
 	}
 	listing.AskedAt = asked
--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -53,11 +53,11 @@
 	}
 	for _, m := range s.Members.List {
 		if m.Address == q.Address {
-			klog.InfoS("Replica lost its disk", "Replica", m.Replica, "Address", m.Address, "Disk", m.Disk, "NewDisk", q.Disk)
+			klog.InfoS(manager.LogReplicaLostDisk, "Replica", m.Replica, "Address", m.Address, "Disk", m.Disk, "NewDisk", q.Disk)
 			return l.Store.RemoveReplica(ctx, m.Replica)
 		}
 	}
-	klog.InfoS("Replica joins", "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
+	klog.InfoS(manager.LogReplicaJoins, "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
 	return l.Store.AddReplica(ctx, manager.ReplicaMember{
 		Replica: s.Members.LastReplica + 1, Address: q.Address, AvailabilityZone: q.AvailabilityZone, Disk: q.Disk,
 	})
@@ -76,9 +76,9 @@
 	if voters <= founded || len(s.Silent) == 0 || (voters-len(s.Silent))*2 <= voters {
 		return
 	}
-	klog.InfoS("Silent replica removed", "Replica", s.Silent[0], "Voters", voters)
+	klog.InfoS(manager.LogSilentReplicaRemoved, "Replica", s.Silent[0], "Voters", voters)
 	if err := l.Store.RemoveReplica(ctx, s.Silent[0]); err != nil {
-		klog.InfoS("Silent replica not removed", "Replica", s.Silent[0], "Reason", err.Error())
+		klog.InfoS(manager.LogSilentReplicaNotRemoved, "Replica", s.Silent[0], "Reason", err.Error())
 	}
 }
 
@@ -130,7 +130,7 @@
 	if err == nil {
 		return
 	}
-	klog.InfoS("Not joined yet", "Leader", v.Leader, "Disk", q.Disk, "Reason", err.Error())
+	klog.InfoS(manager.LogNotJoinedYet, "Leader", v.Leader, "Disk", q.Disk, "Reason", err.Error())
 	if manager.IsErrConflict(err) && isRemoved(err) {
 		j.Removed()
 	}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -6,6 +6,8 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/logger"
+	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
@@ -112,7 +114,7 @@
 		l.Store.Inspect(func() {
 			l.current = dispatcher.New(l.Book, manager.OrderToken(term), l.Options, l.Clock.Now())
 		})
-		klog.InfoS("Dispatcher started", "Token", term, "Jobs", len(l.Book.Active()))
+		klog.InfoS(manager.LogDispatcherStarted, "Token", term, "Jobs", len(l.Book.Active()))
 	}
 	events := l.takeEvents()
 	var changes recorder.Changes
@@ -141,12 +143,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	return l.Store.ProposeEntry(ctx, data)
+	start := l.Clock.Now()
+	err = l.Store.ProposeEntry(ctx, data)
+	meter.CommitSeconds().Update(l.Clock.Now().Sub(start).Std().Seconds())
+	return err
 }
 
 // fail ends the calls that wait for a commit which did not come, and starts over.
 func (l *Leader) fail(err error) {
-	klog.ErrorS(err, "Changes not committed", "Token", l.term)
+	klog.ErrorS(err, manager.LogChangesNotCommitted, "Token", l.term)
 	forCommit, forOrders := l.current.Tickets()
 	for _, t := range forCommit {
 		l.end(t, outcome{err: err})
@@ -163,7 +168,7 @@
 		l.calls[e.event.Ticket] = e.done
 	}
 	if l.current != nil {
-		klog.InfoS("Dispatcher ended", "Token", l.term, "Reason", reason)
+		klog.InfoS(manager.LogDispatcherEnded, "Token", l.term, "Reason", reason)
 		forCommit, _ := l.current.Tickets()
 		for _, t := range forCommit {
 			l.end(t, outcome{err: manager.ErrOutcomeUnknown{}})
@@ -213,7 +218,19 @@
 // follow does what a step left to do: log lines and calls to the platform.
 func (l *Leader) follow() {
 	for _, n := range l.current.Notes() {
-		klog.InfoS(n.Message, append(n.Fields, "Token", l.term)...)
+		meter.Decisions(n.Message).Inc()
+		if e := n.Ended; e != nil {
+			meter.JobSeconds(e.Queue, e.State).Update(e.TookMs.Std().Seconds())
+			if e.State == manager.GraphCompleted && !e.InTime {
+				meter.JobsLate(e.Queue).Inc()
+			}
+		}
+		fields := append(n.Fields, "Token", l.term)
+		if n.Minor {
+			klog.V(logger.Minor).InfoS(n.Message, fields...)
+			continue
+		}
+		klog.InfoS(n.Message, fields...)
 	}
 	for _, d := range l.current.Duties() {
 		go l.perform(d)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/finder"
+	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -50,6 +51,19 @@
 
 // Call brings a call to the leader and tries again until ctx ends; every call may be repeated.
 func (n *Node) Call(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
+	start := n.Clock.Now()
+	reply, err := n.call(ctx, c)
+	meter.DeskCallSeconds(c.Kind).Update(n.Clock.Now().Sub(start).Std().Seconds())
+	outcome := "taken"
+	if err != nil {
+		_, body := translator.FromError(err)
+		outcome = string(body.Code)
+	}
+	meter.DeskCalls(c.Kind, outcome).Inc()
+	return reply, err
+}
+
+func (n *Node) call(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
 	sent := false
 	for {
 		reply, reached, err := n.try(ctx, c)
@@ -64,7 +78,7 @@
 		n.Finder.Refresh()
 		select {
 		case <-ctx.Done():
-			klog.InfoS("Call not answered", "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
+			klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
 			if sent {
 				return reply, manager.ErrOutcomeUnknown{}
 			}
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if v.Leader != f.view.Leader && v.Leader != "" {
-		klog.InfoS("Leader found", "Leader", v.Leader, "Term", v.Term, "Before", f.view.Leader)
+		klog.InfoS(manager.LogLeaderFound, "Leader", v.Leader, "Term", v.Term, "Before", f.view.Leader)
 	}
 	if v.Leader == "" && v.Term == f.view.Term {
 		v.Leader = f.view.Leader
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -49,5 +49,35 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_worker_orders_total{result=%q}`, result))
 }
 
+// Decisions counts the dispatcher's decisions by the message that logs them.
+func Decisions(message string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_decisions_total{message=%q}`, message))
+}
+
+// DeskCalls counts the calls of callers, workers and operators by kind and outcome.
+func DeskCalls(k manager.DeskCallKind, outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_desk_calls_total{kind=%q,outcome=%q}`, k, outcome))
+}
+
+// DeskCallSeconds is the time from a call's arrival at a node to its answer.
+func DeskCallSeconds(k manager.DeskCallKind) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf(`mulberryhaven_desk_call_seconds{kind=%q}`, k))
+}
+
+// JobSeconds is the time from a job's acceptance to its end.
+func JobSeconds(q manager.QueueID, s manager.GraphState) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf(`mulberryhaven_job_seconds{queue=%q,state=%q}`, q, s))
+}
+
+// JobsLate counts the completed jobs that missed their objective.
+func JobsLate(q manager.QueueID) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_jobs_late_total{queue=%q}`, q))
+}
+
+// LogLinesDropped counts the log lines that were dropped, by whether they were minor.
+func LogLinesDropped(minor bool) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_log_lines_dropped_total{minor="%t"}`, minor))
+}
+
 // Write writes all metrics in the text format that scrapers read.
 func Write(w io.Writer) { metrics.WritePrometheus(w, true) }
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -112,7 +112,7 @@
 	keepFrom := max(meta.Index, keptEntries) - keptEntries
 	err = r.log.SaveSnapshot(replicator.Snapshot{Meta: meta, Data: data}, keepFrom)
 	if errors.Is(err, journaler.ErrFull) {
-		klog.ErrorS(err, "Snapshot not stored")
+		klog.ErrorS(err, manager.LogSnapshotNotStored)
 		return nil
 	}
 	if err != nil {
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -132,7 +132,7 @@
 		Source: rand.New(rand.NewPCG(r.Seed, uint64(r.Replica))),
 	}
 	r.replica.Start(r.Clock.Now(), stored)
-	klog.InfoS("Replica started", "Group", r.identity.Group, "Replica", r.Replica, "Term", stored.HardState.Term)
+	klog.InfoS(manager.LogReplicaStarted, "Group", r.identity.Group, "Replica", r.Replica, "Term", stored.HardState.Term)
 }
 
 // run drives the replica: everything that came since the last turn shares one sync.
@@ -149,7 +149,7 @@
 		case <-r.inbox.wake:
 		}
 		if err := r.turn(); err != nil {
-			klog.ErrorS(err, "Replica stopped, as its disk can't be trusted")
+			klog.ErrorS(err, manager.LogReplicaStoppedDiskCantBe)
 			r.end(errors.Join(manager.ErrUnavailable{Part: manager.PartDisk, Reason: "a write failed"}, err))
 			return
 		}
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -38,12 +38,13 @@
 	}
 	if wait := d.overload(now, g, q); wait > 0 {
 		d.refused[g.Graph] = now.Add(wait)
-		d.note("job refused", "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run")
+		d.note(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run",
+			"Load", d.lending.loads[q.Pool], "LoadAgeMs", now.Sub(d.lending.lookedAt), "ConfigurationVersion", d.Book.Configuration.Version)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
 	d.noteDemand(now, q.Pool, g)
-	d.note("job accepted", "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.Book.Configuration.Version)
+	d.note(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.Book.Configuration.Version)
 	return d.await(t)
 }
 
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -101,6 +101,18 @@
 type Note struct {
 	Message string
 	Fields  []any
+	// Minor notes are the first to go where the log can't keep up.
+	Minor bool
+	// Ended is set for a job that is over.
+	Ended *EndedJob
+}
+
+// EndedJob is what is counted of a job that is over.
+type EndedJob struct {
+	Queue  manager.QueueID
+	State  manager.GraphState
+	TookMs manager.Duration
+	InTime bool
 }
 
 // New returns a dispatcher for a leader's term.
@@ -174,9 +186,8 @@
 	}
 	d.waiting = nil
 	d.confirmDuties()
-	for _, s := range d.inFlight.Start {
-		d.note("task placed", "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", s.Life.Worker)
-	}
+	d.notePlaced(now)
+	d.noteEnded()
 	d.inFlight = recorder.Changes{}
 	return append(answers, d.answerWorkers(now)...)
 }
@@ -212,6 +223,43 @@
 	d.notes = append(d.notes, Note{Message: message, Fields: fields})
 }
 
+func (d *Dispatcher) minor(message string, fields ...any) {
+	d.notes = append(d.notes, Note{Message: message, Fields: fields, Minor: true})
+}
+
+// notePlaced logs the starts of the latest commit, with the age of the reports they rest on.
+func (d *Dispatcher) notePlaced(now manager.Time) {
+	for _, s := range d.inFlight.Start {
+		age := manager.Duration(-1)
+		if w := d.workers[s.Life.Worker]; w != nil {
+			age = now.Sub(w.heardAt)
+		}
+		d.minor(manager.LogTaskPlaced, "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", s.Life.Worker, "ReportAgeMs", age)
+	}
+}
+
+// noteEnded logs the jobs that the latest commit has ended.
+func (d *Dispatcher) noteEnded() {
+	seen := map[manager.GraphID]bool{}
+	note := func(id manager.GraphID) {
+		j := d.Book.Jobs[id]
+		if seen[id] || j == nil || !j.State.Ended() || j.EndedAt != d.Book.At {
+			return
+		}
+		seen[id] = true
+		took, objective := j.EndedAt.Sub(j.Accepted), d.objective(j).Sub(j.Accepted)
+		d.note(manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
+			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
+		d.notes[len(d.notes)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
+	}
+	for _, e := range d.inFlight.End {
+		note(e.Task.Graph)
+	}
+	for _, id := range d.inFlight.Cancel {
+		note(id)
+	}
+}
+
 func (d *Dispatcher) await(t Ticket) []Answer {
 	d.waiting = append(d.waiting, waitingCaller{ticket: t})
 	return nil
@@ -226,20 +274,20 @@
 		return []Answer{{Ticket: t}}
 	}
 	c.Cancel = append(c.Cancel, id)
-	d.note("job cancelled", "RequestID", id, "Open", j.Open())
+	d.note(manager.LogJobCancelled, "RequestID", id, "Open", j.Open())
 	return d.await(t)
 }
 
 func (d *Dispatcher) configure(t Ticket, f *manager.FleetConfiguration, c *recorder.Changes) []Answer {
 	held := d.Book.Configuration
 	if held != nil && f.Version <= held.Version {
-		d.note("configuration overtaken", "Version", f.Version, "Held", held.Version)
+		d.note(manager.LogConfigurationOvertaken, "Version", f.Version, "Held", held.Version)
 		return []Answer{{Ticket: t}}
 	}
 	if c.Configure == nil || c.Configure.Version < f.Version {
 		c.Configure = f
 	}
-	d.note("configuration taken", "Version", f.Version, "Queues", len(f.Queues))
+	d.note(manager.LogConfigurationTaken, "Version", f.Version, "Queues", len(f.Queues))
 	return d.await(t)
 }
 
@@ -248,7 +296,7 @@
 		return []Answer{{Ticket: t}}
 	}
 	c.Wave = append(c.Wave, w)
-	d.note("wave taken", "Wave", w.Wave, "VMs", len(w.VMs), "Cap", w.Cap, "DurationMs", w.DurationMs)
+	d.note(manager.LogWaveTaken, "Wave", w.Wave, "VMs", len(w.VMs), "Cap", w.Cap, "DurationMs", w.DurationMs)
 	return d.await(t)
 }
 
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -95,7 +95,7 @@
 	for _, p := range loads {
 		i := slices.IndexFunc(*free, func(vm lendableVM) bool { return vm.pool != p.pool })
 		if p.stranded && i >= 0 {
-			d.note("lasting task stranded", "Pool", p.pool, "VM", (*free)[i].vm)
+			d.note(manager.LogLastingTaskStranded, "Pool", p.pool, "VM", (*free)[i].vm)
 			d.send(now, (*free)[i], p.pool, c)
 			*free = slices.Delete(*free, i, i+1)
 		}
@@ -146,7 +146,7 @@
 			continue
 		}
 		used, vms := d.used(p.pool)
-		d.note("pool loaded", "Pool", p.pool, "VMs", vms, "Load", math.Round(100*p.load(manager.Resources{}))/100, "FreeOfLasting", p.room, "Used", used)
+		d.note(manager.LogPoolLoaded, "Pool", p.pool, "VMs", vms, "Load", math.Round(100*p.load(manager.Resources{}))/100, "FreeOfLasting", p.room, "Used", used)
 	}
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	c.Move = append(c.Move, recorder.Move{VM: vm.vm, Pool: to, From: vm.pool})
-	d.note("VM moves", "VM", vm.vm, "From", vm.pool, "To", to)
+	d.note(manager.LogVMMoves, "VM", vm.vm, "From", vm.pool, "To", to)
 }
 
 // sendHome switches off the VMs that have had no work for a while.
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -92,7 +92,7 @@
 	slices.SortFunc(list, func(a, b manager.StopOrder) int { return compareTasks(a.Task, b.Task) })
 	for _, s := range list {
 		w.sentStop[s.Task] = now
-		d.note("run stopped", "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", w.life.Worker)
+		d.minor(manager.LogRunStopped, "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", w.life.Worker)
 	}
 	return list
 }
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -154,7 +154,7 @@
 			}
 			if w := d.byVM[vm]; w != nil && d.returned(w, wave.Born[vm]) {
 				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
-				d.note("upkeep done", "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
+				d.note(manager.LogUpkeepDone, "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
 				continue
 			}
 			down++
@@ -228,7 +228,7 @@
 
 func (d *Dispatcher) order(wave *recorder.Wave, vm manager.VMID, born manager.Time, c *recorder.Changes) {
 	c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepOrdered, Born: born})
-	d.note("upkeep ordered", "VM", vm, "Wave", wave.Wave, "Born", born)
+	d.note(manager.LogUpkeepOrdered, "VM", vm, "Wave", wave.Wave, "Born", born)
 }
 
 // confirmDuties emits the calls for the orders of the latest commit.
@@ -296,7 +296,7 @@
 func (d *Dispatcher) takeDuty(now manager.Time, r DutyResult, c *recorder.Changes) {
 	d.upkeep.init()
 	delete(d.upkeep.calling, r.Duty.VM)
-	d.note("platform answered", "VM", r.Duty.VM, "Wave", r.Duty.Wave, "Pool", r.Duty.Pool, "Outcome", r.Outcome, "Token", r.Duty.Token)
+	d.note(manager.LogPlatformAnswered, "VM", r.Duty.VM, "Wave", r.Duty.Wave, "Pool", r.Duty.Pool, "Outcome", r.Outcome, "Token", r.Duty.Token)
 	if r.Duty.Pool != "" {
 		d.takeMove(now, r, c)
 		return
@@ -344,7 +344,7 @@
 				continue
 			}
 			c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: id, VM: vm, State: recorder.UpkeepDone})
-			d.note("upkeep ended without a worker", "VM", vm, "Wave", id, "Listed", ok, "AskedAt", l.AskedAt)
+			d.note(manager.LogUpkeepEndedWithoutWorker, "VM", vm, "Wave", id, "Listed", ok, "AskedAt", l.AskedAt)
 		}
 	}
 }
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -68,7 +68,7 @@
 		answers = append(answers, Answer{Ticket: w.ticket, Orders: &manager.WorkerOrders{Token: d.Token}})
 	}
 	if r.Draining && !w.latest.Draining {
-		d.note("worker drains", "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
+		d.note(manager.LogWorkerDrains, "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
 	}
 	w.latest, w.heardAt = r, now
 	w.ticket, w.parked, w.parkedAt = t, true, now
@@ -134,7 +134,7 @@
 	}
 	d.byAddress[r.Address] = w
 	d.workers[r.Life.Worker] = w
-	d.note("worker known", "Worker", w.life.Worker, "Born", w.life.Born, "VM", r.VM, "Pool", r.Pool, "Sequence", r.Sequence)
+	d.note(manager.LogWorkerKnown, "Worker", w.life.Worker, "Born", w.life.Born, "VM", r.VM, "Pool", r.Pool, "Sequence", r.Sequence)
 	return w
 }
 
@@ -155,7 +155,7 @@
 	for _, id := range sortedTasks(d.Book.Runs(l)) {
 		r := d.Book.Runs(l)[id]
 		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost})
-		d.note("run lost", "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.Born)
+		d.note(manager.LogRunLost, "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.Born)
 	}
 }
 
@@ -184,7 +184,7 @@
 		w.ending = true
 		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved})
 		w.health.take(now, e.How)
-		d.note("run ended", "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.life.Worker, "RanMs", now.Sub(r.At))
+		d.minor(manager.LogRunEnded, "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.life.Worker, "RanMs", now.Sub(r.At))
 	}
 }
 
@@ -214,7 +214,7 @@
 	}
 	d.lose(w.life, c)
 	d.forget(w)
-	d.note("worker left", "Worker", l.Worker)
+	d.note(manager.LogWorkerLeft, "Worker", l.Worker)
 }
 
 func (d *Dispatcher) forget(w *worker) {
@@ -244,7 +244,7 @@
 	for _, w := range d.sorted() {
 		if now > w.lapsedUntil.Add(keepSilent) && !w.parked {
 			d.forget(w)
-			d.note("worker gone", "Worker", w.life.Worker, "SilentMs", now.Sub(w.heardAt))
+			d.note(manager.LogWorkerGone, "Worker", w.life.Worker, "SilentMs", now.Sub(w.heardAt))
 		}
 	}
 }
--- /dev/null
+++ b/pkg/manager/logmessages.go
@@ -0,0 +1,137 @@
+package manager
+
+// LogMessage explains one message of the log.
+type LogMessage struct {
+	Message string
+	// Role says which node writes it: any, a replica, or the one that leads.
+	Role    string
+	Meaning string
+}
+
+// Messages of the log; docs/LOGS.md is made from LogMessages.
+const (
+	LogAnswerNotEncoded              = "Answer not encoded"
+	LogCallNotAnswered               = "Call not answered"
+	LogChangesNotCommitted           = "Changes not committed"
+	LogConfigurationOvertaken        = "Configuration overtaken"
+	LogConfigurationTaken            = "Configuration taken"
+	LogDataFolderEmptiedGroupRemoved = "Data folder emptied, as the group has removed this replica"
+	LogDispatcherEnded               = "Dispatcher ended"
+	LogDispatcherStarted             = "Dispatcher started"
+	LogGroupFounded                  = "Group founded"
+	LogHeartbeatRefused              = "Heartbeat refused"
+	LogJobAccepted                   = "Job accepted"
+	LogJobCancelled                  = "Job cancelled"
+	LogJobEnded                      = "Job ended"
+	LogJobRefused                    = "Job refused"
+	LogLinesDropped                  = "Log lines dropped"
+	LogCallRefused                   = "Call refused"
+	LogLastingTaskStranded           = "Lasting task stranded"
+	LogLeaderFound                   = "Leader found"
+	LogListenerFailed                = "Listener failed"
+	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
+	LogNodeStarted                   = "Node started"
+	LogNodeStopped                   = "Node stopped"
+	LogNotJoinedYet                  = "Not joined yet"
+	LogOperatorsCallFailed           = "Operator's call failed"
+	LogOperatorsCallRefused          = "Operator's call refused"
+	LogOrderPlatformNotCreated       = "Order to the platform not created"
+	LogOrderPlatformNotEncoded       = "Order to the platform not encoded"
+	LogOutcomeOrderPlatformDropped   = "Outcome of an order to the platform dropped"
+	LogPlannedStopBegins             = "Planned stop begins"
+	LogPlatformAnswered              = "Platform answered"
+	LogPlatformDidNotAnswer          = "Platform did not answer"
+	LogPlatformsListNotRead          = "Platform's list not read"
+	LogPlatformsRefusalNotRead       = "Platform's refusal not read"
+	LogPoolLoaded                    = "Pool loaded"
+	LogReplicaJoins                  = "Replica joins"
+	LogReplicaLostDisk               = "Replica lost its disk"
+	LogReplicaStarted                = "Replica started"
+	LogReplicaStoppedDiskCantBe      = "Replica stopped, as its disk can't be trusted"
+	LogRunEnded                      = "Run ended"
+	LogRunLost                       = "Run lost"
+	LogRunRecalled                   = "Run recalled"
+	LogRunStalled                    = "Run stalled"
+	LogRunStopped                    = "Run stopped"
+	LogSeedsChanged                  = "Seeds changed"
+	LogSettingsAreReadAgain          = "Settings are read again"
+	LogSettingsNotTakenOldOnes       = "Settings not taken, the old ones stay"
+	LogSilentReplicaNotRemoved       = "Silent replica not removed"
+	LogSilentReplicaRemoved          = "Silent replica removed"
+	LogSnapshotNotStored             = "Snapshot not stored"
+	LogTaskPlaced                    = "Task placed"
+	LogUpkeepDone                    = "Upkeep done"
+	LogUpkeepEndedWithoutWorker      = "Upkeep ended without a worker"
+	LogUpkeepOrdered                 = "Upkeep ordered"
+	LogVMMoves                       = "VM moves"
+	LogWaveTaken                     = "Wave taken"
+	LogWorkerDrains                  = "Worker drains"
+	LogWorkerGone                    = "Worker gone"
+	LogWorkerKnown                   = "Worker known"
+	LogWorkerLeft                    = "Worker left"
+)
+
+// LogMessages lists the messages that a node writes about the fleet's work.
+func LogMessages() []LogMessage {
+	return []LogMessage{
+		{LogAnswerNotEncoded, "Any", "An answer could not be encoded: a fault of the program."},
+		{LogCallNotAnswered, "Any", "A caller's time passed without a reply of a leader; Sent says that one may have taken the call."},
+		{LogChangesNotCommitted, "Leader", "A commit failed; its callers get no clear answer, and the dispatcher starts over."},
+		{LogConfigurationOvertaken, "Leader", "A configuration that is not newer than the one held was acknowledged and changes nothing."},
+		{LogConfigurationTaken, "Leader", "A newer configuration is being committed."},
+		{LogDataFolderEmptiedGroupRemoved, "Replica", "The disk joins again as a new one."},
+		{LogDispatcherEnded, "Leader", "This node does not dispatch any more."},
+		{LogDispatcherStarted, "Leader", "This node dispatches from now on, with Token as fencing token."},
+		{LogGroupFounded, "Replica", "The replica group was founded, once for the life of the system."},
+		{LogHeartbeatRefused, "Any", "A heartbeat could not be read; it changes nothing."},
+		{LogJobAccepted, "Leader", "A job is being committed."},
+		{LogJobCancelled, "Leader", "A job's cancelling is being committed."},
+		{LogJobEnded, "Leader", "A job is over; InTime says whether it met its objective, and Waited how long its first task waited."},
+		{LogJobRefused, "Any", "A job was not taken and never runs."},
+		{LogLinesDropped, "Any", "The log was written faster than it is read; Minor and Essential count the lines that are missing."},
+		{LogCallRefused, "Any", "A caller got an answer other than success, with its status."},
+		{LogLastingTaskStranded, "Leader", "A lasting task finds no worker, so that its pool gets a VM."},
+		{LogLeaderFound, "Any", "Calls go to another leader from now on."},
+		{LogListenerFailed, "Any", "A listener ended by itself."},
+		{LogNodeDidNotStopCleanly, "Any", "Something was still at work when the grace ended."},
+		{LogNodeStarted, "Any", "The process serves."},
+		{LogNodeStopped, "Any", "The process ends."},
+		{LogNotJoinedYet, "Replica", "The group has not taken this disk in."},
+		{LogOperatorsCallFailed, "Any", "An operator's call got no clear answer, or was refused for a reason named."},
+		{LogOperatorsCallRefused, "Any", "An operator's call is not valid."},
+		{LogOrderPlatformNotCreated, "Leader", "An order could not be made: its address is wrong."},
+		{LogOrderPlatformNotEncoded, "Leader", "An order could not be encoded: a fault of the program."},
+		{LogOutcomeOrderPlatformDropped, "Leader", "The dispatcher ended before the outcome came; the next one repeats the order."},
+		{LogPlannedStopBegins, "Any", "A signal asked the process to stop."},
+		{LogPlatformAnswered, "Leader", "The outcome of an order for a VM."},
+		{LogPlatformDidNotAnswer, "Leader", "An order may have been taken; it is repeated."},
+		{LogPlatformsListNotRead, "Leader", "The list of VMs is read again later."},
+		{LogPlatformsRefusalNotRead, "Leader", "A refusal without a reason counts as a busy VM."},
+		{LogPoolLoaded, "Leader", "What a pool needs and has, once a second while it has work."},
+		{LogReplicaJoins, "Leader", "A disk becomes a replica, first without a vote."},
+		{LogReplicaLostDisk, "Leader", "Another disk runs at a replica's address, so that the old one is removed."},
+		{LogReplicaStarted, "Replica", "The replica takes part with what its disk holds."},
+		{LogReplicaStoppedDiskCantBe, "Replica", "A write or sync failed; the replica takes part in nothing until a restart."},
+		{LogRunEnded, "Leader", "A worker reported the end of a run."},
+		{LogRunLost, "Leader", "A run ended with its worker's life or lease, without a report."},
+		{LogRunRecalled, "Leader", "A lasting task is to be stopped and started elsewhere, within its step's budget."},
+		{LogRunStalled, "Leader", "A run makes no progress and is to be started elsewhere."},
+		{LogRunStopped, "Leader", "A worker is told to stop a run."},
+		{LogSeedsChanged, "Any", "The settings name other seeds."},
+		{LogSettingsAreReadAgain, "Any", "A signal came or the settings file changed."},
+		{LogSettingsNotTakenOldOnes, "Any", "Changed settings are not valid."},
+		{LogSilentReplicaNotRemoved, "Leader", "Another change of the replicas is under way."},
+		{LogSilentReplicaRemoved, "Leader", "A replica that is not heard was replaced by another voter."},
+		{LogSnapshotNotStored, "Replica", "The disk has no room for a snapshot; the log grows meanwhile."},
+		{LogTaskPlaced, "Leader", "A run of a task is given to a worker; its order goes out with the answer to a report."},
+		{LogUpkeepDone, "Leader", "A VM of a wave is back from its upkeep."},
+		{LogUpkeepEndedWithoutWorker, "Leader", "A VM of a wave is up without a worker, or gone for good."},
+		{LogUpkeepOrdered, "Leader", "A VM's upkeep is recorded; the platform is called next."},
+		{LogVMMoves, "Leader", "A VM is ordered into another pool, as that pool's load is the highest."},
+		{LogWaveTaken, "Leader", "An upkeep wave is being committed."},
+		{LogWorkerDrains, "Leader", "A worker says that it will leave; it gets nothing more."},
+		{LogWorkerGone, "Leader", "A worker was not heard for longer than its lease and is forgotten."},
+		{LogWorkerKnown, "Leader", "A life of a worker was heard for the first time."},
+		{LogWorkerLeft, "Leader", "A worker said that it is gone."},
+	}
+}
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -102,7 +102,7 @@
 	j.open++
 	b.addRun(s.Task, t.Open)
 	if !j.Started {
-		j.Started, j.State = true, manager.GraphRunning
+		j.Started, j.State, j.WaitedMs = true, manager.GraphRunning, b.At.Sub(j.Accepted)
 		b.pending[j.Queue]--
 	}
 }
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -39,6 +39,8 @@
 	State    manager.GraphState
 	EndedAt  manager.Time `json:",omitempty"`
 	Started  bool         `json:",omitempty"`
+	// WaitedMs is the time from the job's acceptance to its first start.
+	WaitedMs manager.Duration `json:",omitempty"`
 	// Tasks are those of each step; they are dropped once the job has ended and nothing runs.
 	Tasks [][]Task `json:",omitempty"`
 
