--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -90,7 +90,7 @@
 	flags.StringVar(&o.token, "token", os.Getenv(envToken), "operators' bearer token ("+envToken+")")
 	flags.StringVar(&o.output, "output", outputText, `"text" or "json"`)
 	root.AddCommand(
-		newServe(), newFleetNode(), newDemo(o), newConfig(o), newStatus(o), newProfile(o), newWave(o),
+		newServe(), newFleetNode(), newExplain(), newDemo(o), newConfig(o), newStatus(o), newProfile(o), newWave(o),
 		newPool(o), newVM(o), newUpstream(o), newJob(o), newState(o), newReplica(o),
 	)
 	return root
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -225,7 +226,7 @@
 				meter.JobsLate(e.Queue).Inc()
 			}
 		}
-		fields := append(n.Fields, "Token", l.term)
+		fields := slices.Concat(n.Fields, []any{"Token", l.term})
 		if n.Minor {
 			klog.V(logger.Minor).InfoS(n.Message, fields...)
 			continue
