Switch idle VMs off sooner and fill workers with lasting tasks further

Cause: seconds of machines in pools are the largest price; a VM waited 2.5 s for another surge, and pools gave VMs to and fro at similar loads. Change: 1.2 s of idling, a wider margin between giver and taker, less of the incoming demand, 85% packed.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -18,16 +18,16 @@
 	// demandTime is the time over which the work that comes in is averaged.
 	demandTime = 800 * manager.Millisecond
 	// demandShare is the share of the work that comes in for which VMs are got before it waits.
-	demandShare = 0.5
+	demandShare = 0.3
 	// calmLoad is the load under which a pool could do without some VMs.
 	calmLoad = 0.5
 	// lendGain is how much smaller a pool's load must stay, having given a VM away, than that of the pool
 	// that gets it; without a margin VMs go to and fro.
-	lendGain = 0.75
+	lendGain = 0.6
 	// offLoad ranks a VM that is off behind the idle ones that are paid for.
 	offLoad = calmLoad
 	// idleReturn is how long a VM without work stays switched on, as another surge may come.
-	idleReturn = 2500 * manager.Millisecond
+	idleReturn = 1200 * manager.Millisecond
 	// notePeriod is the pause between two log lines on each pool.
 	notePeriod = 1 * manager.Second
 	// leastWorkers is how many workers a pool keeps at least.
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -13,7 +13,7 @@
 	lentPenalty = 100
 	// packShare is the share of a worker that lasting tasks fill before the next worker gets some; the
 	// rest takes those of a neighbour that is emptied.
-	packShare = 0.75
+	packShare = 0.85
 	// freshWorker is the age of the latest report up to which a worker counts as there.
 	freshWorker = 1200 * manager.Millisecond
 	// avoidTime is how long a task waits for another worker than the one on which it failed; the others
