Make a dispatcher's step linear in what has changed

Change: jobs grouped by pool once a step, queues indexed, workers kept in order, orders made for workers whose report or runs have changed, placement only in pools with ready tasks.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -89,6 +89,9 @@
 	// backlog are the pools in which a ready task found no worker at the latest step.
 	backlog map[manager.PoolID]bool
 	lending lending
+	// inOrder caches the workers in the order of their ids, byPool the active jobs of each pool during a step.
+	inOrder []*worker
+	byPool  map[manager.PoolID][]*recorder.Job
 }
 
 // waitingCaller waits for the commit of the changes in flight.
@@ -145,6 +148,7 @@
 	for _, e := range events {
 		answers = append(answers, d.take(now, e, &c)...)
 	}
+	d.groupJobs()
 	d.expire(now, &c)
 	d.stepUpkeep(now, &c)
 	d.stepLending(now, &c)
@@ -230,6 +234,7 @@
 // notePlaced logs the starts of the latest commit, with the age of the reports they rest on.
 func (d *Dispatcher) notePlaced(now manager.Time) {
 	for _, s := range d.inFlight.Start {
+		d.touch(s.Life)
 		age := manager.Duration(-1)
 		if w := d.workers[s.Life.Worker]; w != nil {
 			age = now.Sub(w.heardAt)
@@ -238,6 +243,17 @@
 	}
 }
 
+// touchRuns asks for new orders for the workers that still run something of an ended job.
+func (d *Dispatcher) touchRuns(j *recorder.Job) {
+	for _, tasks := range j.Tasks {
+		for _, t := range tasks {
+			if t.Open != nil {
+				d.touch(t.Open.Life)
+			}
+		}
+	}
+}
+
 // noteEnded logs the jobs that the latest commit has ended.
 func (d *Dispatcher) noteEnded() {
 	seen := map[manager.GraphID]bool{}
@@ -247,6 +263,7 @@
 			return
 		}
 		seen[id] = true
+		d.touchRuns(j)
 		took, objective := j.EndedAt.Sub(j.Accepted), d.objective(j).Sub(j.Accepted)
 		d.note(manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
 			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
@@ -302,10 +319,30 @@
 
 // sorted returns the workers in the order of their ids.
 func (d *Dispatcher) sorted() []*worker {
-	list := make([]*worker, 0, len(d.workers))
+	if len(d.inOrder) == len(d.workers) && d.inOrder != nil {
+		return d.inOrder
+	}
+	d.inOrder = make([]*worker, 0, len(d.workers))
 	for _, w := range d.workers {
-		list = append(list, w)
+		d.inOrder = append(d.inOrder, w)
+	}
+	slices.SortFunc(d.inOrder, func(a, b *worker) int { return cmp.Compare(a.life.Worker, b.life.Worker) })
+	return d.inOrder
+}
+
+// groupJobs groups the active jobs by the pools that run them.
+func (d *Dispatcher) groupJobs() {
+	d.byPool = map[manager.PoolID][]*recorder.Job{}
+	for _, j := range d.Book.Active() {
+		if p := d.poolOf(j); p != "" {
+			d.byPool[p] = append(d.byPool[p], j)
+		}
+	}
+}
+
+// touch asks for new orders for a life, as something on it has changed.
+func (d *Dispatcher) touch(l manager.WorkerLife) {
+	if w := d.workers[l.Worker]; w != nil && w.life == l {
+		w.touched = true
 	}
-	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.life.Worker, b.life.Worker) })
-	return list
 }
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -40,10 +40,8 @@
 // line returns the active jobs of a pool in the order in which they get workers.
 func (d *Dispatcher) line(now manager.Time, p manager.PoolID) []turn {
 	var list []turn
-	for _, j := range d.Book.Active() {
-		if d.poolOf(j) == p {
-			list = append(list, d.turnOf(now, j))
-		}
+	for _, j := range d.byPool[p] {
+		list = append(list, d.turnOf(now, j))
 	}
 	slices.SortFunc(list, compareTurns)
 	free := d.freeRoom(now, p)
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -18,8 +18,13 @@
 			w.ending = false
 			continue
 		}
+		waited := now.Sub(w.parkedAt) >= d.patience(w)
+		if !waited && !w.touched {
+			continue
+		}
 		o, urgent := d.orders(now, w)
-		if !urgent && now.Sub(w.parkedAt) < d.patience(w) {
+		w.touched = false
+		if !urgent && !waited {
 			continue
 		}
 		w.parked, w.paceOrders = false, nil
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -41,19 +41,48 @@
 // place proposes starts on the workers whose reports wait.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
 	d.backlog = map[manager.PoolID]bool{}
-	pools := d.candidates(now)
-	for _, p := range slices.Sorted(maps.Keys(pools)) {
+	ready := d.readyPools()
+	if len(ready) == 0 {
+		return
+	}
+	pools := d.candidates(now, ready)
+	for _, p := range slices.Sorted(maps.Keys(ready)) {
+		if len(pools[p]) == 0 {
+			d.backlog[p] = true
+			continue
+		}
 		for _, t := range d.line(now, p) {
 			d.placeJob(now, t.job, pools[p], c)
 		}
 	}
 }
 
+// readyPools returns the pools with tasks whose turn has come.
+func (d *Dispatcher) readyPools() map[manager.PoolID]bool {
+	ready := map[manager.PoolID]bool{}
+	for p, jobs := range d.byPool {
+		if slices.ContainsFunc(jobs, waits) {
+			ready[p] = true
+		}
+	}
+	return ready
+}
+
+// waits tells whether a task of a job waits for a worker.
+func waits(j *recorder.Job) bool {
+	for s := range j.Steps {
+		if j.Left(s) > j.OpenIn(s) && j.StepReady(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the workers that may take tasks, by pool.
-func (d *Dispatcher) candidates(now manager.Time) map[manager.PoolID][]*candidate {
+func (d *Dispatcher) candidates(now manager.Time, ready map[manager.PoolID]bool) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sorted() {
-		if w.ending || !w.parked && now.Sub(w.heardAt) > freshWorker || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
+		if !ready[w.latest.Pool] || w.ending || !w.parked && now.Sub(w.heardAt) > freshWorker || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
--- a/pkg/manager/dispatcher/recall.go
+++ b/pkg/manager/dispatcher/recall.go
@@ -41,6 +41,7 @@
 			rush := w.latest.Draining && w.latest.RemainingMs < drainRush
 			if rush || d.mayTake(now, j, id) {
 				d.upkeep.recalls[id] = d.Book.Runs(w.life)[id].Number
+				w.touched = true
 				d.note(manager.LogRunRecalled, "RequestID", id.Graph, "Task", id, "Worker", w.life.Worker, "Evacuating", w.evacuating, "Draining", w.latest.Draining)
 			}
 		}
@@ -102,6 +103,7 @@
 			continue
 		}
 		d.upkeep.recalls[id] = m.run
+		w.touched = true
 		w.health.take(now, manager.RunFailed)
 		d.note(manager.LogRunStalled, "RequestID", id.Graph, "Task", id, "Worker", w.life.Worker, "StillMs", still, "Progress", m.value)
 	}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -40,8 +40,10 @@
 	health     health
 	pace       map[manager.TaskID]manager.Percent
 	paceOrders []manager.PaceOrder
-	sentStop   map[manager.TaskID]manager.Time
-	progress   map[manager.TaskID]progressMark
+	// touched says that the worker's orders may have changed since they were last made.
+	touched  bool
+	sentStop map[manager.TaskID]manager.Time
+	progress map[manager.TaskID]progressMark
 }
 
 // progressMark is the latest progress of a run and when it was first seen.
@@ -71,7 +73,7 @@
 		d.note(manager.LogWorkerDrains, "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
 	}
 	w.latest, w.heardAt = r, now
-	w.ticket, w.parked, w.parkedAt = t, true, now
+	w.ticket, w.parked, w.parkedAt, w.touched = t, true, now, true
 	d.takeEnds(now, w, c)
 	d.takeRunning(now, w)
 	d.closeStopped(now, w, c)
@@ -118,10 +120,9 @@
 	}
 	// A dispatcher that took over does not know what its predecessor granted.
 	w.lapsedUntil = max(now, d.Began).Add(d.leaseEnd())
-	for _, l := range d.sortedLives() {
-		if l.Worker == r.Life.Worker && l.Born < r.Life.Born {
-			d.lose(l, c)
-		}
+	older := func(l manager.WorkerLife) bool { return l.Worker == r.Life.Worker && l.Born < r.Life.Born }
+	for _, l := range d.sortedLives(older) {
+		d.lose(l, c)
 	}
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
 		if o != nil && o.life != r.Life && o.life.Born < r.Life.Born {
@@ -134,12 +135,22 @@
 	}
 	d.byAddress[r.Address] = w
 	d.workers[r.Life.Worker] = w
+	d.inOrder = nil
 	d.note(manager.LogWorkerKnown, "Worker", w.life.Worker, "Born", w.life.Born, "VM", r.VM, "Pool", r.Pool, "Sequence", r.Sequence)
 	return w
 }
 
-func (d *Dispatcher) sortedLives() []manager.WorkerLife {
-	list := d.Book.Lives()
+// lapse returns when the lease of a life has ended for certain.
+func (d *Dispatcher) lapse(l manager.WorkerLife) manager.Time {
+	if w := d.workers[l.Worker]; w != nil && w.life == l {
+		return w.lapsedUntil
+	}
+	return d.Began.Add(d.leaseEnd())
+}
+
+// sortedLives returns the lives with open runs that pass, in order.
+func (d *Dispatcher) sortedLives(pass func(manager.WorkerLife) bool) []manager.WorkerLife {
+	list := d.Book.Lives(pass)
 	slices.SortFunc(list, func(a, b manager.WorkerLife) int {
 		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Born, b.Born))
 	})
@@ -220,6 +231,7 @@
 func (d *Dispatcher) forget(w *worker) {
 	if d.workers[w.life.Worker] == w {
 		delete(d.workers, w.life.Worker)
+		d.inOrder = nil
 	}
 	if d.byVM[w.latest.VM] == w {
 		delete(d.byVM, w.latest.VM)
@@ -231,15 +243,8 @@
 
 // expire ends the runs of workers whose leases have ended for certain.
 func (d *Dispatcher) expire(now manager.Time, c *recorder.Changes) {
-	for _, l := range d.sortedLives() {
-		w := d.workers[l.Worker]
-		until := d.Began.Add(d.leaseEnd())
-		if w != nil && w.life == l {
-			until = w.lapsedUntil
-		}
-		if now > until {
-			d.lose(l, c)
-		}
+	for _, l := range d.sortedLives(func(l manager.WorkerLife) bool { return now > d.lapse(l) }) {
+		d.lose(l, c)
 	}
 	for _, w := range d.sorted() {
 		if now > w.lapsedUntil.Add(keepSilent) && !w.parked {
--- a/pkg/manager/fleetwork.go
+++ b/pkg/manager/fleetwork.go
@@ -112,10 +112,27 @@
 	Pools   []PoolSettings
 	// Document is the configuration as the operator sent it.
 	Document []byte
+
+	byID map[QueueID]int
+}
+
+// Index makes Queue fast; whoever keeps the configuration calls it once, before sharing it.
+func (c *FleetConfiguration) Index() {
+	c.byID = make(map[QueueID]int, len(c.Queues))
+	for i, q := range c.Queues {
+		c.byID[q.Queue] = i
+	}
 }
 
 // Queue returns the settings of a queue.
 func (c *FleetConfiguration) Queue(id QueueID) (QueueSettings, bool) {
+	if c.byID != nil {
+		i, ok := c.byID[id]
+		if !ok {
+			return QueueSettings{}, false
+		}
+		return c.Queues[i], true
+	}
 	for _, q := range c.Queues {
 		if q.Queue == id {
 			return q, true
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -75,6 +75,7 @@
 func (b *Book) configure(c *manager.FleetConfiguration) {
 	if c != nil && (b.Configuration == nil || c.Version > b.Configuration.Version) {
 		b.Configuration = c
+		c.Index()
 	}
 }
 
@@ -82,7 +83,7 @@
 	if b.Jobs[g.Graph] != nil {
 		return
 	}
-	j := &Job{Graph: g, Accepted: b.At, State: manager.GraphQueued, left: make([]int, len(g.Steps))}
+	j := &Job{Graph: g, Accepted: b.At, State: manager.GraphQueued, left: make([]int, len(g.Steps)), running: make([]int, len(g.Steps))}
 	for s, step := range g.Steps {
 		j.Tasks = append(j.Tasks, make([]Task, step.Count))
 		j.left[s] = step.Count
@@ -100,6 +101,7 @@
 	t.LastRun = s.Run
 	t.Open = &Run{Number: s.Run, Life: s.Life, At: b.At}
 	j.open++
+	j.running[s.Task.Step]++
 	b.addRun(s.Task, t.Open)
 	if !j.Started {
 		j.Started, j.State, j.WaitedMs = true, manager.GraphRunning, b.At.Sub(j.Accepted)
@@ -119,6 +121,7 @@
 	}
 	t.Open, t.EndedAt = nil, b.At
 	j.open--
+	j.running[e.Task.Step]--
 	if e.Saved != "" {
 		t.Saved = e.Saved
 	}
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -44,8 +44,10 @@
 	// Tasks are those of each step; they are dropped once the job has ended and nothing runs.
 	Tasks [][]Task `json:",omitempty"`
 
-	left []int
-	open int
+	// left and running count the tasks of each step that are not done and that have an open run.
+	left    []int
+	running []int
+	open    int
 }
 
 // Task is one task of a step.
@@ -122,8 +124,11 @@
 	b.active = map[manager.GraphID]*Job{}
 	b.runs = map[manager.WorkerLife]map[manager.TaskID]*Run{}
 	b.pending = map[manager.QueueID]int{}
+	if b.Configuration != nil {
+		b.Configuration.Index()
+	}
 	for id, j := range b.Jobs {
-		j.left = make([]int, len(j.Steps))
+		j.left, j.running = make([]int, len(j.Steps)), make([]int, len(j.Steps))
 		j.open = 0
 		for s := range j.Tasks {
 			for i := range j.Tasks[s] {
@@ -133,6 +138,7 @@
 				}
 				if t.Open != nil {
 					j.open++
+					j.running[s]++
 					b.addRun(manager.TaskID{Graph: id, Step: s, Task: i}, t.Open)
 				}
 			}
@@ -160,11 +166,13 @@
 // Runs returns the open runs of one life of a worker.
 func (b *Book) Runs(l manager.WorkerLife) map[manager.TaskID]*Run { return b.runs[l] }
 
-// Lives returns the lives that hold open runs.
-func (b *Book) Lives() []manager.WorkerLife {
-	list := make([]manager.WorkerLife, 0, len(b.runs))
+// Lives returns the lives that hold open runs and pass, in no order.
+func (b *Book) Lives(pass func(manager.WorkerLife) bool) []manager.WorkerLife {
+	var list []manager.WorkerLife
 	for l := range b.runs {
-		list = append(list, l)
+		if pass(l) {
+			list = append(list, l)
+		}
 	}
 	return list
 }
@@ -203,6 +211,9 @@
 // Left returns the number of a step's tasks that are not done.
 func (j *Job) Left(s int) int { return j.left[s] }
 
+// OpenIn returns the number of runs of a step that may be at work.
+func (j *Job) OpenIn(s int) int { return j.running[s] }
+
 // Open returns the number of runs of the job that may be at work.
 func (j *Job) Open() int { return j.open }
 
