Pack large calls between nodes and send reads of the configuration to the leader

Ruled out: refused or failed reads (none in the logs), packing between the nodes alone (broken still). Change: bodies of 4 KiB and more are packed between nodes and have 4 s; a node that does not lead answers a read with a redirect.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -84,7 +84,7 @@
 		Seeds: func() []manager.Address { return f.settings.Load().SeedPeers() },
 	}
 	f.finder.Init()
-	f.node = &coordinator.Node{Clock: f.Clock, Finder: f.finder, HTTP: client, Own: s.Peer()}
+	f.node = &coordinator.Node{Clock: f.Clock, Finder: f.finder, HTTP: client, Own: s.Peer(), Control: s.Control}
 	if s.DataFolder != "" {
 		if err := f.startReplica(s, client); err != nil {
 			return fmt.Errorf("start replica: %w", err)
@@ -167,7 +167,7 @@
 func peerClient() *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: peerIdle, DisableCompression: true,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: peerIdle,
 	}}
 }
 
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,6 +26,8 @@
 const (
 	// attemptTimeout bounds one try at a leader; a commit takes a few disk syncs.
 	attemptTimeout = 900 * time.Millisecond
+	// documentTimeout bounds one try that carries a whole configuration.
+	documentTimeout = 4 * time.Second
 	// retryPause is the pause between two tries.
 	retryPause = 60 * time.Millisecond
 	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
@@ -43,6 +46,8 @@
 	Leader *Leader
 	// Own is this node's peer address.
 	Own manager.Address
+	// Control is where this node takes operators; the port is the same on every node.
+	Control manager.Address
 
 	servedAt atomicTime
 }
@@ -104,7 +109,11 @@
 	if leader == "" || leader == n.Own {
 		return reply, false, manager.ErrNotLeader{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	limit := attemptTimeout
+	if c.Kind == manager.DeskConfigure || c.Kind == manager.DeskReadBack {
+		limit = documentTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err = n.post(ctx, leader, c)
 	var dial *net.OpError
@@ -118,10 +127,19 @@
 	if err != nil {
 		return reply, fmt.Errorf("encode call: %w", err)
 	}
+	packed := len(data) >= minPackedBytes
+	if packed {
+		if data, err = pack(data); err != nil {
+			return reply, err
+		}
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathCall, bytes.NewReader(data))
 	if err != nil {
 		return reply, fmt.Errorf("create call: %w", err)
 	}
+	if packed {
+		r.Header.Set("Content-Encoding", "gzip")
+	}
 	// A body without GetBody keeps the transport from sending the call twice by itself.
 	r.GetBody = nil
 	response, err := n.HTTP.Do(r)
@@ -138,6 +156,22 @@
 	return reply, nil
 }
 
+// pack compresses a body.
+func pack(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("pack call: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("pack call: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("pack call: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
 // Ready returns why no call can be taken now, or nil.
 func (n *Node) Ready() error {
 	if n.Leader != nil && n.Leader.Serving() || n.Finder.View().Leader != "" {
@@ -148,3 +182,20 @@
 	}
 	return nil
 }
+
+// Elsewhere returns where operators reach the node that leads, or false.
+func (n *Node) Elsewhere() (manager.Address, bool) {
+	leader := n.Finder.View().Leader
+	if leader == "" || leader == n.Own {
+		return "", false
+	}
+	host, _, err := net.SplitHostPort(string(leader))
+	if err != nil {
+		return "", false
+	}
+	_, port, err := net.SplitHostPort(string(n.Control))
+	if err != nil {
+		return "", false
+	}
+	return manager.Address(net.JoinHostPort(host, port)), true
+}
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -1,10 +1,12 @@
 package coordinator
 
 import (
+	"compress/gzip"
 	"errors"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/finder"
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
@@ -12,8 +14,13 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// maxPeerBytes bounds the body of another node's call.
-const maxPeerBytes = 32 << 20
+const (
+	// maxPeerBytes bounds the body of another node's call.
+	maxPeerBytes = 32 << 20
+	// minPackedBytes is the size from which bodies between nodes are packed: a configuration of hundreds of
+	// queues takes seconds on a thin link, unpacked.
+	minPackedBytes = 4 << 10
+)
 
 func isRemoved(err error) bool {
 	e, ok := errors.AsType[manager.ErrConflict](err)
@@ -22,6 +29,7 @@
 
 // AddRoutes adds the endpoints for other nodes.
 func (n *Node) AddRoutes(e *echo.Echo) {
+	e.Use(middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minPackedBytes}), middleware.Decompress())
 	e.GET(finder.PathView, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Finder.View()) })
 	e.POST(PathCall, n.takeCall)
 	if n.Leader == nil {
--- /dev/null
+++ b/internal/coordinator/peers_test.go
@@ -0,0 +1,72 @@
+package coordinator
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/finder"
+	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// A configuration of hundreds of queues goes packed between nodes, and arrives as it was sent.
+func TestLargeCallsArePacked(t *testing.T) {
+	document := []byte(strings.Repeat(`{"name":"r-8pjbvk9","host":"jepu9.example"},`, 5000))
+	var received int64
+	var got manager.DeskCall
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received = r.ContentLength
+		unpacked, err := gzip.NewReader(r.Body)
+		if err != nil || json.NewDecoder(unpacked).Decode(&got) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(manager.DeskReply{Document: document})
+	}))
+	defer s.Close()
+	caller := &Node{HTTP: s.Client()}
+	address := manager.Address(strings.TrimPrefix(s.URL, "http://"))
+	call := manager.DeskCall{Kind: manager.DeskConfigure, Configuration: &manager.FleetConfiguration{Version: 1, Document: document}}
+	reply, err := caller.post(context.Background(), address, call)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(document, reply.Document))
+	require.True(t, bytes.Equal(document, got.Configuration.Document))
+	require.Less(t, received, int64(len(document)/10))
+}
+
+func TestPackedCallIsUnpacked(t *testing.T) {
+	e := listener.NewEcho()
+	(&Node{}).AddRoutes(e)
+	data, err := json.Marshal(manager.DeskCall{Kind: manager.DeskReadBack})
+	require.NoError(t, err)
+	packed, err := pack(data)
+	require.NoError(t, err)
+	r := httptest.NewRequest(http.MethodPost, PathCall, bytes.NewReader(packed))
+	r.Header.Set("Content-Encoding", "gzip")
+	r.Header.Set("Content-Type", "application/json")
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, r)
+	require.Equal(t, http.StatusMisdirectedRequest, w.Code, "a node without a replica names no leader")
+}
+
+func TestOperatorsAreSentToTheLeader(t *testing.T) {
+	f := &finder.Finder{
+		Clock: &manager.ManualClock{}, Own: "10.0.0.1:7060",
+		Local: func() (finder.View, bool) { return finder.View{Term: 1, Leader: "10.0.0.2:7060"}, true },
+	}
+	n := &Node{Finder: f, Own: "10.0.0.1:7060", Control: "10.0.0.1:8623"}
+	a, ok := n.Elsewhere()
+	require.True(t, ok)
+	require.Equal(t, manager.Address("10.0.0.2:8623"), a)
+	n.Own = "10.0.0.2:7060"
+	_, ok = n.Elsewhere()
+	require.False(t, ok)
+}
--- a/pkg/manager/desk.go
+++ b/pkg/manager/desk.go
@@ -49,4 +49,7 @@
 	Call(ctx context.Context, c DeskCall) (DeskReply, error)
 	// Ready returns why no call can be taken now, or nil.
 	Ready() error
+	// Elsewhere returns where operators reach the node that leads, or false where that is this one or
+	// not known.
+	Elsewhere() (Address, bool)
 }
