--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -165,6 +165,9 @@
 func (d *Dispatcher) lose(l manager.WorkerLife, c *recorder.Changes) {
 	for _, id := range sortedTasks(d.Book.Runs(l)) {
 		r := d.Book.Runs(l)[id]
+		if slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number }) {
+			continue
+		}
 		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost})
 		d.note(manager.LogRunLost, "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.Born)
 	}
