--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -135,6 +135,28 @@
 	reported manager.Time
 	// next is when the next report is due; an end brings it forward.
 	next manager.Time
+	// leased workers end everything once their lease is over, by a clock that is slow by some percent.
+	leased     bool
+	slow       manager.Duration
+	lease      manager.Time
+	loseAnswer bool
+}
+
+// lapse ends everything whose lease is over.
+func (w *standInWorker) lapse() {
+	if !w.leased || w.f.now <= w.lease {
+		return
+	}
+	for id := range w.runs {
+		w.end(id, manager.RunLapsed)
+	}
+}
+
+// crash begins another life, which knows nothing of before.
+func (w *standInWorker) crash() {
+	clear(w.runs)
+	w.report.Life.Born, w.report.Sequence, w.report.Ended, w.ends = w.f.now, 0, nil, 0
+	w.ticket, w.next = 0, w.f.now
 }
 
 func (f *fleet) worker(id manager.WorkerID, p manager.PoolID, cores manager.MilliCores) *standInWorker {
@@ -199,6 +221,13 @@
 	if a.Orders == nil {
 		return
 	}
+	if w.silent || w.loseAnswer {
+		w.loseAnswer = false
+		return
+	}
+	if a.Orders.LeaseMs > 0 {
+		w.lease = max(w.lease, w.reported.Add(a.Orders.LeaseMs+a.Orders.LeaseMs*w.slow/100))
+	}
 	w.report.Ended = slices.DeleteFunc(w.report.Ended, func(e manager.EndedRun) bool { return e.Number <= a.Orders.AckedEnds })
 	w.next = w.f.now.Add(a.Orders.NextMs)
 	for _, s := range a.Orders.Start {
