Take no callers on a node that the leader does not answer

Ruled out: relaying over other plain nodes (a node knows none of them). Change: readiness needs an answer of the leader itself, or of the replica that hears it, within 2 s. Test: TestNodeCutOffFromTheLeaderIsNotReady.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -32,8 +32,8 @@
 	retryPause = 60 * time.Millisecond
 	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
 	maxReplyBytes = 8 << 20
-	// readyAge is how long a node stays ready without a leader, as elections pass within it.
-	readyAge = 3 * manager.Second
+	// readyAge is how long a node stays ready without an answer of the leader, as elections pass within it.
+	readyAge = 2 * manager.Second
 )
 
 // Node is the desk of one node: it answers calls where its replica leads and brings them to the
@@ -174,11 +174,11 @@
 
 // Ready returns why no call can be taken now, or nil.
 func (n *Node) Ready() error {
-	if n.Leader != nil && n.Leader.Serving() || n.Finder.View().Leader != "" {
+	if n.Leader != nil && n.Leader.Serving() {
 		n.servedAt.set(n.Clock.Now())
 	}
-	if n.Clock.Now().Sub(n.servedAt.get()) > readyAge {
-		return manager.ErrUnavailable{Part: "leader", Reason: "none is known"}
+	if n.Clock.Now().Sub(max(n.servedAt.get(), n.Finder.ReachedAt())) > readyAge {
+		return manager.ErrUnavailable{Part: "leader", Reason: "it does not answer"}
 	}
 	return nil
 }
--- a/internal/coordinator/peers_test.go
+++ b/internal/coordinator/peers_test.go
@@ -70,3 +70,27 @@
 	_, ok = n.Elsewhere()
 	require.False(t, ok)
 }
+
+// A node that hears of a leader from others but does not reach it takes no callers.
+func TestNodeCutOffFromTheLeaderIsNotReady(t *testing.T) {
+	clock := &manager.ManualClock{At: 100_000}
+	var leader string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(finder.View{Term: 1, Leader: manager.Address(leader)})
+	}))
+	defer s.Close()
+	other := manager.Address(strings.TrimPrefix(s.URL, "http://"))
+	f := &finder.Finder{Clock: clock, HTTP: s.Client(), Own: "127.0.0.1:1", Seeds: func() []manager.Address { return []manager.Address{other} }}
+	f.Init()
+	n := &Node{Clock: clock, Finder: f, Own: "127.0.0.1:1"}
+	leader = "127.0.0.1:2"
+	f.Look(context.Background())
+	require.Equal(t, manager.Address(leader), f.View().Leader)
+	require.Error(t, n.Ready())
+	leader = string(other)
+	f.Look(context.Background())
+	f.Look(context.Background())
+	require.NoError(t, n.Ready())
+	clock.Advance(3 * manager.Second)
+	require.Error(t, n.Ready())
+}
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -52,8 +52,10 @@
 	mu     sync.Mutex
 	view   View
 	seenAt manager.Time
-	next   int
-	wake   chan struct{}
+	// reachedAt is when the leader itself answered last.
+	reachedAt manager.Time
+	next      int
+	wake      chan struct{}
 }
 
 // Run refreshes the view until ctx ends.
@@ -61,7 +63,7 @@
 	t := time.NewTicker(period)
 	defer t.Stop()
 	for {
-		f.look(ctx)
+		f.Look(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -99,11 +101,13 @@
 	return v
 }
 
-// look asks the leader, or else the members and seeds in turn.
-func (f *Finder) look(ctx context.Context) {
+// Look asks the leader, or else the members and seeds in turn.
+func (f *Finder) Look(ctx context.Context) {
 	if f.Local != nil {
 		if v, ok := f.Local(); ok && v.Leader != "" {
+			// A replica forgets a leader that it does not hear.
 			f.take(v)
+			f.reached()
 			return
 		}
 	}
@@ -114,12 +118,29 @@
 			continue
 		}
 		f.take(v)
+		if v.Leader == a {
+			f.reached()
+		}
 		if v.Leader != "" {
 			return
 		}
 	}
 }
 
+func (f *Finder) reached() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reachedAt = f.Clock.Now()
+}
+
+// ReachedAt returns when the leader itself answered last: others may name a leader that this node is cut
+// off from.
+func (f *Finder) ReachedAt() manager.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachedAt
+}
+
 // candidates returns the leader first, then members and seeds from another start each time.
 func (f *Finder) candidates() []manager.Address {
 	f.mu.Lock()
