--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -173,3 +173,28 @@
 	f.run(1 * manager.Second)
 	require.True(t, f.book.Waves[1].Completed())
 }
+
+// A new dispatcher orders at once for VMs that its predecessor left alone for long enough, and waits for
+// the others.
+func TestTakeoverOrdersWhatWasLeftAlone(t *testing.T) {
+	f := newFleet(t)
+	f.answerDuty = true
+	f.worker("w1", pool, 4000)
+	f.worker("w2", pool, 4000)
+	f.run(4 * manager.Second)
+	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{Wave: 1, VMs: []manager.VMID{"vm-w1"}, DurationMs: 20_000, Cap: 1}})
+	f.run(500)
+	require.Len(t, f.duties, 1)
+	f.workers[0].silent = false
+	f.workers[0].crash()
+	f.run(300)
+	require.True(t, f.book.Waves[1].Completed())
+	f.lead(2)
+	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{Wave: 2, VMs: []manager.VMID{"vm-w1", "vm-w2"}, DurationMs: 20_000, Cap: 2}})
+	f.run(1 * manager.Second)
+	require.Len(t, f.duties, 2)
+	require.Equal(t, manager.VMID("vm-w2"), f.duties[1].VM, "vm-w1 was ordered less than the gap before")
+	f.run(4 * manager.Second)
+	require.Len(t, f.duties, 3)
+	require.Equal(t, manager.VMID("vm-w1"), f.duties[2].VM)
+}
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -36,7 +36,7 @@
 	listAge = 15 * manager.Second
 )
 
-// lending is what a dispatcher knows of the VMs that may change their pool.
+// lending is what a dispatcher keeps between two looks at the pools.
 type lending struct {
 	vms      map[manager.VMID]ListedVM
 	listedAt manager.Time
@@ -64,8 +64,9 @@
 	return ok && home != w.latest.Pool
 }
 
-// stepLending sends VMs of standby pools to the pools that surge, on to the next surge, and back.
-// It answers queues that surge in turns: each for some seconds, by more than its own pool holds.
+// stepLending sends VMs without lasting tasks from the pools with the least load to those with the most,
+// and switches off those that idle. It answers queues that surge in turns: each for some seconds, by more
+// than its own pool holds.
 func (d *Dispatcher) stepLending(now manager.Time, c *recorder.Changes) {
 	d.endMoves(now, c)
 	if d.Book.Configuration == nil || now.Sub(d.lending.lookedAt) < lendPeriod {
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -34,8 +34,6 @@
 	// lasting is what lasting tasks take.
 	lasting manager.Resources
 	calm    bool
-	// given counts the starts of this step of placement.
-	given int
 }
 
 // place proposes starts on the workers whose reports wait.
@@ -126,7 +124,6 @@
 			if step.Lasting {
 				best.lasting = best.lasting.Add(stepRoom(step))
 			}
-			best.given++
 			if perWorker != nil {
 				perWorker[best.life]++
 			}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -68,14 +68,18 @@
 	Capacity manager.Resources
 }
 
-// upkeep is what a dispatcher keeps of waves besides the book.
+// upkeep is what a dispatcher keeps of orders to the platform and of runs to be stopped besides the book.
 type upkeep struct {
+	// calling are the VMs with a call under way, retryAt those to be left alone until a time.
 	calling map[manager.VMID]bool
 	retryAt map[manager.VMID]manager.Time
-	fenced  map[manager.VMID]bool
+	// fenced are the VMs for which a later dispatcher has ordered.
+	fenced map[manager.VMID]bool
 	// begunAt is when this dispatcher first saw that the upkeep of a VM has begun.
-	begunAt  map[manager.VMID]manager.Time
-	recalls  map[manager.TaskID]manager.RunNumber
+	begunAt map[manager.VMID]manager.Time
+	// recalls are the runs that are to be stopped and started elsewhere.
+	recalls map[manager.TaskID]manager.RunNumber
+	// listedAt is when the list of VMs was asked for last; wanted asks for it as a wave misses a VM.
 	listedAt manager.Time
 	wanted   bool
 }
