--- a/internal/logger/bounded_test.go
+++ b/internal/logger/bounded_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,28 +25,46 @@
 	require.Equal(t, len(line), n)
 }
 
+// testClock is a time that several goroutines read.
+type testClock struct{ ms atomic.Int64 }
+
+func (c *testClock) now() time.Time { return time.UnixMilli(c.ms.Load()) }
+
+// dropped returns the numbers of minor and essential lines that were dropped since the last report.
+func dropped(b *Bounded) (minor, essential int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.minor, b.essential
+}
+
 // A reader that stops reading must not stop the process; essential lines are the last to go.
 func TestStuckReaderBlocksNobody(t *testing.T) {
 	r, w := io.Pipe()
 	defer r.Close()
-	now := time.Unix(0, 0)
-	b := &Bounded{To: w, Now: func() time.Time { return now }}
+	clock := &testClock{}
+	b := &Bounded{To: w, Now: clock.now}
 	b.Start()
 	for range 2 * maxWaiting {
-		now = now.Add(time.Second / linesPerSecond)
+		clock.ms.Add(1)
 		write(t, b, minorLine)
 	}
-	require.Positive(t, b.minor)
+	minor, _ := dropped(b)
+	require.Positive(t, minor)
 	for range maxWaiting / 4 {
-		now = now.Add(time.Second / linesPerSecond)
+		clock.ms.Add(1)
 		write(t, b, essentialLine)
 	}
-	require.Zero(t, b.essential, "essential lines were dropped while there was room")
+	_, essential := dropped(b)
+	require.Zero(t, essential, "essential lines were dropped while there was room")
 	for range 2 * maxWaiting {
 		write(t, b, essentialLine)
 	}
-	require.Positive(t, b.essential)
-	require.LessOrEqual(t, len(b.lines), maxWaiting)
+	_, essential = dropped(b)
+	require.Positive(t, essential)
+	b.mu.Lock()
+	waiting := len(b.lines)
+	b.mu.Unlock()
+	require.LessOrEqual(t, waiting, maxWaiting)
 	b.Stop(10 * time.Millisecond)
 	write(t, b, essentialLine)
 }
@@ -70,16 +89,14 @@
 
 func TestDroppedLinesAreCountedInTheLog(t *testing.T) {
 	out := &buffer{}
-	now := time.Unix(0, 0)
-	b := &Bounded{To: out, Node: "n", Now: func() time.Time { return now }}
+	clock := &testClock{}
+	b := &Bounded{To: out, Node: "n", Now: clock.now}
 	b.Start()
 	for range 2 * burstLines {
 		write(t, b, minorLine)
 	}
-	b.mu.Lock()
-	dropped := b.minor
-	now = now.Add(2 * reportPeriod)
-	b.mu.Unlock()
+	minor, _ := dropped(b)
+	clock.ms.Add(2 * reportPeriod.Milliseconds())
 	write(t, b, essentialLine)
 	require.Eventually(t, func() bool { return strings.Contains(out.String(), "dropped") }, 5*time.Second, time.Millisecond)
 	b.Stop(time.Second)
@@ -89,6 +106,6 @@
 			require.NoError(t, json.Unmarshal([]byte(line), &found))
 		}
 	}
-	require.Equal(t, dropped, found.Minor)
+	require.Equal(t, minor, found.Minor)
 	require.Zero(t, found.Essential)
 }
