--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -22,6 +22,8 @@
 const (
 	readyDelay = 1 * manager.Second
 	stopGrace  = 20 * manager.Second
+	// logVerbosity shows peers that are not reached, so that a test that fails once can be traced.
+	logVerbosity = 2
 )
 
 // Cluster is a set of controllers and gateways, each a process, with relays between them.
@@ -131,6 +133,7 @@
 		Tokens:      configurer.Tokens{Operator: OperatorToken, Peer: PeerToken},
 		Controllers: controllers,
 		Stop:        configurer.Stop{ReadyDelayMs: readyDelay, GraceMs: stopGrace},
+		Log:         configurer.Log{Verbosity: logVerbosity},
 	}
 	if c.Traces {
 		s.Trace = configurer.Trace{Exporter: configurer.TraceFile, File: c.TraceFile(node)}
--- a/internal/prover/stand_test.go
+++ b/internal/prover/stand_test.go
@@ -242,7 +242,7 @@
 }
 
 func (s *stand) printLogs() {
-	const tail = 3_000
+	const tail = 20_000
 	for node, p := range s.cluster.Processes {
 		data, err := os.ReadFile(p.LogFile())
 		if err != nil {
