Take a farewell only from a worker that drains

Cause: a worker's farewell names no life, so that a late one of an earlier life freed the tasks of the life that works on, which could then run twice. Ruled out: the time of birth (the call does not carry one). Test: TestLateFarewellFreesNothing failed before.

--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -198,3 +198,20 @@
 	require.Len(t, f.duties, 3)
 	require.Equal(t, manager.VMID("vm-w1"), f.duties[2].VM)
 }
+
+// A worker's farewell names no life: a late one must not free the tasks of a life that works on.
+func TestLateFarewellFreesNothing(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 1000)
+	w.work = manager.Minute
+	f.submit("a", task(1000, 1))
+	f.run(300)
+	f.send(dispatcher.Event{Leave: &manager.WorkerLife{Worker: "w1"}})
+	f.run(100)
+	require.Len(t, f.book.Runs(w.report.Life), 1)
+	w.report.Draining = true
+	f.run(1 * manager.Second)
+	f.send(dispatcher.Event{Leave: &manager.WorkerLife{Worker: "w1"}})
+	f.step()
+	require.Empty(t, f.book.Runs(w.report.Life))
+}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -220,10 +220,11 @@
 	}
 }
 
-// leave forgets a worker that said it is gone.
+// leave forgets a worker that said it is gone. It may name no life, so that only one that drains is taken
+// at its word: the farewell of an earlier life can be late.
 func (d *Dispatcher) leave(l manager.WorkerLife, c *recorder.Changes) {
 	w := d.workers[l.Worker]
-	if w == nil || l.Born != 0 && l.Born < w.life.Born {
+	if w == nil || !w.latest.Draining || l.Born != 0 && l.Born < w.life.Born {
 		return
 	}
 	d.lose(w.life, c)
