Send a vote that a slow disk held up, and say when roles change or syncs are slow

Cause: an answer between replicas was dropped once its caller had stopped waiting (0.6 s, or half an election time-out). With syncs longer than that no vote ever counted, so that two sound replicas elected nobody, and said nothing of it at verbosity 0. Ruled out: a lost message between relays (the queue to a peer restarts), a stuck gateway (each try is bounded). Change: late answers go out as messages of their own; a replica without entries finds the founders' addresses. Test: TestVotesOnSlowDisksCount, both cases failed before (no leader in 20 s), pass in 3.9 and 5.3 s.

Also: a refusal that follows an unanswered attempt of the same call is not certain any more (TestRefusalAfterAnUnansweredAttemptIsNotCertain failed before).

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -72,11 +72,16 @@
 	sent := false
 	for {
 		reply, reached, err := n.try(ctx, c)
-		sent = sent || reached
 		if err == nil || final(err) {
 			n.servedAt.set(n.Clock.Now())
+			if sent && manager.IsErrUnavailable(err) {
+				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
+				klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
+				return reply, manager.ErrOutcomeUnknown{}
+			}
 			return reply, err
 		}
+		sent = sent || reached
 		if reached && c.Kind == manager.DeskReport {
 			return reply, err
 		}
--- a/internal/coordinator/peers_test.go
+++ b/internal/coordinator/peers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/internal/finder"
 	"github.com/mulberryhaven/mulberryhaven/internal/listener"
+	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -94,3 +95,30 @@
 	clock.Advance(3 * manager.Second)
 	require.Error(t, n.Ready())
 }
+
+// A refusal must not say that a job never runs after an attempt that may have been taken.
+func TestRefusalAfterAnUnansweredAttemptIsNotCertain(t *testing.T) {
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		if calls == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		status, body := translator.FromError(manager.ErrUnavailable{Part: "dispatcher", Reason: "too many calls wait"})
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	defer s.Close()
+	leader := manager.Address(strings.TrimPrefix(s.URL, "http://"))
+	f := &finder.Finder{
+		Clock: &manager.ManualClock{}, Own: "127.0.0.1:1",
+		Local: func() (finder.View, bool) { return finder.View{Term: 1, Leader: leader}, true },
+	}
+	f.Init()
+	n := &Node{Clock: &manager.ManualClock{}, Finder: f, HTTP: s.Client(), Own: "127.0.0.1:1"}
+	_, err := n.Call(t.Context(), manager.DeskCall{Kind: manager.DeskSubmit})
+	require.True(t, manager.IsErrOutcomeUnknown(err), "%v", err)
+	require.Equal(t, 2, calls)
+	_, err = n.Call(t.Context(), manager.DeskCall{Kind: manager.DeskSubmit})
+	require.True(t, manager.IsErrUnavailable(err), "%v", err)
+}
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -90,7 +90,12 @@
 		return
 	}
 	r.view.formed = true
+	before := r.view.status
 	r.view.status, r.view.leads = r.replica.Status(), r.replica.Leads()
+	if s := r.view.status; s.Leader != before.Leader || s.Role != before.Role {
+		klog.InfoS(manager.LogReplicaRoleChanged, "Replica", s.Replica, "Role", s.Role, "Leader", s.Leader, "Term", s.Term,
+			"LeaderBefore", before.Leader, "Commit", s.Commit)
+	}
 	r.view.status.Silent = r.replica.Silent(r.Clock.Now())
 	r.view.confirmed = 0
 	if at, ok := r.replica.Confirmed(); ok {
--- a/internal/storer/peers.go
+++ b/internal/storer/peers.go
@@ -216,9 +216,14 @@
 	return nil
 }
 
-// memberAddress returns where a replica listens, as far as the driver's replica knows.
+// memberAddress returns where a replica listens, as far as the driver's replica knows; one that has no
+// entry yet knows those that found the group.
 func (r *Replicated) memberAddress(id manager.ReplicaID) (manager.Address, bool) {
-	for _, m := range r.replica.Status().Members.List {
+	members := r.replica.Status().Members.List
+	if len(members) == 0 {
+		members = r.Initial
+	}
+	for _, m := range members {
 		if m.Replica == id {
 			return m.Address, true
 		}
@@ -226,7 +231,8 @@
 	return "", false
 }
 
-// Exchange takes a peer's messages and returns the answers to them once they may be given.
+// Exchange takes a peer's messages and returns the answers to them once they may be given. Answers that
+// a slow disk holds up until the peer has stopped waiting are sent as messages of their own.
 func (r *Replicated) Exchange(ctx context.Context, e Exchange) (Exchange, error) {
 	in := &inbound{from: e.From, messages: e.Messages, done: make(chan []manager.ReplicaMessage, 1)}
 	if err := r.inbox.add(func(b *batch) { b.inbound = append(b.inbound, in) }); err != nil {
@@ -236,6 +242,19 @@
 	case answers := <-in.done:
 		return Exchange{Messages: answers}, nil
 	case <-ctx.Done():
+		r.peers.work.Go(func() { r.sendLate(<-in.done) })
 		return Exchange{}, fmt.Errorf("take messages: %w", ctx.Err())
 	}
 }
+
+// sendLate queues the answers to an exchange whose caller has gone.
+func (r *Replicated) sendLate(answers []manager.ReplicaMessage) {
+	if len(answers) == 0 {
+		return
+	}
+	r.inbox.control(func(manager.Time) {
+		for _, m := range answers {
+			r.peers.queue(m)
+		}
+	})
+}
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -20,6 +20,8 @@
 const (
 	// tickPeriod is the pause between two looks at the timers; it adds to every time-out.
 	tickPeriod = 50 * time.Millisecond
+	// slowSync is a third of the time that a peer waits for an answer, which takes a sync or two.
+	slowSync = 200 * manager.Millisecond
 	// maxCommandBytes bounds one command; a larger one would stall the others behind it.
 	maxCommandBytes = 1 << 20
 	// maxQueued bounds the proposals and reads that wait for the driver.
@@ -273,9 +275,13 @@
 	if ready.HardState == nil && len(ready.Entries) == 0 {
 		return nil
 	}
+	began := r.Clock.Now()
 	if err := r.log.Save(ready.HardState, ready.Entries); err != nil {
 		return fmt.Errorf("save entries: %w", err)
 	}
+	if took := r.Clock.Now().Sub(began); took > slowSync {
+		klog.InfoS(manager.LogSlowSync, "Replica", r.Replica, "TookMs", took, "Entries", len(ready.Entries))
+	}
 	return nil
 }
 
--- a/internal/storer/replicated_test.go
+++ b/internal/storer/replicated_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	folder  string
 	members []manager.ReplicaMember
 	servers []*httptest.Server
+	// disk is set on every replica.
+	disk journaler.Disk
 
 	mu     sync.Mutex
 	stores []*storer.Replicated
@@ -65,10 +68,13 @@
 	return e
 }
 
-func newGroup(tb testing.TB, n int) *group {
+func newGroup(tb testing.TB, n int, options ...func(*group)) *group {
 	tb.Helper()
 	t := tb
 	g := &group{t: t, folder: t.TempDir(), stores: make([]*storer.Replicated, n)}
+	for _, o := range options {
+		o(g)
+	}
 	for i := range n {
 		server := httptest.NewServer(g.serve(i))
 		t.Cleanup(server.Close)
@@ -92,7 +98,7 @@
 
 func (g *group) start(i int) {
 	s := &storer.Replicated{
-		Clock: timekeeper.New(), Replica: g.members[i].Replica, Initial: g.members, Folder: g.path(i),
+		Clock: timekeeper.New(), Replica: g.members[i].Replica, Initial: g.members, Folder: g.path(i), Disk: g.disk,
 		HTTP: &http.Client{Transport: &http.Transport{}}, Seed: uint64(i),
 		Options: replicator.Options{HeartbeatPeriod: 100, ElectionTimeout: 600}, SnapshotEvery: 50,
 	}
@@ -129,6 +135,44 @@
 	return at, g.store(at)
 }
 
+// slowDisk takes this many nanoseconds to sync a file.
+type slowDisk struct {
+	journaler.RealDisk
+	pause *atomic.Int64
+}
+
+func (d slowDisk) Sync(f *os.File) error {
+	time.Sleep(time.Duration(d.pause.Load()))
+	return d.RealDisk.Sync(f)
+}
+
+// TestVotesOnSlowDisksCount has syncs that take longer than a peer waits for the answer to its messages.
+func TestVotesOnSlowDisksCount(t *testing.T) {
+	t.Parallel()
+	const slow = int64(350 * time.Millisecond)
+	for _, s := range []struct {
+		name    string
+		founded bool
+	}{{"while the group is founded", false}, {"after the leader is lost", true}} {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			pause := &atomic.Int64{}
+			if !s.founded {
+				pause.Store(slow)
+			}
+			g := newGroup(t, 3, func(g *group) { g.disk = slowDisk{pause: pause} })
+			first, _ := g.leader()
+			if !s.founded {
+				return
+			}
+			pause.Store(slow)
+			g.stop(first)
+			next, _ := g.leader()
+			require.NotEqual(t, first, next)
+		})
+	}
+}
+
 func profile(v manager.Version) manager.Profile {
 	return manager.Profile{
 		Profile: "cathode", Version: v, Budget: manager.Budget{MaxUnavailable: 1},
--- a/pkg/manager/dispatcher/order_test.go
+++ b/pkg/manager/dispatcher/order_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 )
 
 // At a surge of several times what the pool holds, serving by due time alone would bring every job in a
@@ -65,6 +66,24 @@
 	require.Nil(t, f.book.Jobs["late"])
 }
 
+// A copy of a submit that came in the same step as the first one must not be refused: the first one runs.
+func TestCopyOfAcceptedSubmitIsNotRefused(t *testing.T) {
+	f := newFleet(t)
+	f.worker("w1", pool, 2000)
+	f.run(6 * manager.Second)
+	refused := func(ticket dispatcher.Ticket) bool { return manager.IsErrOverloaded(f.answers[ticket].Err) }
+	for i := range 40 {
+		id := manager.GraphID(fmt.Sprintf("j%02d", i))
+		first, again := f.submit(id, task(1000, 4)), f.submit(id, task(1000, 4))
+		f.run(50)
+		require.Equal(t, refused(first), refused(again), id)
+		if refused(first) {
+			return
+		}
+	}
+	require.Fail(t, "no submit was refused, so the test shows nothing")
+}
+
 // A new dispatcher has not heard all workers yet, so that it knows no reason to refuse.
 func TestNewDispatcherRefusesNothing(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -46,6 +46,7 @@
 	LogPoolLoaded                    = "Pool loaded"
 	LogReplicaJoins                  = "Replica joins"
 	LogReplicaLostDisk               = "Replica lost its disk"
+	LogReplicaRoleChanged            = "Replica's role changed"
 	LogReplicaStarted                = "Replica started"
 	LogReplicaStoppedDiskCantBe      = "Replica stopped, as its disk can't be trusted"
 	LogRunEnded                      = "Run ended"
@@ -58,6 +59,7 @@
 	LogSettingsNotTakenOldOnes       = "Settings not taken, the old ones stay"
 	LogSilentReplicaNotRemoved       = "Silent replica not removed"
 	LogSilentReplicaRemoved          = "Silent replica removed"
+	LogSlowSync                      = "Slow sync"
 	LogSnapshotNotStored             = "Snapshot not stored"
 	LogTaskPlaced                    = "Task placed"
 	LogUpkeepDone                    = "Upkeep done"
@@ -110,6 +112,7 @@
 		{LogPoolLoaded, "Leader", "What a pool needs and has, once a second while it has work."},
 		{LogReplicaJoins, "Leader", "A disk becomes a replica, first without a vote."},
 		{LogReplicaLostDisk, "Leader", "Another disk runs at a replica's address, so that the old one is removed."},
+		{LogReplicaRoleChanged, "Replica", "The replica leads, follows another leader, or has lost its leader; Leader 0 stands for none."},
 		{LogReplicaStarted, "Replica", "The replica takes part with what its disk holds."},
 		{LogReplicaStoppedDiskCantBe, "Replica", "A write or sync failed; the replica takes part in nothing until a restart."},
 		{LogRunEnded, "Leader", "A worker reported the end of a run."},
@@ -122,6 +125,7 @@
 		{LogSettingsNotTakenOldOnes, "Any", "Changed settings are not valid."},
 		{LogSilentReplicaNotRemoved, "Leader", "Another change of the replicas is under way."},
 		{LogSilentReplicaRemoved, "Leader", "A replica that is not heard was replaced by another voter."},
+		{LogSlowSync, "Replica", "A write to the disk took so long that elections and commits suffer."},
 		{LogSnapshotNotStored, "Replica", "The disk has no room for a snapshot; the log grows meanwhile."},
 		{LogTaskPlaced, "Leader", "A run of a task is given to a worker; its order goes out with the answer to a report."},
 		{LogUpkeepDone, "Leader", "A VM of a wave is back from its upkeep."},
