Let no restarted voter undo a lease, and elect at once where all have restarted

Cause: a voter that restarts forgets the leader that it heard just before, so that its vote could make another one while the old leader still acted on its answers: up to one election time-out of reads of an older configuration. The other way round, after a restart of all replicas the first one stood for election only after a whole time-out, although no leader can be left. Ruled out: keeping the time of the last answer on disk (a sync for each heartbeat). Change: a pre-vote says whether its voter restarted within an election time-out; a candidate needs a quorum of others, or the pre-votes of all voters.

--- a/pkg/manager/consensus.go
+++ b/pkg/manager/consensus.go
@@ -104,8 +104,12 @@
 	Refused bool  `json:",omitempty"`
 	Hint    Index `json:",omitempty"`
 	// Transfer marks votes that the leader itself asked for.
-	Transfer bool           `json:",omitempty"`
-	Snapshot *SnapshotPiece `json:",omitempty"`
+	Transfer bool `json:",omitempty"`
+	// Restarted marks the pre-vote of a voter that may have answered a leader just before its start.
+	Restarted bool `json:",omitempty"`
+	// Unanimous marks votes of a candidate to which every voter has said that it knows no leader.
+	Unanimous bool           `json:",omitempty"`
+	Snapshot  *SnapshotPiece `json:",omitempty"`
 }
 
 // SnapshotPiece is a part of a snapshot.
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -5,7 +5,7 @@
 // resetElection draws when to stand for election.
 func (r *Replica) resetElection(now manager.Time) {
 	least := r.Options.ElectionTimeout
-	r.electionAt = now.Add(least + manager.Duration(r.Source.Int64N(int64(least))))
+	r.electionAt = now.Add(least + manager.Duration(r.Source.Int64N(int64(least/2))))
 }
 
 // retryElection draws when to stand again after a split vote. The first retries come soon, as no
@@ -40,20 +40,42 @@
 	return r.everHeard && r.leader != 0 && now.Sub(r.heardAt) < r.Options.ElectionTimeout
 }
 
+// restarted tells whether a leader may still act on an answer that this replica gave before its start and
+// has forgotten.
+func (r *Replica) restarted(now manager.Time) bool { return now < r.doubtUntil }
+
 // preCampaign asks whether an election could be won, before the term is raised.
 func (r *Replica) preCampaign(now manager.Time) {
 	r.role, r.leader = RolePreCandidate, 0
 	r.retryElection(now)
 	r.votes = map[manager.ReplicaID]bool{r.ID: true}
-	if r.wonVotes() {
+	r.doubtful = map[manager.ReplicaID]bool{r.ID: r.restarted(now)}
+	if r.mayCampaign() {
 		r.campaign(now, false)
 		return
 	}
-	r.askVotes(manager.MessagePreVote, r.hard.Term+1, false)
+	r.askVotes(manager.ReplicaMessage{Kind: manager.MessagePreVote, Term: r.hard.Term + 1})
+}
+
+// mayCampaign tells whether an election can be won and no earlier leader can act any more: a quorum has
+// heard none for an election time-out, or every voter says that it neither leads nor knows a leader.
+func (r *Replica) mayCampaign() bool {
+	return r.unanimous() || r.hasQuorum(func(id manager.ReplicaID) bool { return r.votes[id] && !r.doubtful[id] })
+}
+
+// unanimous tells whether every voter has granted its vote.
+func (r *Replica) unanimous() bool {
+	for _, m := range r.members.List {
+		if !m.Learner && !r.votes[m.Replica] {
+			return false
+		}
+	}
+	return true
 }
 
 // campaign raises the term and asks for votes.
 func (r *Replica) campaign(now manager.Time, transfer bool) {
+	unanimous := r.role == RolePreCandidate && r.unanimous()
 	r.setHard(manager.HardState{Term: r.hard.Term + 1, Vote: r.ID})
 	r.role, r.leader = RoleCandidate, 0
 	r.retryElection(now)
@@ -63,15 +85,16 @@
 		r.becomeLeader(now)
 		return
 	}
-	r.askVotes(manager.MessageVote, r.hard.Term, transfer)
+	r.askVotes(manager.ReplicaMessage{Kind: manager.MessageVote, Term: r.hard.Term, Transfer: transfer, Unanimous: unanimous})
 }
 
-func (r *Replica) askVotes(kind manager.MessageKind, t manager.Term, transfer bool) {
+// askVotes sends a request to every other voter.
+func (r *Replica) askVotes(request manager.ReplicaMessage) {
+	request.Index, request.LogTerm = r.log.last(), r.log.lastTerm()
 	for _, m := range r.members.List {
 		if m.Replica != r.ID && !m.Learner {
-			r.send(manager.ReplicaMessage{
-				Kind: kind, To: m.Replica, Term: t, Index: r.log.last(), LogTerm: r.log.lastTerm(), Transfer: transfer,
-			})
+			request.To = m.Replica
+			r.send(request)
 		}
 	}
 }
@@ -86,7 +109,7 @@
 	granted := m.Term > r.hard.Term && r.upToDate(m) && !r.leaderIsAlive(now)
 	answer := manager.ReplicaMessage{Kind: manager.MessagePreVoteAnswer, To: m.From, Refused: !granted}
 	if granted {
-		answer.Term = m.Term
+		answer.Term, answer.Restarted = m.Term, r.restarted(now)
 	}
 	if granted && r.role == RolePreCandidate && m.From < r.ID {
 		// Two that stand at once would split the votes, so the one with the higher id waits.
@@ -100,15 +123,16 @@
 	if r.role != RolePreCandidate || m.Term != r.hard.Term+1 {
 		return
 	}
-	r.votes[m.From] = true
-	if r.wonVotes() {
+	r.votes[m.From], r.doubtful[m.From] = true, m.Restarted
+	if r.mayCampaign() {
 		r.campaign(now, false)
 	}
 }
 
 func (r *Replica) answerVote(now manager.Time, m manager.ReplicaMessage) {
 	free := r.hard.Vote == 0 && r.leader == 0 || r.hard.Vote == m.From
-	granted := free && r.upToDate(m)
+	forgotten := r.restarted(now) && !m.Unanimous && !m.Transfer
+	granted := free && !forgotten && r.upToDate(m)
 	if granted {
 		r.resetElection(now)
 		if r.hard.Vote != m.From {
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -22,8 +22,8 @@
 	// HeartbeatPeriod is the pause between a leader's messages to an idle follower; it sets the
 	// messages a second of an idle group.
 	HeartbeatPeriod manager.Duration
-	// ElectionTimeout is the least silence after which a follower stands for election; up to twice
-	// as long is drawn. It must hold several heartbeats, or one lost message deposes a leader.
+	// ElectionTimeout is the least silence after which a follower stands for election; up to one and a
+	// half times as long is drawn. It must hold several heartbeats, or one lost message deposes a leader.
 	ElectionTimeout manager.Duration
 	// MaxBatchBytes bounds the entries of one message.
 	MaxBatchBytes int
@@ -96,8 +96,12 @@
 	electionAt manager.Time
 	heardAt    manager.Time
 	everHeard  bool
+	// doubtUntil is the time until which a leader may act on an answer that this replica gave before its start.
+	doubtUntil manager.Time
 
 	votes map[manager.ReplicaID]bool
+	// doubtful are the voters whose pre-votes came just after their start.
+	doubtful map[manager.ReplicaID]bool
 	// attempts counts the elections since a leader was heard.
 	attempts int
 	transfer transferState
@@ -151,7 +155,11 @@
 	r.log = newLog(s.Snapshot, s.Entries)
 	r.members = r.log.members()
 	r.commit, r.handedOut = s.Snapshot.Index, s.Snapshot.Index
-	r.resetElection(now)
+	if r.hard.Term > 0 {
+		r.doubtUntil = now.Add(r.Options.ElectionTimeout)
+	}
+	// The other voters say whether there is a leader, so that the first try may come soon.
+	r.retryElection(now)
 	if r.voters() == 1 && r.isVoter(r.ID) {
 		r.electionAt = now
 	}
