Keep an odd number of voters, with a fourth replica ready beside them

Ruled out: fewer replicas (the fourth disk is wanted as soon as a voter is lost); a witness without a log. Change: with OddVoters a single learner beside an odd number of voters waits; it is promoted when a voter is silent or another learner comes. Silent replicas are also removed while a learner waits, and silent learners.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -106,7 +106,7 @@
 	f.store = &storer.Replicated{
 		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{Book: book},
 		MinFreeBytes: uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
-		Options:      replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout},
+		Options:      replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
 	}
 	if s.Found {
 		f.store.Replica, f.store.Initial = seedMembers(s)
--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -63,23 +63,41 @@
 	})
 }
 
-// dropReplaced removes a silent replica once another voter has come for it, so that it counts for no quorum.
+// dropReplaced removes a silent replica once another voter has come for it, so that it counts for no quorum,
+// or if it has no vote.
 func (l *Leader) dropReplaced(ctx context.Context, founded int) {
 	s := l.Store.Status()
-	voters := 0
-	for _, m := range s.Members.List {
-		if m.Learner {
-			return
-		}
-		voters++
-	}
-	if voters <= founded || len(s.Silent) == 0 || (voters-len(s.Silent))*2 <= voters {
+	gone, ok := replaced(s.Members, s.Silent, founded)
+	if !ok {
 		return
 	}
-	klog.InfoS(manager.LogSilentReplicaRemoved, "Replica", s.Silent[0], "Voters", voters)
-	if err := l.Store.RemoveReplica(ctx, s.Silent[0]); err != nil {
-		klog.InfoS(manager.LogSilentReplicaNotRemoved, "Replica", s.Silent[0], "Reason", err.Error())
+	klog.InfoS(manager.LogSilentReplicaRemoved, "Replica", gone, "Members", len(s.Members.List), "Silent", len(s.Silent))
+	if err := l.Store.RemoveReplica(ctx, gone); err != nil {
+		klog.InfoS(manager.LogSilentReplicaNotRemoved, "Replica", gone, "Reason", err.Error())
+	}
+}
+
+// replaced returns a silent replica that can be removed, if there is one.
+func replaced(m manager.Members, silent []manager.ReplicaID, founded int) (manager.ReplicaID, bool) {
+	var voters int
+	var silentVoters []manager.ReplicaID
+	for _, member := range m.List {
+		isSilent := slices.Contains(silent, member.Replica)
+		switch {
+		case member.Learner && isSilent:
+			return member.Replica, true
+		case member.Learner:
+		case isSilent:
+			voters++
+			silentVoters = append(silentVoters, member.Replica)
+		default:
+			voters++
+		}
+	}
+	if voters <= founded || len(silentVoters) == 0 || (voters-len(silentVoters))*2 <= voters {
+		return 0, false
 	}
+	return silentVoters[0], true
 }
 
 // Joiner keeps the local disk a member of the group.
--- a/internal/coordinator/peers_test.go
+++ b/internal/coordinator/peers_test.go
@@ -122,3 +122,32 @@
 	_, err = n.Call(t.Context(), manager.DeskCall{Kind: manager.DeskSubmit})
 	require.True(t, manager.IsErrUnavailable(err), "%v", err)
 }
+
+func TestSilentReplicasAreRemovedOnlyWhereOthersStandIn(t *testing.T) {
+	members := func(learners ...bool) manager.Members {
+		var m manager.Members
+		for i, l := range learners {
+			m.List = append(m.List, manager.ReplicaMember{Replica: manager.ReplicaID(i + 1), Learner: l})
+		}
+		return m
+	}
+	const founded = 3
+	for _, c := range []struct {
+		what    string
+		members manager.Members
+		silent  []manager.ReplicaID
+		gone    manager.ReplicaID
+	}{
+		{"all are heard", members(false, false, false, false), nil, 0},
+		{"nobody stands in", members(false, false, false), []manager.ReplicaID{2}, 0},
+		{"a learner has no vote yet", members(false, false, false, true), []manager.ReplicaID{2}, 0},
+		{"another voter stands in", members(false, false, false, false), []manager.ReplicaID{2}, 2},
+		{"half of the voters are silent", members(false, false, false, false), []manager.ReplicaID{2, 3}, 0},
+		{"a learner waits beside", members(false, false, false, false, true), []manager.ReplicaID{2}, 2},
+		{"the silent one has no vote", members(false, false, false, true), []manager.ReplicaID{4}, 4},
+	} {
+		gone, ok := replaced(c.members, c.silent, founded)
+		require.Equal(t, c.gone, gone, c.what)
+		require.Equal(t, c.gone != 0, ok, c.what)
+	}
+}
--- a/pkg/manager/replicator/members.go
+++ b/pkg/manager/replicator/members.go
@@ -115,16 +115,31 @@
 	if r.voters() >= MaxVoters || r.mayChange() != nil {
 		return
 	}
-	for i, m := range r.members.List {
+	ready := r.readyLearners(now)
+	if len(ready) == 0 || len(ready) == 1 && r.Options.OddVoters && r.voters()%2 == 1 && !r.voterSilent(now) {
+		return
+	}
+	list := slices.Clone(r.members.List)
+	i := slices.IndexFunc(list, func(m manager.ReplicaMember) bool { return m.Replica == ready[0] })
+	list[i].Learner = false
+	r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
+}
+
+// readyLearners returns the learners that are there and hold all committed entries.
+func (r *Replica) readyLearners(now manager.Time) []manager.ReplicaID {
+	var ready []manager.ReplicaID
+	for _, m := range r.members.List {
 		p := r.lead.of(m.Replica)
-		if !m.Learner || p.match < r.commit || now.Sub(p.heardAt) >= r.Options.ElectionTimeout {
-			continue
+		if m.Learner && p.match >= r.commit && now.Sub(p.heardAt) < r.Options.ElectionTimeout {
+			ready = append(ready, m.Replica)
 		}
-		list := slices.Clone(r.members.List)
-		list[i].Learner = false
-		r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
-		return
 	}
+	return ready
+}
+
+// voterSilent tells whether a voter may be gone, so that a learner should stand in for it.
+func (r *Replica) voterSilent(now manager.Time) bool {
+	return slices.ContainsFunc(r.Silent(now), r.isVoter)
 }
 
 // leaveIfRemoved makes a leader step down once its own removal is committed.
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -25,6 +25,9 @@
 	// ElectionTimeout is the least silence after which a follower stands for election; up to one and a
 	// half times as long is drawn. It must hold several heartbeats, or one lost message deposes a leader.
 	ElectionTimeout manager.Duration
+	// OddVoters leaves a single learner without a vote beside an odd number of voters: an even number bears
+	// no more losses, and a cut in halves leaves it without a quorum.
+	OddVoters bool
 	// MaxBatchBytes bounds the entries of one message.
 	MaxBatchBytes int
 	// MaxInFlight bounds the unanswered messages with entries to one follower.
