--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -78,7 +78,7 @@
 	if s.MemoryMegaBytes > 0 {
 		debug.SetMemoryLimit(s.MemoryMegaBytes << 20 * memorySharePercent / 100)
 	}
-	client := peerClient()
+	client := peerClient(s.Listen)
 	f.finder = &finder.Finder{
 		Clock: f.Clock, Own: s.Peer(), HTTP: client,
 		Seeds: func() []manager.Address { return f.settings.Load().SeedPeers() },
@@ -164,8 +164,11 @@
 }
 
 // peerClient returns the client for other nodes and the platform: connections that go silent are given up.
-func peerClient() *http.Client {
+func peerClient(from string) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
+	if from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
+	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: peerIdle,
 	}}
--- a/internal/assembler/fleetlisten.go
+++ b/internal/assembler/fleetlisten.go
@@ -40,7 +40,7 @@
 func (f *FleetNode) listen(s configurer.FleetNode) error {
 	e := listener.NewEcho()
 	f.node.AddRoutes(e)
-	f.peers = &listener.Server{Address: s.Peer(), Echo: e}
+	f.peers = &listener.Server{Address: s.Bind(s.Peer()), Echo: e}
 	if err := f.peers.Start(); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
 	}
@@ -55,7 +55,7 @@
 		{s.Control, control},
 		{manager.Address(net.JoinHostPort(s.Address, fmt.Sprint(s.MetricsPort))), metrics},
 	} {
-		if err := f.serve(h.address, h.handler); err != nil {
+		if err := f.serve(s.Bind(h.address), h.handler); err != nil {
 			return err
 		}
 	}
--- a/internal/configurer/fleet.go
+++ b/internal/configurer/fleet.go
@@ -14,8 +14,11 @@
 	// Node names this VM in logs and in orders to the platform.
 	Node             string
 	AvailabilityZone manager.AvailabilityZone
-	// Address is this VM's IP address.
+	// Address is this VM's IP address, as other nodes reach it.
 	Address string
+	// Listen is the IP address that the node listens on and calls from, where that is another one; empty
+	// stands for Address, and leaves the choice for calls to the system.
+	Listen string `json:",omitempty"`
 	// PeerPort is the port for other nodes; it is the same on every node.
 	PeerPort    uint16
 	MetricsPort uint16
@@ -71,6 +74,9 @@
 	if _, err := netip.ParseAddr(s.Address); err != nil {
 		return invalid("Address", "is %q: expected this VM's IP address", s.Address)
 	}
+	if _, err := netip.ParseAddr(s.Listen); s.Listen != "" && err != nil {
+		return invalid("Listen", "is %q: expected an IP address of this VM, or nothing", s.Listen)
+	}
 	if s.PeerPort == 0 {
 		return invalid("PeerPort", "is missing: expected the port for other nodes")
 	}
@@ -96,6 +102,15 @@
 // Peer returns this node's address for other nodes.
 func (s FleetNode) Peer() manager.Address { return s.peerAt(netip.MustParseAddr(s.Address)) }
 
+// Bind returns where this node listens for what others reach at an address.
+func (s FleetNode) Bind(a manager.Address) manager.Address {
+	if s.Listen == "" {
+		return a
+	}
+	port := netip.MustParseAddrPort(string(a)).Port()
+	return manager.Address(netip.AddrPortFrom(netip.MustParseAddr(s.Listen), port).String())
+}
+
 // SeedPeers returns the seeds' addresses for other nodes, in the order of the settings.
 func (s FleetNode) SeedPeers() []manager.Address {
 	list := make([]manager.Address, 0, len(s.Seeds))
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -87,7 +87,7 @@
 }
 
 func (c *Cluster) start(s configurer.Settings) error {
-	p := &Process{Binary: c.Binary, Folder: c.Folder, Settings: s}
+	p := &Process{Binary: c.Binary, Folder: c.Folder, Node: s.Node, Command: "serve", Settings: s}
 	c.Processes[s.Node] = p
 	return p.Start()
 }
--- a/internal/launcher/ports.go
+++ b/internal/launcher/ports.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
@@ -36,3 +38,19 @@
 }
 
 func part() int { return 1 + rand.IntN(lastPart) }
+
+// FreeNetwork returns three parts of a loopback network whose addresses no one listens on now.
+func FreeNetwork() (string, error) {
+	for range maxTries {
+		network := fmt.Sprintf("127.%d.%d", part(), part())
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("%s.1:%d", network, port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return network, nil
+	}
+	return "", fmt.Errorf("find free network: %w", errNoneFree)
+}
+
+var errNoneFree = eris.New("every one that was tried is in use")
--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -9,8 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"syscall"
-
-	"github.com/mulberryhaven/mulberryhaven/internal/configurer"
 )
 
 const fileMode = 0o600
@@ -20,8 +18,12 @@
 	// Binary is the program's file.
 	Binary string
 	// Folder takes the settings file and the log.
-	Folder   string
-	Settings configurer.Settings
+	Folder string
+	// Node names the process.
+	Node string
+	// Command is the program's command that runs with the settings.
+	Command  string
+	Settings any
 
 	command *exec.Cmd
 	log     *os.File
@@ -33,7 +35,7 @@
 	if err != nil {
 		return fmt.Errorf("encode settings: %w", err)
 	}
-	file := filepath.Join(p.Folder, p.Settings.Node+".json")
+	file := filepath.Join(p.Folder, p.Node+".json")
 	if err := os.WriteFile(file, data, fileMode); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -41,22 +43,22 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	p.command = exec.CommandContext(context.Background(), p.Binary, "serve", "--config", file)
+	p.command = exec.CommandContext(context.Background(), p.Binary, p.Command, "--config", file)
 	p.command.Stdout = p.log
 	p.command.Stderr = p.log
 	if err := p.command.Start(); err != nil {
-		return errors.Join(fmt.Errorf("start %s: %w", p.Settings.Node, err), p.log.Close())
+		return errors.Join(fmt.Errorf("start %s: %w", p.Node, err), p.log.Close())
 	}
 	return nil
 }
 
 // LogFile is where the process logs.
-func (p *Process) LogFile() string { return filepath.Join(p.Folder, p.Settings.Node+".log") }
+func (p *Process) LogFile() string { return filepath.Join(p.Folder, p.Node+".log") }
 
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	if err := p.command.Process.Signal(s); err != nil {
-		return fmt.Errorf("signal %s: %w", p.Settings.Node, err)
+		return fmt.Errorf("signal %s: %w", p.Node, err)
 	}
 	return nil
 }
@@ -84,7 +86,7 @@
 		return fmt.Errorf("close log: %w", err)
 	}
 	if err != nil {
-		return fmt.Errorf("%s ended: %w", p.Settings.Node, err)
+		return fmt.Errorf("%s ended: %w", p.Node, err)
 	}
 	return nil
 }
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -1,10 +1,12 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -15,6 +17,11 @@
 // Relay carries TCP connections to a target.
 type Relay struct {
 	Target manager.Address
+	// Listen is where the relay listens; empty stands for any free port.
+	Listen manager.Address
+	// Judge returns what befalls the data of a connection from an IP address, towards the target or back;
+	// nil carries everything at once.
+	Judge func(from string, toTarget bool) Verdict
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -25,16 +32,30 @@
 	work     sync.WaitGroup
 }
 
+// Verdict is what befalls data on its way.
+type Verdict struct {
+	// Hold keeps the data until another verdict comes.
+	Hold bool
+	// Delay passes before the data goes on.
+	Delay time.Duration
+}
+
+// judgePeriod is the pause between two looks at a verdict that holds data.
+const judgePeriod = 20 * time.Millisecond
+
 // pair is one carried connection.
 type pair struct {
 	near, far net.Conn
+	// from is the IP address that opened the connection.
+	from string
 	// silent says that nothing is carried any more although both ends stay open.
 	silent bool
 }
 
 // Run listens on a loopback address and carries connections until Close.
 func (r *Relay) Run() error {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listen := cmp.Or(r.Listen, "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", string(listen))
 	if err != nil {
 		return fmt.Errorf("listen as relay: %w", err)
 	}
@@ -60,12 +81,15 @@
 
 func (r *Relay) carry(near net.Conn) {
 	p := &pair{near: near}
+	if a, ok := near.RemoteAddr().(*net.TCPAddr); ok {
+		p.from = a.IP.String()
+	}
 	if !r.open(p) {
 		_ = near.Close()
 		return
 	}
 	defer r.drop(p)
-	if !r.pass(p) {
+	if !r.pass(p) || !r.judged(p, true) {
 		return
 	}
 	far, err := (&net.Dialer{}).Dial("tcp", string(r.Target))
@@ -80,8 +104,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(p, far, near) })
-	both.Go(func() { r.copy(p, near, far) })
+	both.Go(func() { r.copy(p, far, near, true) })
+	both.Go(func() { r.copy(p, near, far, false) })
 	both.Wait()
 }
 
@@ -119,13 +143,34 @@
 	return !r.closed
 }
 
+// judged waits as the verdict on the pair's data says; it returns false once the relay is closed.
+func (r *Relay) judged(p *pair, toTarget bool) bool {
+	if r.Judge == nil {
+		return true
+	}
+	for {
+		v := r.Judge(p.from, toTarget)
+		if !v.Hold {
+			time.Sleep(v.Delay)
+			return true
+		}
+		r.mu.Lock()
+		closed := r.closed
+		r.mu.Unlock()
+		if closed {
+			return false
+		}
+		time.Sleep(judgePeriod)
+	}
+}
+
 // copy carries one direction; the end of a stream passes only while the pair does, so that a cut
 // hides it from the other end.
-func (r *Relay) copy(p *pair, to, from net.Conn) {
+func (r *Relay) copy(p *pair, to, from net.Conn, toTarget bool) {
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buffer)
-		if !r.pass(p) {
+		if !r.pass(p) || !r.judged(p, toTarget) {
 			return
 		}
 		if n > 0 {
@@ -156,6 +201,20 @@
 	})
 }
 
+// Reset ends the open connections with a reset; new ones work.
+func (r *Relay) Reset() {
+	r.set(func() {
+		for p := range r.pairs {
+			for _, c := range []net.Conn{p.near, p.far} {
+				if t, ok := c.(*net.TCPConn); ok {
+					_ = t.SetLinger(0)
+				}
+			}
+			p.close()
+		}
+	})
+}
+
 func (r *Relay) set(change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
