Bound the workers that report to the leader

Each worker was asked to report to the leader, and each node kept up to 16 idle connections to it. Change: MaxDescriptors in the settings; a third of them is for workers that report to the leader. The others stay at any node, whose forwarded reports wait for no order while connections are scarce. A node keeps 4 idle connections to another one. Test: TestWorkersBeyondTheBoundReportElsewhere.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -31,6 +31,9 @@
 const (
 	// memoryShare of the VM's memory is the runtime's limit; the rest is for sockets and stacks.
 	memorySharePercent = 70
+	// directSharePercent of the descriptors are for workers that report to the leader; the others are for
+	// callers, other nodes and calls that those bring.
+	directSharePercent = 35
 	// minFreeDiskShare is the share of the disk below which no change is taken.
 	minFreeDiskShare = 8
 	// heartbeatPeriod and electionTimeout are shorter than the replicator's own, as all replicas are in one
@@ -45,6 +48,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// silentTimeout bounds how long sent bytes stay unacknowledged before a connection is given up.
 	silentTimeout = 1500 * time.Millisecond
+	// peerConnections bounds the idle connections to one node: the leader holds those of every other node.
+	peerConnections = 4
 	// peerIdle bounds the idle time of kept connections.
 	peerIdle = 30 * time.Second
 )
@@ -118,6 +123,7 @@
 		Clock: f.Clock, Store: f.store, Book: book,
 		Options: dispatcher.Options{
 			LeaseMs: min(dispatcher.DefaultLease, s.Work.MaxLeaseMs), StopMs: s.Work.StopMs, DutyGapMs: s.Work.DutyGapMs, Address: s.Control,
+			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
 		},
 		Duties: platform.Cloud{Address: s.PlatformAddress, Holder: s.Node, HTTP: client},
 	}
@@ -170,7 +176,7 @@
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: peerIdle,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: peerIdle,
 	}}
 }
 
--- a/internal/configurer/fleet.go
+++ b/internal/configurer/fleet.go
@@ -34,6 +34,8 @@
 	Found           bool
 	DiskMegaBytes   int64
 	MemoryMegaBytes int64
+	// MaxDescriptors bounds the process's files and connections; 0 stands for no known bound.
+	MaxDescriptors  int `json:",omitempty"`
 	PlatformAddress manager.Address
 	Stop            Stop
 	Work            FleetWork
@@ -85,6 +87,9 @@
 			return invalid(field, "is %q: expected an IP address and port", a)
 		}
 	}
+	if s.MaxDescriptors < 0 {
+		return invalid("MaxDescriptors", "is %d: expected the bound of open files and connections, or 0", s.MaxDescriptors)
+	}
 	if len(s.Seeds) == 0 {
 		return invalid("Seeds", "is empty: expected the address of at least one node")
 	}
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -17,7 +17,7 @@
 	case manager.DeskSubmit, manager.DeskState, manager.DeskCancel, manager.DeskPending:
 		return l.callQueue(ctx, c)
 	case manager.DeskReport:
-		return l.await(ctx, dispatcher.Event{Report: c.Report})
+		return l.await(ctx, dispatcher.Event{Report: c.Report, Forwarded: c.Forwarded})
 	case manager.DeskLeave:
 		return l.await(ctx, dispatcher.Event{Leave: c.Life})
 	case manager.DeskConfigure:
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -49,6 +49,7 @@
 	if n.Leader == nil {
 		return manager.ErrNotLeader{}
 	}
+	call.Forwarded = true
 	reply, err := n.Leader.Call(c.Request().Context(), call)
 	if err != nil {
 		return err
--- a/pkg/manager/desk.go
+++ b/pkg/manager/desk.go
@@ -32,6 +32,8 @@
 	Life          *WorkerLife         `json:",omitempty"`
 	Configuration *FleetConfiguration `json:",omitempty"`
 	Wave          *UpkeepWave         `json:",omitempty"`
+	// Forwarded is set by the node that answers a call which another node brought.
+	Forwarded bool `json:"-"`
 }
 
 // DeskReply is the answer to a call that was taken.
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -13,8 +13,10 @@
 
 // Event is something that a caller brings; exactly one body is set.
 type Event struct {
-	Ticket    Ticket
-	Report    *manager.WorkerReport
+	Ticket Ticket
+	Report *manager.WorkerReport
+	// Forwarded says that another node brought the report and keeps a connection until it is answered.
+	Forwarded bool
 	Leave     *manager.WorkerLife
 	Submit    *manager.Graph
 	Cancel    *manager.GraphID
@@ -49,6 +51,9 @@
 	DutyGapMs manager.Duration
 	// Address is where workers reach this dispatcher.
 	Address manager.Address
+	// MaxDirect bounds the workers that are asked to report here; the others report to any node, and their
+	// reports wait for no order. 0 sets no bound.
+	MaxDirect int
 }
 
 // Defaults of Options.
@@ -89,6 +94,8 @@
 	// backlog are the pools in which a ready task found no worker at the latest step.
 	backlog map[manager.PoolID]bool
 	lending lending
+	// direct counts the workers that report here.
+	direct int
 	// inOrder caches the workers in the order of their ids, byPool the active jobs of each pool during a step.
 	inOrder []*worker
 	byPool  map[manager.PoolID][]*recorder.Job
@@ -163,7 +170,7 @@
 func (d *Dispatcher) take(now manager.Time, e Event, c *recorder.Changes) []Answer {
 	switch {
 	case e.Report != nil:
-		return d.report(now, e.Ticket, *e.Report, c)
+		return d.report(now, e, c)
 	case e.Leave != nil:
 		d.leave(*e.Leave, c)
 	case e.Submit != nil:
--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -215,3 +215,34 @@
 	f.step()
 	require.Empty(t, f.book.Runs(w.report.Life))
 }
+
+// With more workers than connections to them can be held, the rest reports through other nodes, whose calls
+// must not wait there either.
+func TestWorkersBeyondTheBoundReportElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.d = dispatcher.New(f.book, 1, dispatcher.Options{Address: "leader", MaxDirect: 2}, f.now)
+	report := func(id manager.WorkerID, sequence manager.Sequence, forwarded bool) dispatcher.Ticket {
+		return f.send(dispatcher.Event{Forwarded: forwarded, Report: &manager.WorkerReport{
+			Life: manager.WorkerLife{Worker: id, Born: 1}, Sequence: sequence, VM: manager.VMID("vm-" + id), Pool: pool, Address: manager.Address(id),
+		}})
+	}
+	asked := report("w1", 1, true)
+	f.step()
+	f.now = f.now.Add(700)
+	f.step()
+	require.Equal(t, manager.Address("leader"), f.answers[asked].Orders.ReportTo)
+	report("w1", 2, false)
+	report("w2", 1, false)
+	f.step()
+	third := report("w3", 1, true)
+	f.step()
+	require.NotNil(t, f.answers[third].Orders, "a forwarded report waits although connections are scarce")
+	require.Empty(t, f.answers[third].Orders.ReportTo)
+	report("w1", 3, true)
+	f.step()
+	fourth := report("w4", 1, true)
+	f.step()
+	f.now = f.now.Add(700)
+	f.step()
+	require.Equal(t, manager.Address("leader"), f.answers[fourth].Orders.ReportTo, "there is room again")
+}
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -36,7 +36,7 @@
 
 // patience is how long a report may wait for an order.
 func (d *Dispatcher) patience(w *worker) manager.Duration {
-	if w.latest.Draining || d.backlog[w.latest.Pool] {
+	if w.latest.Draining || d.backlog[w.latest.Pool] || !w.direct && !d.roomForDirect() {
 		return 0
 	}
 	busy := false
@@ -55,7 +55,7 @@
 // orders returns the answer to a worker's latest report and whether it should go out at once.
 func (d *Dispatcher) orders(now manager.Time, w *worker) (*manager.WorkerOrders, bool) {
 	o := &manager.WorkerOrders{
-		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.Options.Address, NextMs: d.Options.NextMs,
+		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.reportTo(w), NextMs: d.Options.NextMs,
 	}
 	urgent := len(w.latest.Ended) > 0
 	o.Stop = d.stops(now, w)
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -19,13 +19,15 @@
 
 // worker is what the dispatcher knows of one life of a worker.
 type worker struct {
-	life     manager.WorkerLife
-	latest   manager.WorkerReport
-	heardAt  manager.Time
-	running  map[manager.TaskID]manager.RunningTask
-	acked    uint64
-	ending   bool
-	ticket   Ticket
+	life    manager.WorkerLife
+	latest  manager.WorkerReport
+	heardAt manager.Time
+	running map[manager.TaskID]manager.RunningTask
+	acked   uint64
+	ending  bool
+	ticket  Ticket
+	// direct says that the latest report came here, not through another node.
+	direct   bool
 	parked   bool
 	parkedAt manager.Time
 	// lapsedUntil is when the lease of everything on the worker has ended for certain.
@@ -53,9 +55,10 @@
 	since manager.Time
 }
 
-func (d *Dispatcher) report(now manager.Time, t Ticket, r manager.WorkerReport, c *recorder.Changes) []Answer {
+func (d *Dispatcher) report(now manager.Time, e Event, c *recorder.Changes) []Answer {
+	t, r := e.Ticket, *e.Report
 	w := d.workers[r.Life.Worker]
-	stale := []Answer{{Ticket: t, Orders: &manager.WorkerOrders{Token: d.Token, ReportTo: d.Options.Address}}}
+	stale := []Answer{{Ticket: t, Orders: &manager.WorkerOrders{Token: d.Token}}}
 	if w != nil && (r.Life.Born < w.life.Born || r.Life == w.life && r.Sequence <= w.latest.Sequence) {
 		return stale
 	}
@@ -72,6 +75,7 @@
 	if r.Draining && !w.latest.Draining {
 		d.note(manager.LogWorkerDrains, "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
 	}
+	d.countDirect(w, !e.Forwarded)
 	w.latest, w.heardAt = r, now
 	w.ticket, w.parked, w.parkedAt, w.touched = t, true, now, true
 	d.takeEnds(now, w, c)
@@ -81,6 +85,31 @@
 	return answers
 }
 
+// countDirect notes whether a worker reports here or through another node.
+func (d *Dispatcher) countDirect(w *worker, direct bool) {
+	switch {
+	case direct && !w.direct:
+		d.direct++
+	case !direct && w.direct:
+		d.direct--
+	}
+	w.direct = direct
+}
+
+// reportTo returns where a worker should report next; empty leaves it.
+func (d *Dispatcher) reportTo(w *worker) manager.Address {
+	if w.direct || d.roomForDirect() {
+		return d.Options.Address
+	}
+	return ""
+}
+
+// roomForDirect tells whether more workers may report here. One that was asked may take a moment to come, so
+// that some more than the bound can.
+func (d *Dispatcher) roomForDirect() bool {
+	return d.Options.MaxDirect == 0 || d.direct < d.Options.MaxDirect
+}
+
 // stopSettled is the time after which an answer with a stop has surely reached its worker or never will.
 const stopSettled = 1500 * manager.Millisecond
 
@@ -234,6 +263,7 @@
 
 func (d *Dispatcher) forget(w *worker) {
 	if d.workers[w.life.Worker] == w {
+		d.countDirect(w, false)
 		delete(d.workers, w.life.Worker)
 		d.inOrder = nil
 	}
