Run gangs and jobs that repeat at set times

Cause: both were refused, so that a deployment of the same kind that has them lost those jobs. Change: a gang starts whole in one entry with one run number, in one rack where that matters; one end stands for all; one that has waited for a second bars the smaller tasks behind it. An occurrence is a job of its own in the book under its caller's id and its number, begun when the lowest wall clock reading of ten seconds says it is due. Ids with the mark of an occurrence are refused. explain shows a job with all its occurrences.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -125,6 +125,7 @@
 			LeaseMs: min(dispatcher.DefaultLease, s.Work.MaxLeaseMs), StopMs: s.Work.StopMs, DutyGapMs: s.Work.DutyGapMs, Address: s.Control,
 			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
 		},
+		Wall:   func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
 		Duties: platform.Cloud{Address: s.PlatformAddress, Holder: s.Node, HTTP: client},
 	}
 	f.leader.Init()
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -38,6 +38,8 @@
 	Book    *recorder.Book
 	Options dispatcher.Options
 	Duties  DutyCaller
+	// Wall returns the time of day.
+	Wall func() manager.Time
 
 	inbox   eventBox
 	calls   map[dispatcher.Ticket]chan outcome
@@ -120,7 +122,10 @@
 	events := l.takeEvents()
 	var changes recorder.Changes
 	var answers []dispatcher.Answer
-	l.Store.Inspect(func() { changes, answers = l.current.Step(l.Clock.Now(), events) })
+	l.Store.Inspect(func() {
+		l.current.SetWall(l.Clock.Now(), l.Wall())
+		changes, answers = l.current.Step(l.Clock.Now(), events)
+	})
 	if changes.Empty() {
 		l.deliver(answers)
 		l.follow()
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -126,7 +126,9 @@
 func (s Subject) concerns(l Line) bool {
 	switch {
 	case s.Request != "":
-		return l.Get("RequestID") == s.Request
+		// The occurrences of a job that repeats belong to its caller's request.
+		id, _ := manager.GraphID(l.Get("RequestID")).Split()
+		return string(id) == s.Request
 	case s.VM != "":
 		return l.Get("VM") == s.VM
 	}
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -43,7 +43,9 @@
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
-	d.noteDemand(now, q.Pool, g)
+	if g.Repeat.Count == 0 {
+		d.noteDemand(now, q.Pool, g)
+	}
 	d.note(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.Book.Configuration.Version)
 	return d.await(t)
 }
@@ -55,7 +57,7 @@
 			delete(d.refused, id)
 		}
 	}
-	if g.Steps[0].Lasting || now.Sub(d.Began) < learnTime {
+	if g.Steps[0].Lasting || g.Repeat.Count > 0 || now.Sub(d.Began) < learnTime {
 		return 0
 	}
 	free := d.freeRoom(now, q.Pool)
@@ -64,7 +66,7 @@
 	}
 	var backlog work
 	for _, j := range d.Book.Active() {
-		if !j.Lasting() && d.poolOf(j) == q.Pool {
+		if !j.Lasting() && !d.early(j) && d.poolOf(j) == q.Pool {
 			backlog.plus(d.times.work(j))
 		}
 	}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -92,8 +92,9 @@
 	bookAt    manager.Time
 	unsettled map[manager.VMID]bool
 	// backlog are the pools in which a ready task found no worker at the latest step.
-	backlog map[manager.PoolID]bool
-	lending lending
+	backlog  map[manager.PoolID]bool
+	lending  lending
+	schedule schedule
 	// direct counts the workers that report here.
 	direct int
 	// inOrder caches the workers in the order of their ids, byPool the active jobs of each pool during a step.
@@ -155,6 +156,7 @@
 	for _, e := range events {
 		answers = append(answers, d.take(now, e, &c)...)
 	}
+	d.stepSchedule(&c)
 	d.groupJobs()
 	d.expire(now, &c)
 	d.stepUpkeep(now, &c)
@@ -277,10 +279,15 @@
 		d.notes[len(d.notes)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
 	}
 	for _, e := range d.inFlight.End {
+		whole, _ := e.Task.Graph.Split()
 		note(e.Task.Graph)
+		note(whole)
 	}
 	for _, id := range d.inFlight.Cancel {
 		note(id)
+		for k := 1; d.Book.Jobs[id] != nil && k < d.Book.Jobs[id].Occurred; k++ {
+			note(id.Occurrence(k))
+		}
 	}
 }
 
@@ -341,7 +348,7 @@
 func (d *Dispatcher) groupJobs() {
 	d.byPool = map[manager.PoolID][]*recorder.Job{}
 	for _, j := range d.Book.Active() {
-		if p := d.poolOf(j); p != "" {
+		if p := d.poolOf(j); p != "" && !d.early(j) {
 			d.byPool[p] = append(d.byPool[p], j)
 		}
 	}
--- /dev/null
+++ b/pkg/manager/dispatcher/gang.go
@@ -0,0 +1,101 @@
+package dispatcher
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+// gangPatience is how long a gang looks for room before those behind it in line wait for it; most find room
+// among the ends of a second.
+const gangPatience = 1 * manager.Second
+
+// placeGang starts all tasks of a step at once, or none. It answers wide steps whose tasks are worth nothing
+// one by one: room for a part of them is left to others.
+func (d *Dispatcher) placeGang(now manager.Time, j *recorder.Job, s int, list []*candidate, c *recorder.Changes) {
+	run := j.GangRun(s)
+	if run == 0 {
+		return
+	}
+	places := d.gangPlaces(now, j, s, list)
+	if places == nil {
+		d.backlog[d.poolOf(j)] = true
+		return
+	}
+	for i, w := range places {
+		w.give(j.Steps[s], nil)
+		c.Start = append(c.Start, recorder.Start{Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: run, Life: w.life})
+	}
+}
+
+// gangPlaces returns a worker for each task of a gang, in one rack where that matters and can be, or nil.
+func (d *Dispatcher) gangPlaces(now manager.Time, j *recorder.Job, s int, list []*candidate) []*candidate {
+	step := j.Steps[s]
+	if step.OneRack {
+		racks := map[manager.Label][]*candidate{}
+		for _, w := range list {
+			racks[w.latest.Rack] = append(racks[w.latest.Rack], w)
+		}
+		order := slices.SortedFunc(maps.Keys(racks), func(a, b manager.Label) int {
+			// The rack near the data goes first.
+			return cmp.Or(-cmp.Compare(nearness(step, a), nearness(step, b)), cmp.Compare(a, b))
+		})
+		for _, rack := range order {
+			if places := fitGang(now, step, j.Tasks[s], racks[rack]); places != nil {
+				return places
+			}
+		}
+	}
+	return fitGang(now, step, j.Tasks[s], list)
+}
+
+func nearness(step manager.GraphStep, rack manager.Label) int {
+	if step.DataRack == rack {
+		return 1
+	}
+	return 0
+}
+
+// fitGang finds room for all tasks on some workers, or returns nil; the workers' room is as before.
+func fitGang(now manager.Time, step manager.GraphStep, tasks []recorder.Task, list []*candidate) []*candidate {
+	var places []*candidate
+	counts := map[manager.WorkerLife]int{}
+	need := stepRoom(step)
+	for i := range tasks {
+		w := choose(now, step, &tasks[i], counts, list)
+		if w == nil {
+			break
+		}
+		w.room = w.room.Sub(need)
+		counts[w.life]++
+		places = append(places, w)
+	}
+	for _, w := range places {
+		w.room = w.room.Add(need)
+	}
+	if len(places) < len(tasks) {
+		return nil
+	}
+	return places
+}
+
+// gangWaits tells whether a gang of the job has looked for room for a while and got none in this step.
+func (d *Dispatcher) gangWaits(now manager.Time, j *recorder.Job, c *recorder.Changes) bool {
+	for s, step := range j.Steps {
+		if !step.Gang || j.Left(s) == 0 || !j.StepReady(s) || j.GangRun(s) == 0 {
+			continue
+		}
+		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
+		since := j.Accepted
+		for i := range j.Tasks[s] {
+			since = max(since, j.Tasks[s][i].EndedAt)
+		}
+		if !started && now.Sub(since) > gangPatience {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -88,7 +88,7 @@
 	for _, j := range d.Book.Active() {
 		l := loadOf(list, d.poolOf(j))
 		switch {
-		case l == nil:
+		case l == nil || d.early(j):
 		case j.Lasting():
 			l.stranded = l.stranded || stranded(now, j)
 		default:
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -64,7 +64,7 @@
 	for _, id := range sortedTasks(runs) {
 		r := runs[id]
 		j, t := d.Book.Task(id)
-		if _, ok := w.running[id]; ok || t == nil || j.State.Ended() {
+		if _, ok := w.running[id]; ok || t == nil || t.Done || j.State.Ended() {
 			continue
 		}
 		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved})
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -51,6 +51,10 @@
 		}
 		for _, t := range d.line(now, p) {
 			d.placeJob(now, t.job, pools[p], c)
+			if d.gangWaits(now, t.job, c) {
+				// Smaller tasks would take the room that the gang waits for.
+				break
+			}
 		}
 	}
 }
@@ -109,6 +113,10 @@
 		if j.Left(s) == 0 || !j.StepReady(s) {
 			continue
 		}
+		if step.Gang {
+			d.placeGang(now, j, s, list, c)
+			continue
+		}
 		perWorker := d.perWorker(j, s)
 		for i := range j.Tasks[s] {
 			t := &j.Tasks[s][i]
@@ -120,13 +128,7 @@
 				d.backlog[d.poolOf(j)] = true
 				break
 			}
-			best.room = best.room.Sub(stepRoom(step))
-			if step.Lasting {
-				best.lasting = best.lasting.Add(stepRoom(step))
-			}
-			if perWorker != nil {
-				perWorker[best.life]++
-			}
+			best.give(step, perWorker)
 			c.Start = append(c.Start, recorder.Start{
 				Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: t.LastRun + 1, Life: best.life,
 			})
@@ -134,6 +136,17 @@
 	}
 }
 
+// give counts a task of a step against the worker.
+func (w *candidate) give(step manager.GraphStep, perWorker map[manager.WorkerLife]int) {
+	w.room = w.room.Sub(stepRoom(step))
+	if step.Lasting {
+		w.lasting = w.lasting.Add(stepRoom(step))
+	}
+	if perWorker != nil {
+		perWorker[w.life]++
+	}
+}
+
 // perWorker counts the step's tasks on each worker, or returns nil for a step without a bound.
 func (d *Dispatcher) perWorker(j *recorder.Job, s int) map[manager.WorkerLife]int {
 	if j.Steps[s].MaxPerWorker == 0 {
--- a/pkg/manager/fleetwork.go
+++ b/pkg/manager/fleetwork.go
@@ -10,6 +10,8 @@
 	Address  Address
 	Zone     AvailabilityZone
 	Labels   []Label
+	// Rack is the label that names the worker's rack.
+	Rack     Label `json:",omitempty"`
 	Capacity Resources
 	// Draining says that the worker will leave; RemainingMs is the least time left.
 	Draining    bool
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -41,9 +41,10 @@
 	Task int
 }
 
-// String returns the id as Graph.0.Step.Task; the 0 stands for the only occurrence of the job.
+// String returns the id as Graph.Occurrence.Step.Task.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.0.%d.%d", t.Graph, t.Step, t.Task)
+	g, k := t.Graph.Split()
+	return fmt.Sprintf("%s.%d.%d.%d", g, k, t.Step, t.Task)
 }
 
 // MarshalText encodes the id as String does.
@@ -70,10 +71,7 @@
 		}
 		numbers[i] = n
 	}
-	if numbers[0] != 0 {
-		return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q is of an unknown occurrence", s)}
-	}
-	return TaskID{Graph: GraphID(parts[0]), Step: numbers[1], Task: numbers[2]}, nil
+	return TaskID{Graph: GraphID(parts[0]).Occurrence(numbers[0]), Step: numbers[1], Task: numbers[2]}, nil
 }
 
 // GraphStep is a step of a job: tasks of the same kind that may run side by side.
@@ -104,8 +102,24 @@
 	Filler bool `json:",omitempty"`
 	// MaxUnavailable bounds the lasting tasks that the manager's own actions keep from work at a time.
 	MaxUnavailable int `json:",omitempty"`
+	// Gang tasks work only together: they start as one run, and the end of one is the end of all.
+	Gang bool `json:",omitempty"`
+	// OneRack says that the tasks take longer where they are on several racks.
+	OneRack bool `json:",omitempty"`
 }
 
+// Repeat makes a job run its steps several times, at set times of the wall clock.
+type Repeat struct {
+	// Count is the number of occurrences; 0 stands for a job that runs once, at once.
+	Count int
+	// FirstAt is when the first one is due, in milliseconds since the Unix epoch.
+	FirstAt    Time
+	IntervalMs Duration
+}
+
+// DueAt returns when an occurrence, counted from 0, is due by the wall clock.
+func (r Repeat) DueAt(k int) Time { return r.FirstAt.Add(Duration(k) * r.IntervalMs) }
+
 // Graph is a job of steps as its caller hands it in.
 type Graph struct {
 	Graph GraphID
@@ -113,6 +127,7 @@
 	// Payload is handed to each task.
 	Payload string
 	Steps   []GraphStep
+	Repeat  Repeat `json:",omitzero"`
 }
 
 // Limits of a job of steps; larger ones are refused.
@@ -120,6 +135,7 @@
 	MaxPayloadBytes = 4000
 	MaxGraphSteps   = 64
 	MaxGraphTasks   = 4096
+	MaxOccurrences  = 10_000
 )
 
 // Validate returns what is wrong with the job, or nil.
@@ -127,12 +143,21 @@
 	if g.Graph == "" {
 		return ErrInvalid{Field: "Graph", Reason: "is missing"}
 	}
+	if strings.Contains(string(g.Graph), occurrenceMark) {
+		return ErrInvalid{Field: "Graph", Reason: "holds " + occurrenceMark + ", which names occurrences"}
+	}
 	if len(g.Payload) > MaxPayloadBytes {
 		return ErrInvalid{Field: "Payload", Reason: fmt.Sprintf("has more than %d bytes", MaxPayloadBytes)}
 	}
 	if n := len(g.Steps); n == 0 || n > MaxGraphSteps {
 		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("%d steps: 1 to %d are taken", n, MaxGraphSteps)}
 	}
+	if r := g.Repeat; r.Count < 0 || r.Count > MaxOccurrences || r.IntervalMs < 0 || r.FirstAt < 0 {
+		return ErrInvalid{Field: "Repeat", Reason: fmt.Sprintf("has a negative field or more than %d occurrences", MaxOccurrences)}
+	}
+	if g.Repeat.Count > 0 && g.Steps[0].Lasting {
+		return ErrInvalid{Field: "Repeat", Reason: "is set for tasks that last"}
+	}
 	tasks := 0
 	for i, s := range g.Steps {
 		if err := s.validate(i); err != nil {
@@ -154,6 +179,9 @@
 	if s.Room.ProcessorMilliCores < 0 || s.Room.MemoryMegaBytes < 0 || s.Room.Accelerators < 0 {
 		return ErrInvalid{Field: field + ".Room", Reason: "is negative"}
 	}
+	if s.Gang && s.Lasting {
+		return ErrInvalid{Field: field + ".Gang", Reason: "is set for tasks that last"}
+	}
 	for _, n := range s.Needs {
 		if n < 0 || n >= i {
 			return ErrInvalid{Field: field + ".Needs", Reason: fmt.Sprintf("%d is no earlier step", n)}
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -33,6 +33,7 @@
 	LogNodeStarted                   = "Node started"
 	LogNodeStopped                   = "Node stopped"
 	LogNotJoinedYet                  = "Not joined yet"
+	LogOccurrenceBegins              = "Occurrence begins"
 	LogOperatorsCallFailed           = "Operator's call failed"
 	LogOperatorsCallRefused          = "Operator's call refused"
 	LogOrderPlatformNotCreated       = "Order to the platform not created"
@@ -99,6 +100,7 @@
 		{LogNodeStarted, "Any", "The process serves."},
 		{LogNodeStopped, "Any", "The process ends."},
 		{LogNotJoinedYet, "Replica", "The group has not taken this disk in."},
+		{LogOccurrenceBegins, "Leader", "A job that repeats is due once more; its tasks carry the number of the occurrence."},
 		{LogOperatorsCallFailed, "Any", "An operator's call got no clear answer, or was refused for a reason named."},
 		{LogOperatorsCallRefused, "Any", "An operator's call is not valid."},
 		{LogOrderPlatformNotCreated, "Leader", "An order could not be made: its address is wrong."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -46,6 +46,18 @@
 			b.Waves[w.Wave] = &Wave{UpkeepWave: w, Accepted: b.At, State: map[manager.VMID]UpkeepState{}, Born: map[manager.VMID]manager.Time{}}
 		}
 	}
+	b.order(c)
+	for _, o := range c.Occur {
+		b.occur(o)
+	}
+	for _, s := range c.Start {
+		b.start(s)
+	}
+	b.forget()
+}
+
+// order records what was ordered from the platform for VMs.
+func (b *Book) order(c Changes) {
 	for _, u := range c.Upkeep {
 		b.OrderedAt[u.VM] = b.At
 		if w := b.Waves[u.Wave]; w != nil {
@@ -66,10 +78,6 @@
 			b.Homes[m.VM] = m.From
 		}
 	}
-	for _, s := range c.Start {
-		b.start(s)
-	}
-	b.forget()
 }
 
 func (b *Book) configure(c *manager.FleetConfiguration) {
@@ -83,19 +91,31 @@
 	if b.Jobs[g.Graph] != nil {
 		return
 	}
+	b.begin(g)
+	b.pending[g.Queue]++
+}
+
+// begin adds a job with all its tasks.
+func (b *Book) begin(g manager.Graph) {
 	j := &Job{Graph: g, Accepted: b.At, State: manager.GraphQueued, left: make([]int, len(g.Steps)), running: make([]int, len(g.Steps))}
 	for s, step := range g.Steps {
 		j.Tasks = append(j.Tasks, make([]Task, step.Count))
 		j.left[s] = step.Count
 	}
+	if g.Repeat.Count > 0 {
+		j.Occurred = 1
+	}
 	b.Jobs[g.Graph], b.active[g.Graph] = j, j
-	b.pending[g.Queue]++
 }
 
 func (b *Book) start(s Start) {
 	j := b.active[s.Task.Graph]
 	_, t := b.Task(s.Task)
-	if j == nil || t == nil || t.Done || t.Open != nil || s.Run != t.LastRun+1 || !j.StepReady(s.Task.Step) {
+	if j == nil || t == nil || t.Done || t.Open != nil || !j.StepReady(s.Task.Step) {
+		return
+	}
+	// The tasks of a gang start with one number, above those of all earlier runs.
+	if gang := j.Steps[s.Task.Step].Gang; s.Run <= t.LastRun || !gang && s.Run != t.LastRun+1 {
 		return
 	}
 	t.LastRun = s.Run
@@ -105,7 +125,9 @@
 	b.addRun(s.Task, t.Open)
 	if !j.Started {
 		j.Started, j.State, j.WaitedMs = true, manager.GraphRunning, b.At.Sub(j.Accepted)
-		b.pending[j.Queue]--
+		if !j.isOccurrence() {
+			b.pending[j.Queue]--
+		}
 	}
 }
 
@@ -127,6 +149,8 @@
 	}
 	switch {
 	case j.State.Ended():
+	case j.Steps[e.Task.Step].Gang:
+		t = b.endOfGang(j, e, life, began)
 	case e.How == manager.RunDone && !j.Steps[e.Task.Step].Lasting:
 		t.Done = true
 		b.learn(j.Queue, j.Steps[e.Task.Step].EstimateMs, b.At.Sub(began))
@@ -153,7 +177,7 @@
 			return
 		}
 	}
-	b.finish(j, manager.GraphCompleted)
+	b.complete(j)
 }
 
 // maxAttempts returns the attempts of a queue's tasks; a queue that was dropped allows one.
@@ -169,13 +193,14 @@
 }
 
 func (b *Book) finish(j *Job, s manager.GraphState) {
-	if !j.Started {
+	if !j.Started && !j.isOccurrence() {
 		b.pending[j.Queue]--
 	}
 	j.State, j.EndedAt = s, b.At
 	delete(b.active, j.Graph.Graph)
 	b.Ended = append(b.Ended, j.Graph.Graph)
 	j.dropTasks()
+	b.finishOccurrences(j)
 }
 
 // dropTasks frees the memory of an ended job once nothing of it runs.
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -41,6 +41,10 @@
 	Started  bool         `json:",omitempty"`
 	// WaitedMs is the time from the job's acceptance to its first start.
 	WaitedMs manager.Duration `json:",omitempty"`
+	// Occurred is the number of occurrences that have begun, Unfinished that of those but the first which are
+	// not over.
+	Occurred   int `json:",omitempty"`
+	Unfinished int `json:",omitempty"`
 	// Tasks are those of each step; they are dropped once the job has ended and nothing runs.
 	Tasks [][]Task `json:",omitempty"`
 
@@ -61,6 +65,8 @@
 	FailedOn manager.WorkerID `json:",omitempty"`
 	// EndedAt is when the latest run ended.
 	EndedAt manager.Time `json:",omitempty"`
+	// FailedRun is the latest run in which a gang failed; its first task keeps it.
+	FailedRun manager.RunNumber `json:",omitempty"`
 }
 
 // Run is a run of a task that may be at work.
@@ -147,7 +153,7 @@
 			continue
 		}
 		b.active[id] = j
-		if !j.Started {
+		if !j.Started && !j.isOccurrence() {
 			b.pending[j.Queue]++
 		}
 	}
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -13,12 +13,13 @@
 	Wave      []manager.UpkeepWave        `json:",omitempty"`
 	Upkeep    []Upkeep                    `json:",omitempty"`
 	Move      []Move                      `json:",omitempty"`
+	Occur     []Occurrence                `json:",omitempty"`
 	Start     []Start                     `json:",omitempty"`
 }
 
 // Empty tells whether nothing changes.
 func (c *Changes) Empty() bool {
-	return c.Configure == nil && len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Upkeep)+len(c.Move)+len(c.Start) == 0
+	return c.Configure == nil && len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Upkeep)+len(c.Move)+len(c.Occur)+len(c.Start) == 0
 }
 
 // Start gives a task to one life of a worker.
@@ -66,3 +67,10 @@
 	// From is the pool that the VM leaves; that of its first move is its home.
 	From manager.PoolID `json:",omitempty"`
 }
+
+// Occurrence begins a further occurrence of a job that repeats.
+type Occurrence struct {
+	Graph manager.GraphID
+	// Number counts from 0; the job itself is the first occurrence.
+	Number int
+}
--- /dev/null
+++ b/pkg/manager/recorder/gang.go
@@ -0,0 +1,46 @@
+package recorder
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// endOfGang takes the end of one task of a gang, which stands for all of them, and returns the task that
+// counts the gang's failures.
+func (b *Book) endOfGang(j *Job, e End, l manager.WorkerLife, began manager.Time) *Task {
+	tasks := j.Tasks[e.Task.Step]
+	first := &tasks[0]
+	if first.Done {
+		return first
+	}
+	if e.Saved != "" {
+		// Any member's checkpoint is good for the gang, and all must start from the same one.
+		for i := range tasks {
+			tasks[i].Saved = e.Saved
+		}
+	}
+	switch e.How {
+	case manager.RunDone:
+		for i := range tasks {
+			tasks[i].Done = true
+		}
+		j.left[e.Task.Step] = 0
+		b.learn(j.Queue, j.Steps[e.Task.Step].EstimateMs, b.At.Sub(began))
+	case manager.RunFailed:
+		tasks[e.Task.Task].FailedOn = l.Worker
+		if first.FailedRun < e.Run {
+			first.FailedRun = e.Run
+			first.Failures++
+		}
+	}
+	return first
+}
+
+// GangRun returns the number of a gang's next run; it returns 0 while a run of a member may be at work.
+func (j *Job) GangRun(s int) manager.RunNumber {
+	var last manager.RunNumber
+	for i := range j.Tasks[s] {
+		if j.Tasks[s][i].Open != nil {
+			return 0
+		}
+		last = max(last, j.Tasks[s][i].LastRun)
+	}
+	return last + 1
+}
