Give a VM to a task or gang that lasting tasks leave no room for, and count an occurrence from its due time

The first occurrence of a job that repeats went behind all others, as its objective counted from the time when it was handed in. Change: a step whose tasks, or whole gang, have no room beside the lasting tasks of a pool's workers after 1.5 s strands as lasting tasks did, and gets VMs, of the label that it needs, until it has. For a lasting task the next VM waits for the one on its way. The first occurrence begins by an entry like the others.

--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -227,6 +227,10 @@
 			w.over(j)
 			return
 		case o != emulator.Taken:
+		case state == "cancelled" && cancelling:
+			// A cancel without an answer was taken.
+			w.over(j)
+			return
 		case state == "failed" || state == "cancelled":
 			w.fail("job %s is shown as %s without a cause", j.id, state)
 			w.over(j)
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -66,7 +66,7 @@
 	}
 	var backlog work
 	for _, j := range d.Book.Active() {
-		if !j.Lasting() && !d.early(j) && d.poolOf(j) == q.Pool {
+		if !j.Lasting() && !j.Early() && d.poolOf(j) == q.Pool {
 			backlog.plus(d.times.work(j))
 		}
 	}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -273,7 +273,7 @@
 		}
 		seen[id] = true
 		d.touchRuns(j)
-		took, objective := j.EndedAt.Sub(j.Accepted), d.objective(j).Sub(j.Accepted)
+		took, objective := j.EndedAt.Sub(j.Since()), d.objective(j).Sub(j.Since())
 		d.note(manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
 			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
 		d.notes[len(d.notes)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
@@ -348,7 +348,7 @@
 func (d *Dispatcher) groupJobs() {
 	d.byPool = map[manager.PoolID][]*recorder.Job{}
 	for _, j := range d.Book.Active() {
-		if p := d.poolOf(j); p != "" && !d.early(j) {
+		if p := d.poolOf(j); p != "" && !j.Early() {
 			d.byPool[p] = append(d.byPool[p], j)
 		}
 	}
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
-		since := j.Accepted
+		since := j.Since()
 		for i := range j.Tasks[s] {
 			since = max(since, j.Tasks[s][i].EndedAt)
 		}
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -91,18 +91,6 @@
 	d.sendHome(now, free, c)
 }
 
-// rescueStranded gives a VM to each pool in which a lasting task finds no worker.
-func (d *Dispatcher) rescueStranded(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) {
-	for _, p := range loads {
-		i := slices.IndexFunc(*free, func(vm lendableVM) bool { return vm.pool != p.pool })
-		if p.stranded && i >= 0 {
-			d.note(manager.LogLastingTaskStranded, "Pool", p.pool, "VM", (*free)[i].vm)
-			d.send(now, (*free)[i], p.pool, c)
-			*free = slices.Delete(*free, i, i+1)
-		}
-	}
-}
-
 // lendOne sends a VM to the pool with the highest load, from where it is missed least.
 func (d *Dispatcher) lendOne(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) bool {
 	if len(loads) == 0 {
@@ -232,7 +220,7 @@
 	}
 	for p, n := range spare {
 		spare[p] = n - leastWorkers
-		if l := loadOf(loads, p); !used[p] || l != nil && l.stranded {
+		if l := loadOf(loads, p); !used[p] || l != nil && l.stranded != nil {
 			spare[p] = 0
 		}
 	}
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -46,8 +46,8 @@
 	need    work
 	running work
 	room    manager.Resources
-	// stranded says that a lasting task finds no worker.
-	stranded bool
+	// stranded is a step whose tasks find no worker in the pool, or nil.
+	stranded *manager.GraphStep
 }
 
 // load is the need as a share of what the pool has, once it has gained some capacity.
@@ -88,31 +88,17 @@
 	for _, j := range d.Book.Active() {
 		l := loadOf(list, d.poolOf(j))
 		switch {
-		case l == nil || d.early(j):
+		case l == nil || j.Early():
 		case j.Lasting():
-			l.stranded = l.stranded || stranded(now, j)
+			d.noteStranded(now, l, j)
 		default:
+			d.noteStranded(now, l, j)
 			d.addNeed(l, j)
 		}
 	}
 	return list
 }
 
-// strandedAge is how long a lasting task may look for a worker before its pool gets another VM.
-const strandedAge = 400 * manager.Millisecond
-
-// stranded tells whether a task of a lasting job has found no worker for a while.
-func stranded(now manager.Time, j *recorder.Job) bool {
-	for _, tasks := range j.Tasks {
-		for _, t := range tasks {
-			if t.Open == nil && now.Sub(max(t.EndedAt, j.Accepted)) > strandedAge {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // addNeed adds what a job's running tasks take, or what it takes to work off all that is ready within the
 // horizon.
 func (d *Dispatcher) addNeed(l *poolLoad, j *recorder.Job) {
--- a/pkg/manager/dispatcher/schedule.go
+++ b/pkg/manager/dispatcher/schedule.go
@@ -47,16 +47,11 @@
 	s.wall = now.Add(lowest)
 }
 
-// early tells whether the first occurrence of a job is not due yet.
-func (d *Dispatcher) early(j *recorder.Job) bool {
-	return j.Repeat.Count > 0 && d.schedule.wall < j.Repeat.DueAt(0)
-}
-
 // stepSchedule begins the occurrences that are due.
 func (d *Dispatcher) stepSchedule(c *recorder.Changes) {
 	var due []recorder.Occurrence
 	for id, j := range d.Book.Active() {
-		for k := j.Occurred; k > 0 && k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k); k++ {
+		for k := j.Occurred; k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k); k++ {
 			due = append(due, recorder.Occurrence{Graph: id, Number: k})
 		}
 	}
--- /dev/null
+++ b/pkg/manager/dispatcher/stranded.go
@@ -0,0 +1,120 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// strandedAge is how long a lasting task may look for a worker before its pool gets another VM.
+	strandedAge = 400 * manager.Millisecond
+	// strandedFinite is that time for other tasks; it lets a turn of the workers' reports and ends pass.
+	strandedFinite = 1500 * manager.Millisecond
+)
+
+// noteStranded keeps the first step that finds no worker in the pool. It answers tasks and gangs that are too
+// large for what lasting tasks leave of each worker: the pool's load is low, and they would wait for ever.
+func (d *Dispatcher) noteStranded(now manager.Time, l *poolLoad, j *recorder.Job) {
+	for s := range j.Steps {
+		if l.stranded == nil && d.isStranded(now, l.pool, j, s) {
+			l.stranded = &j.Steps[s]
+		}
+	}
+}
+
+func (d *Dispatcher) isStranded(now manager.Time, p manager.PoolID, j *recorder.Job, s int) bool {
+	step := &j.Steps[s]
+	if j.Left(s) <= j.OpenIn(s) || !j.StepReady(s) {
+		return false
+	}
+	if step.Lasting {
+		return slices.ContainsFunc(j.Tasks[s], func(t recorder.Task) bool {
+			return t.Open == nil && now.Sub(max(t.EndedAt, j.Since())) > strandedAge
+		})
+	}
+	since := j.Since()
+	for i := range j.Tasks[s] {
+		since = max(since, j.Tasks[s][i].EndedAt)
+	}
+	need := 1
+	if step.Gang {
+		need = step.Count
+	}
+	return now.Sub(since) > strandedFinite && d.slots(now, p, step, need) < need
+}
+
+// rescueStranded gives a VM to each pool in which a task finds no worker, one at a time.
+func (d *Dispatcher) rescueStranded(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) {
+	for _, p := range loads {
+		if p.stranded == nil || p.stranded.Lasting && d.moving(p.pool) {
+			continue
+		}
+		i := slices.IndexFunc(*free, func(vm lendableVM) bool {
+			return vm.pool != p.pool && d.lending.vms[vm.vm].suits(p.stranded) && fits(vm.capacity, p.stranded) > 0
+		})
+		if i < 0 {
+			continue
+		}
+		d.note(manager.LogTaskStranded, "Pool", p.pool, "VM", (*free)[i].vm, "Lasting", p.stranded.Lasting, "Gang", p.stranded.Gang, "Room", p.stranded.Room)
+		d.send(now, (*free)[i], p.pool, c)
+		*free = slices.Delete(*free, i, i+1)
+	}
+}
+
+// slots returns how many tasks of a step have room beside the lasting tasks of a pool, counted up to a limit;
+// VMs on their way to the pool count.
+func (d *Dispatcher) slots(now manager.Time, p manager.PoolID, step *manager.GraphStep, limit int) int {
+	n := 0
+	for _, w := range d.workers {
+		if n >= limit {
+			return n
+		}
+		if w.latest.Pool != p || w.latest.Draining || w.health.distrusted(now) || now > w.lapsedUntil {
+			continue
+		}
+		if step.Requires == "" || slices.Contains(w.latest.Labels, step.Requires) {
+			n += fits(w.latest.Capacity.Sub(d.lastingOn(w)), step)
+		}
+	}
+	for vm, to := range d.Book.Moves {
+		if listed := d.lending.vms[vm]; to == p && listed.suits(step) {
+			n += fits(listed.Capacity, step)
+		}
+	}
+	return n
+}
+
+// fits returns how many tasks of a step have room in a capacity.
+func fits(free manager.Resources, step *manager.GraphStep) int {
+	need, n := stepRoom(*step), step.Count
+	if step.MaxPerWorker > 0 {
+		n = min(n, step.MaxPerWorker)
+	}
+	for _, r := range [][2]int64{
+		{int64(free.ProcessorMilliCores), int64(need.ProcessorMilliCores)},
+		{int64(free.MemoryMegaBytes), int64(need.MemoryMegaBytes)},
+		{int64(free.Accelerators), int64(need.Accelerators)},
+	} {
+		if r[1] > 0 {
+			n = min(n, int(max(0, r[0])/r[1]))
+		}
+	}
+	return n
+}
+
+// suits tells whether the worker of a VM may run a step's tasks.
+func (v ListedVM) suits(step *manager.GraphStep) bool {
+	return step.Requires == "" || slices.Contains(v.Labels, step.Requires)
+}
+
+// moving tells whether a VM is on its way to a pool.
+func (d *Dispatcher) moving(p manager.PoolID) bool {
+	for _, to := range d.Book.Moves {
+		if to == p {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -66,6 +66,7 @@
 	Pool     manager.PoolID
 	Up       bool
 	Capacity manager.Resources
+	Labels   []manager.Label
 }
 
 // upkeep is what a dispatcher keeps of orders to the platform and of runs to be stopped besides the book.
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -26,7 +26,6 @@
 	LogJobRefused                    = "Job refused"
 	LogLinesDropped                  = "Log lines dropped"
 	LogCallRefused                   = "Call refused"
-	LogLastingTaskStranded           = "Lasting task stranded"
 	LogLeaderFound                   = "Leader found"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
@@ -63,6 +62,7 @@
 	LogSlowSync                      = "Slow sync"
 	LogSnapshotNotStored             = "Snapshot not stored"
 	LogTaskPlaced                    = "Task placed"
+	LogTaskStranded                  = "Task stranded"
 	LogUpkeepDone                    = "Upkeep done"
 	LogUpkeepEndedWithoutWorker      = "Upkeep ended without a worker"
 	LogUpkeepOrdered                 = "Upkeep ordered"
@@ -93,7 +93,6 @@
 		{LogJobRefused, "Any", "A job was not taken and never runs."},
 		{LogLinesDropped, "Any", "The log was written faster than it is read; Minor and Essential count the lines that are missing."},
 		{LogCallRefused, "Any", "A caller got an answer other than success, with its status."},
-		{LogLastingTaskStranded, "Leader", "A lasting task finds no worker, so that its pool gets a VM."},
 		{LogLeaderFound, "Any", "Calls go to another leader from now on."},
 		{LogListenerFailed, "Any", "A listener ended by itself."},
 		{LogNodeDidNotStopCleanly, "Any", "Something was still at work when the grace ended."},
@@ -130,6 +129,7 @@
 		{LogSlowSync, "Replica", "A write to the disk took so long that elections and commits suffer."},
 		{LogSnapshotNotStored, "Replica", "The disk has no room for a snapshot; the log grows meanwhile."},
 		{LogTaskPlaced, "Leader", "A run of a task is given to a worker; its order goes out with the answer to a report."},
+		{LogTaskStranded, "Leader", "A task or gang finds no worker that has room beside the lasting tasks, so that its pool gets a VM."},
 		{LogUpkeepDone, "Leader", "A VM of a wave is back from its upkeep."},
 		{LogUpkeepEndedWithoutWorker, "Leader", "A VM of a wave is up without a worker, or gone for good."},
 		{LogUpkeepOrdered, "Leader", "A VM's upkeep is recorded; the platform is called next."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -102,9 +102,6 @@
 		j.Tasks = append(j.Tasks, make([]Task, step.Count))
 		j.left[s] = step.Count
 	}
-	if g.Repeat.Count > 0 {
-		j.Occurred = 1
-	}
 	b.Jobs[g.Graph], b.active[g.Graph] = j, j
 }
 
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -41,6 +41,8 @@
 	Started  bool         `json:",omitempty"`
 	// WaitedMs is the time from the job's acceptance to its first start.
 	WaitedMs manager.Duration `json:",omitempty"`
+	// DueSince is when the first occurrence of a job that repeats began.
+	DueSince manager.Time `json:",omitempty"`
 	// Occurred is the number of occurrences that have begun, Unfinished that of those but the first which are
 	// not over.
 	Occurred   int `json:",omitempty"`
--- a/pkg/manager/recorder/occurrence.go
+++ b/pkg/manager/recorder/occurrence.go
@@ -8,6 +8,12 @@
 	return k > 0 && j.Repeat.Count == 0
 }
 
+// Since returns when the job's tasks were first wanted.
+func (j *Job) Since() manager.Time { return max(j.Accepted, j.DueSince) }
+
+// Early tells whether the first occurrence of a job that repeats has not begun.
+func (j *Job) Early() bool { return j.Repeat.Count > 0 && j.Occurred == 0 }
+
 // occur begins the next occurrence of a job that repeats.
 func (b *Book) occur(o Occurrence) {
 	j := b.active[o.Graph]
@@ -15,6 +21,10 @@
 		return
 	}
 	j.Occurred++
+	if o.Number == 0 {
+		j.DueSince = b.At
+		return
+	}
 	j.Unfinished++
 	g := j.Graph
 	g.Graph, g.Repeat = j.Graph.Graph.Occurrence(o.Number), manager.Repeat{}
