Start gangs on workers that report in turn, and make a step linear in what reports

Change: gangs take workers that reported lately, as lasting tasks do. What a worker holds is cached until a report or a commit names it; stalls are looked for in new reports only; leases are looked at ten times a second; the room of the pools is summed once a step. Each worker that is asked to report to the leader counts at once.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -81,18 +81,15 @@
 
 // freeRoom returns the capacity of a pool that lasting tasks leave.
 func (d *Dispatcher) freeRoom(now manager.Time, p manager.PoolID) manager.Resources {
-	var total manager.Resources
-	for _, w := range d.workers {
-		if w.latest.Pool != p || w.latest.Draining || w.health.distrusted(now) || now > w.lapsedUntil {
-			continue
-		}
-		free := w.latest.Capacity
-		for id := range d.Book.Runs(w.life) {
-			if j := d.Book.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Lasting {
-				free = free.Sub(stepRoom(j.Steps[id.Step]))
+	if d.poolRoom == nil {
+		d.poolRoom = map[manager.PoolID]manager.Resources{}
+		for _, w := range d.workers {
+			if w.latest.Draining || w.health.distrusted(now) || now > w.lapsedUntil {
+				continue
 			}
+			free := w.latest.Capacity.Sub(d.holds(w).lasting).Max(manager.Resources{})
+			d.poolRoom[w.latest.Pool] = d.poolRoom[w.latest.Pool].Add(free)
 		}
-		total = total.Add(free.Max(manager.Resources{}))
 	}
-	return total
+	return d.poolRoom[p]
 }
--- /dev/null
+++ b/pkg/manager/dispatcher/direct.go
@@ -0,0 +1,51 @@
+package dispatcher
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// inviteTime is how long a worker that was asked to report here counts as one that does; its next report
+// follows within that.
+const inviteTime = 2 * manager.Second
+
+// countDirect notes whether a worker reports here or through another node.
+func (d *Dispatcher) countDirect(now manager.Time, w *worker, direct bool) {
+	if direct {
+		d.hold(w)
+	} else if now >= w.invitedUntil {
+		d.release(w)
+	}
+	w.direct = direct
+}
+
+// hold and release keep the number of workers that report here or were asked to.
+func (d *Dispatcher) hold(w *worker) {
+	if !w.holdsPlace {
+		w.holdsPlace = true
+		d.direct++
+	}
+}
+
+func (d *Dispatcher) release(w *worker) {
+	if w.holdsPlace {
+		w.holdsPlace = false
+		d.direct--
+	}
+}
+
+// reportTo returns where a worker should report next; empty leaves it. It answers fleets with more workers than
+// connections can be held here: each worker asked is counted at once, as thousands report within a second.
+func (d *Dispatcher) reportTo(now manager.Time, w *worker) manager.Address {
+	if w.direct || w.holdsPlace {
+		return d.Options.Address
+	}
+	if !d.roomForDirect() {
+		return ""
+	}
+	d.hold(w)
+	w.invitedUntil = now.Add(inviteTime)
+	return d.Options.Address
+}
+
+// roomForDirect tells whether more workers may report here.
+func (d *Dispatcher) roomForDirect() bool {
+	return d.Options.MaxDirect == 0 || d.direct < d.Options.MaxDirect
+}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -97,6 +97,10 @@
 	schedule schedule
 	// direct counts the workers that report here.
 	direct int
+	// expiredAt is when leases that have ended were looked for last.
+	expiredAt manager.Time
+	// poolRoom caches the room of each pool during a step.
+	poolRoom map[manager.PoolID]manager.Resources
 	// inOrder caches the workers in the order of their ids, byPool the active jobs of each pool during a step.
 	inOrder []*worker
 	byPool  map[manager.PoolID][]*recorder.Job
@@ -152,16 +156,19 @@
 // or Abandoned must follow before the next Step.
 func (d *Dispatcher) Step(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
+	d.poolRoom = nil
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.take(now, e, &c)...)
 	}
+	d.poolRoom = nil
 	d.stepSchedule(&c)
 	d.groupJobs()
 	d.expire(now, &c)
 	d.stepUpkeep(now, &c)
 	d.stepLending(now, &c)
 	d.place(now, &c)
+	d.noteChanged(&c)
 	d.inFlight = c
 	if c.Empty() {
 		answers = append(answers, d.answerWorkers(now)...)
--- /dev/null
+++ b/pkg/manager/dispatcher/export_test.go
@@ -0,0 +1,13 @@
+package dispatcher
+
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+
+// Outdated returns a worker for which what is cached is not what is so, or "".
+func (d *Dispatcher) Outdated() manager.WorkerID {
+	for _, w := range d.sorted() {
+		if *d.holds(w) != d.survey(w) {
+			return w.life.Worker
+		}
+	}
+	return ""
+}
--- a/pkg/manager/dispatcher/gang_test.go
+++ b/pkg/manager/dispatcher/gang_test.go
@@ -44,6 +44,20 @@
 	require.Equal(t, manager.GraphCompleted, f.state("g"))
 }
 
+// The reports of a pool with a backlog are answered at once, so that the workers of a gang never wait together.
+func TestGangStartsOnWorkersThatReportInTurn(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []manager.WorkerID{"w1", "w2", "w3"} {
+		f.worker(id, pool, 3000)
+		f.run(100)
+	}
+	f.submit("a", task(1000, 9))
+	f.run(300)
+	f.submit("g", gang(1000, 8))
+	f.run(2500)
+	require.Len(t, f.runNumbers("g"), 8)
+}
+
 // A gang that waits for a while gets the room that smaller tasks would take one after the other.
 func TestGangIsNotStarvedBySmallTasks(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -190,12 +190,12 @@
 			off = append(off, lendableVM{vm: id, pool: vm.Pool, capacity: vm.Capacity})
 		}
 	}
-	slices.SortStableFunc(on, func(a, b lendableVM) int { return cmp.Compare(d.hold(a), d.hold(b)) })
+	slices.SortStableFunc(on, func(a, b lendableVM) int { return cmp.Compare(d.rank(a), d.rank(b)) })
 	return append(on, off...)
 }
 
-// hold ranks the VMs that may go: those that were chosen before, then those with the fewest runs.
-func (d *Dispatcher) hold(vm lendableVM) int {
+// rank orders the VMs that may go: those that were chosen before, then those with the fewest runs.
+func (d *Dispatcher) rank(vm lendableVM) int {
 	if vm.chosen {
 		return -1
 	}
@@ -204,7 +204,7 @@
 
 // floats tells whether a worker holds no lasting task and takes work.
 func (d *Dispatcher) floats(w *worker) bool {
-	return !w.latest.Draining && d.lastingOn(w) == (manager.Resources{})
+	return !w.latest.Draining && d.holds(w).lasting == (manager.Resources{})
 }
 
 // spareWorkers returns how many workers each pool may give away. A pool that has had no job yet gives
@@ -227,17 +227,6 @@
 	return spare
 }
 
-// lastingOn returns what lasting tasks take of a worker.
-func (d *Dispatcher) lastingOn(w *worker) manager.Resources {
-	var total manager.Resources
-	for id := range d.Book.Runs(w.life) {
-		if j := d.Book.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Lasting {
-			total = total.Add(j.Steps[id.Step].Room)
-		}
-	}
-	return total
-}
-
 // inWaves returns the VMs that are in their upkeep or are being emptied for it.
 func (d *Dispatcher) inWaves() map[manager.VMID]bool {
 	kept := map[manager.VMID]bool{}
--- a/pkg/manager/dispatcher/model_test.go
+++ b/pkg/manager/dispatcher/model_test.go
@@ -91,6 +91,7 @@
 
 // check holds the invariants over what the workers run.
 func (m *model) check() {
+	require.Empty(m.t, m.d.Outdated(), "what is cached of a worker is outdated at %d", m.now)
 	at := map[manager.TaskID]*standInWorker{}
 	for _, w := range m.workers {
 		for id := range w.runs {
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -36,17 +36,10 @@
 
 // patience is how long a report may wait for an order.
 func (d *Dispatcher) patience(w *worker) manager.Duration {
-	if w.latest.Draining || d.backlog[w.latest.Pool] || !w.direct && !d.roomForDirect() {
+	if w.latest.Draining || d.backlog[w.latest.Pool] || !w.direct && !w.holdsPlace && !d.roomForDirect() {
 		return 0
 	}
-	busy := false
-	for id := range d.Book.Runs(w.life) {
-		if j := d.Book.Jobs[id.Graph]; j == nil || !j.Steps[id.Step].Lasting {
-			busy = true
-			break
-		}
-	}
-	if busy {
+	if d.holds(w).finite {
 		return d.Options.ParkBusyMs
 	}
 	return d.Options.ParkIdleMs
@@ -55,7 +48,7 @@
 // orders returns the answer to a worker's latest report and whether it should go out at once.
 func (d *Dispatcher) orders(now manager.Time, w *worker) (*manager.WorkerOrders, bool) {
 	o := &manager.WorkerOrders{
-		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.reportTo(w), NextMs: d.Options.NextMs,
+		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.reportTo(now, w), NextMs: d.Options.NextMs,
 	}
 	urgent := len(w.latest.Ended) > 0
 	o.Stop = d.stops(now, w)
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -84,11 +84,11 @@
 func (d *Dispatcher) candidates(now manager.Time, ready map[manager.PoolID]bool) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sorted() {
-		if !ready[w.latest.Pool] || w.ending || !w.parked && now.Sub(w.heardAt) > freshWorker || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.foreign(w) {
+		if !ready[w.latest.Pool] || w.ending || !w.parked && now.Sub(w.heardAt) > freshWorker || w.latest.Draining || w.evacuating || w.leaving || w.health.distrusted(now) || d.holds(w).foreign {
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
-			worker: w, room: d.room(w), lent: d.lent(w), lasting: d.lastingOn(w), calm: d.calm(w.latest.Pool),
+			worker: w, room: d.holds(w).room, lent: d.lent(w), lasting: d.holds(w).lasting, calm: d.calm(w.latest.Pool),
 		})
 	}
 	return pools
@@ -185,8 +185,9 @@
 	if t.FailedOn == w.life.Worker && now.Sub(t.EndedAt) < avoidTime {
 		return false
 	}
-	// Finite tasks wait for a worker that can begin at once.
-	return (w.parked || step.Lasting) && w.room.Fits(stepRoom(step))
+	// Finite tasks wait for a worker that can begin at once. Those of a gang would wait for ever, as the reports
+	// of a pool with a backlog are answered one by one; they wait for each other instead.
+	return (w.parked || step.Lasting || step.Gang) && w.room.Fits(stepRoom(step))
 }
 
 // score ranks the workers that may run a task.
--- a/pkg/manager/dispatcher/recall.go
+++ b/pkg/manager/dispatcher/recall.go
@@ -29,7 +29,10 @@
 		}
 	}
 	for _, w := range d.sorted() {
-		d.recallStalled(now, w)
+		if w.unseen {
+			w.unseen = false
+			d.recallStalled(now, w)
+		}
 		if !w.evacuating && !w.latest.Draining {
 			continue
 		}
--- a/pkg/manager/dispatcher/stranded.go
+++ b/pkg/manager/dispatcher/stranded.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		if step.Requires == "" || slices.Contains(w.latest.Labels, step.Requires) {
-			n += fits(w.latest.Capacity.Sub(d.lastingOn(w)), step)
+			n += fits(w.latest.Capacity.Sub(d.holds(w).lasting), step)
 		}
 	}
 	for vm, to := range d.Book.Moves {
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -13,6 +13,8 @@
 	clockSlackPercent = 2
 	// leaseSlack covers the rounding of both clocks.
 	leaseSlack = 150 * manager.Millisecond
+	// expirePeriod is the pause between two looks for leases that have ended: it goes through all workers.
+	expirePeriod = 100 * manager.Millisecond
 	// keepSilent is how long a worker without runs stays known after its lease.
 	keepSilent = 10 * manager.Second
 )
@@ -26,6 +28,9 @@
 	acked   uint64
 	ending  bool
 	ticket  Ticket
+	// holdsPlace counts the worker among those that report here, and until invitedUntil as it was asked to.
+	holdsPlace   bool
+	invitedUntil manager.Time
 	// direct says that the latest report came here, not through another node.
 	direct   bool
 	parked   bool
@@ -43,7 +48,12 @@
 	pace       map[manager.TaskID]manager.Percent
 	paceOrders []manager.PaceOrder
 	// touched says that the worker's orders may have changed since they were last made.
-	touched  bool
+	touched bool
+	// held caches what follows from the worker's runs and its latest report; heldStale asks for it anew.
+	held      holding
+	heldStale bool
+	// unseen says that the latest report was not looked at for stalls yet.
+	unseen   bool
 	sentStop map[manager.TaskID]manager.Time
 	progress map[manager.TaskID]progressMark
 }
@@ -75,9 +85,10 @@
 	if r.Draining && !w.latest.Draining {
 		d.note(manager.LogWorkerDrains, "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
 	}
-	d.countDirect(w, !e.Forwarded)
+	d.countDirect(now, w, !e.Forwarded)
 	w.latest, w.heardAt = r, now
 	w.ticket, w.parked, w.parkedAt, w.touched = t, true, now, true
+	w.heldStale, w.unseen = true, true
 	d.takeEnds(now, w, c)
 	d.takeRunning(now, w)
 	d.closeStopped(now, w, c)
@@ -85,31 +96,6 @@
 	return answers
 }
 
-// countDirect notes whether a worker reports here or through another node.
-func (d *Dispatcher) countDirect(w *worker, direct bool) {
-	switch {
-	case direct && !w.direct:
-		d.direct++
-	case !direct && w.direct:
-		d.direct--
-	}
-	w.direct = direct
-}
-
-// reportTo returns where a worker should report next; empty leaves it.
-func (d *Dispatcher) reportTo(w *worker) manager.Address {
-	if w.direct || d.roomForDirect() {
-		return d.Options.Address
-	}
-	return ""
-}
-
-// roomForDirect tells whether more workers may report here. One that was asked may take a moment to come, so
-// that some more than the bound can.
-func (d *Dispatcher) roomForDirect() bool {
-	return d.Options.MaxDirect == 0 || d.direct < d.Options.MaxDirect
-}
-
 // stopSettled is the time after which an answer with a stop has surely reached its worker or never will.
 const stopSettled = 1500 * manager.Millisecond
 
@@ -263,7 +249,7 @@
 
 func (d *Dispatcher) forget(w *worker) {
 	if d.workers[w.life.Worker] == w {
-		d.countDirect(w, false)
+		d.release(w)
 		delete(d.workers, w.life.Worker)
 		d.inOrder = nil
 	}
@@ -277,6 +263,10 @@
 
 // expire ends the runs of workers whose leases have ended for certain.
 func (d *Dispatcher) expire(now manager.Time, c *recorder.Changes) {
+	if now.Sub(d.expiredAt) < expirePeriod {
+		return
+	}
+	d.expiredAt = now
 	for _, l := range d.sortedLives(func(l manager.WorkerLife) bool { return now > d.lapse(l) }) {
 		d.lose(l, c)
 	}
@@ -288,15 +278,6 @@
 	}
 }
 
-// room returns what is free on a worker; what is being stopped still counts.
-func (d *Dispatcher) room(w *worker) manager.Resources {
-	free := w.latest.Capacity
-	for id := range d.Book.Runs(w.life) {
-		free = free.Sub(d.taskRoom(id))
-	}
-	return free
-}
-
 func (d *Dispatcher) taskRoom(id manager.TaskID) manager.Resources {
 	j := d.Book.Jobs[id.Graph]
 	if j == nil {
@@ -313,13 +294,3 @@
 	}
 	return r
 }
-
-// foreign tells whether the worker runs something that the book holds no open run of.
-func (d *Dispatcher) foreign(w *worker) bool {
-	for id, r := range w.running {
-		if o := d.Book.OpenRun(id, r.Run); o == nil || o.Life != w.life {
-			return true
-		}
-	}
-	return false
-}
