--- a/pkg/manager/dispatcher/gang_test.go
+++ b/pkg/manager/dispatcher/gang_test.go
@@ -47,14 +47,15 @@
 // The reports of a pool with a backlog are answered at once, so that the workers of a gang never wait together.
 func TestGangStartsOnWorkersThatReportInTurn(t *testing.T) {
 	f := newFleet(t)
-	for _, id := range []manager.WorkerID{"w1", "w2", "w3"} {
-		f.worker(id, pool, 3000)
-		f.run(100)
+	for i, id := range []manager.WorkerID{"w1", "w2", "w3"} {
+		w := f.worker(id, pool, 3000)
+		w.work = manager.Duration(1000 + 100*i)
 	}
+	f.run(700)
 	f.submit("a", task(1000, 9))
 	f.run(300)
 	f.submit("g", gang(1000, 8))
-	f.run(2500)
+	f.run(4 * manager.Second)
 	require.Len(t, f.runNumbers("g"), 8)
 }
 
