Ask the advisor of a queue which workers may run a step, and spread the reports of large fleets

Queues with an advisor were refused, although the contract is in force on every site. The leader asks for at most 30 workers a call, one call at a time, and starts tasks only with permits that still have time; a start is recorded with its permit. The settings name the advisor. The pause between reports grows with the fleet, from 300 ms to 2 s: 3,003 workers sent some 6,000 reports a second, of which those through other nodes, answered at once, were most (read from the code, not counted).

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -126,7 +126,7 @@
 			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
 		},
 		Wall:   func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
-		Duties: platform.Cloud{Address: s.PlatformAddress, Holder: s.Node, HTTP: client},
+		Duties: platform.Cloud{Address: s.PlatformAddress, Advisor: s.AdvisorAddress, Holder: s.Node, HTTP: client},
 	}
 	f.leader.Init()
 	f.node.Leader = f.leader
--- a/internal/configurer/fleet.go
+++ b/internal/configurer/fleet.go
@@ -37,9 +37,11 @@
 	// MaxDescriptors bounds the process's files and connections; 0 stands for no known bound.
 	MaxDescriptors  int `json:",omitempty"`
 	PlatformAddress manager.Address
-	Stop            Stop
-	Work            FleetWork
-	Log             Log `json:",omitzero"`
+	// AdvisorAddress is the service that permits workers to run the steps of some queues.
+	AdvisorAddress manager.Address `json:",omitempty"`
+	Stop           Stop
+	Work           FleetWork
+	Log            Log `json:",omitzero"`
 }
 
 // FleetWork bounds the work on the fleet.
--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -19,6 +19,24 @@
 	Perform(ctx context.Context, d dispatcher.Duty) dispatcher.DutyOutcome
 	// List reads the list of VMs.
 	List(ctx context.Context) (dispatcher.Listing, error)
+	// Advise asks which workers may run a step, and returns their permits.
+	Advise(ctx context.Context, r dispatcher.AdviceRequest) (map[manager.WorkerID]manager.Permit, error)
+}
+
+// adviceMargin is added to the time that the service for permits says it takes: others may be before us.
+const adviceMargin = 2 * time.Second
+
+func (l *Leader) advise(r dispatcher.AdviceRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.LimitMs.Std()+adviceMargin)
+	defer cancel()
+	permits, err := l.Duties.Advise(ctx, r)
+	if err != nil {
+		klog.InfoS(manager.LogAdviceFailed, "RequestID", r.Step.Graph, "Step", r.Step.Step, "Reason", err.Error())
+	}
+	result := dispatcher.AdviceResult{Request: r, Permits: permits, Failed: err != nil}
+	if err := l.inbox.add(dispatcher.Event{Advice: &result}, nil); err != nil {
+		klog.V(2).InfoS("Advice dropped", "Reason", err.Error())
+	}
 }
 
 func (l *Leader) perform(d dispatcher.Duty) {
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -241,6 +241,9 @@
 	for _, d := range l.current.Duties() {
 		go l.perform(d)
 	}
+	for _, r := range l.current.Advice() {
+		go l.advise(r)
+	}
 	if l.current.WantsListing(l.Clock.Now()) {
 		go l.list()
 	}
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -30,9 +30,6 @@
 	if !ok {
 		return refuse(manager.ErrNotExist{Kind: "queue", Name: string(g.Queue)})
 	}
-	if q.Advised {
-		return refuse(manager.ErrInvalid{Field: "Queue", Reason: "queues with an advisor are not supported yet"})
-	}
 	if err := g.Validate(); err != nil {
 		return refuse(err)
 	}
--- /dev/null
+++ b/pkg/manager/dispatcher/advice.go
@@ -0,0 +1,169 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// maxAsked bounds the workers of one call, as the service takes its time for each.
+	maxAsked = 30
+	// permitMargin is the part of a permit's time that its start needs on the way to the worker.
+	permitMargin = 1500 * manager.Millisecond
+	// adviceRetry is the pause after a call that failed.
+	adviceRetry = 300 * manager.Millisecond
+	// keepAdvice is how long the permits of a step are kept that no task has asked for.
+	keepAdvice = manager.Minute
+)
+
+// StepID names a step of a job.
+type StepID struct {
+	Graph manager.GraphID
+	Step  int
+}
+
+// AdviceRequest asks which workers may run a step.
+type AdviceRequest struct {
+	Step    StepID
+	Workers []manager.WorkerLife
+	// LimitMs bounds the call.
+	LimitMs manager.Duration
+}
+
+// AdviceResult is the answer to a request.
+type AdviceResult struct {
+	Request AdviceRequest
+	// Permits are those of the workers that may; they are not read where the call failed.
+	Permits map[manager.WorkerID]manager.Permit
+	Failed  bool
+}
+
+// advice is what is known of the workers that may run steps. It is not recorded: a new dispatcher asks anew.
+type advice struct {
+	steps map[StepID]*stepAdvice
+	// asking is the step of the call under way, as there is one at a time; queue are the requests to send.
+	asking  bool
+	retryAt manager.Time
+	queue   []AdviceRequest
+}
+
+// stepAdvice is what is known for one step.
+type stepAdvice struct {
+	permits map[manager.WorkerLife]permit
+	// denied may not run the step, ever.
+	denied map[manager.WorkerID]bool
+	usedAt manager.Time
+}
+
+type permit struct {
+	value manager.Permit
+	until manager.Time
+}
+
+// advised tells whether a job's steps need permits.
+func (d *Dispatcher) advised(j *recorder.Job) bool { return d.queue(j).Advice.ValidMs > 0 }
+
+// permitted returns the candidates that may run a step, and asks for more where they are too few.
+func (d *Dispatcher) permitted(now manager.Time, j *recorder.Job, s int, list []*candidate) []*candidate {
+	if !d.advised(j) {
+		return list
+	}
+	known := d.stepAdvice(now, StepID{Graph: j.Graph.Graph, Step: s})
+	var may, unknown []*candidate
+	room := 0
+	for _, w := range list {
+		p, ok := known.permits[w.life]
+		switch {
+		case ok && now < p.until:
+			may = append(may, w)
+			room += fits(w.room, &j.Steps[s])
+		case !known.denied[w.life.Worker]:
+			unknown = append(unknown, w)
+		}
+	}
+	if room < j.Left(s)-j.OpenIn(s) && len(unknown) > 0 && !d.advice.asking && now >= d.advice.retryAt {
+		d.ask(j, s, unknown)
+	}
+	return may
+}
+
+// ask requests permits for the workers with the most room.
+func (d *Dispatcher) ask(j *recorder.Job, s int, unknown []*candidate) {
+	slices.SortStableFunc(unknown, func(a, b *candidate) int {
+		return -cmp.Compare(fits(a.room, &j.Steps[s]), fits(b.room, &j.Steps[s]))
+	})
+	a := d.queue(j).Advice
+	r := AdviceRequest{Step: StepID{Graph: j.Graph.Graph, Step: s}}
+	for _, w := range unknown[:min(len(unknown), maxAsked)] {
+		r.Workers = append(r.Workers, w.life)
+	}
+	r.LimitMs = a.DecisionMs + a.PerWorkerMs*manager.Duration(len(r.Workers))
+	d.advice.asking = true
+	d.advice.queue = append(d.advice.queue, r)
+	d.note(manager.LogAdviceAsked, "RequestID", r.Step.Graph, "Step", s, "Workers", len(r.Workers))
+}
+
+// Advice returns the request that is to be sent, if there is one; the next one follows its answer.
+func (d *Dispatcher) Advice() []AdviceRequest {
+	list := d.advice.queue
+	d.advice.queue = nil
+	return list
+}
+
+func (d *Dispatcher) takeAdvice(now manager.Time, r AdviceResult) {
+	d.advice.asking = false
+	d.note(manager.LogAdviceAnswered, "RequestID", r.Request.Step.Graph, "Step", r.Request.Step.Step, "Asked", len(r.Request.Workers),
+		"Permitted", len(r.Permits), "Failed", r.Failed)
+	j := d.Book.Active()[r.Request.Step.Graph]
+	if r.Failed || j == nil {
+		d.advice.retryAt = now.Add(adviceRetry)
+		return
+	}
+	known := d.stepAdvice(now, r.Request.Step)
+	for _, l := range r.Request.Workers {
+		value, ok := r.Permits[l.Worker]
+		if !ok {
+			known.denied[l.Worker] = true
+			continue
+		}
+		valid := d.queue(j).Advice.ValidMs
+		known.permits[l] = permit{value: value, until: now.Add(valid - min(permitMargin, valid/2))}
+	}
+}
+
+// stepAdvice returns what is known for a step, and forgets steps that are over.
+func (d *Dispatcher) stepAdvice(now manager.Time, id StepID) *stepAdvice {
+	if d.advice.steps == nil {
+		d.advice.steps = map[StepID]*stepAdvice{}
+	}
+	known := d.advice.steps[id]
+	if known == nil {
+		for other, a := range d.advice.steps {
+			if now.Sub(a.usedAt) > keepAdvice {
+				delete(d.advice.steps, other)
+			}
+		}
+		known = &stepAdvice{permits: map[manager.WorkerLife]permit{}, denied: map[manager.WorkerID]bool{}}
+		d.advice.steps[id] = known
+	}
+	known.usedAt = now
+	return known
+}
+
+// permit returns the permit with which a life may run a step, or "".
+func (d *Dispatcher) permit(j *recorder.Job, s int, l manager.WorkerLife) manager.Permit {
+	if known := d.advice.steps[StepID{Graph: j.Graph.Graph, Step: s}]; known != nil {
+		return known.permits[l].value
+	}
+	return ""
+}
+
+// dropPermit forgets the permit of a life that has refused a task, as it may have run out.
+func (d *Dispatcher) dropPermit(t manager.TaskID, l manager.WorkerLife) {
+	if known := d.advice.steps[StepID{Graph: t.Graph, Step: t.Step}]; known != nil {
+		delete(known.permits, l)
+	}
+}
--- /dev/null
+++ b/pkg/manager/dispatcher/advice_test.go
@@ -0,0 +1,97 @@
+package dispatcher_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+// newAdvisedFleet has three workers and a queue whose steps need permits that last for a time.
+func newAdvisedFleet(t *testing.T, valid manager.Duration) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.send(dispatcher.Event{Configure: &manager.FleetConfiguration{
+		Version: 2,
+		Queues: []manager.QueueSettings{{
+			Queue: queue, Host: "h", Prefix: "/q/", Pool: pool, TimeoutMs: 3000, SlackMs: 3600, Stretch: 1.6, MaxAttempts: 2,
+			Advice: manager.AdviceSettings{DecisionMs: 100, PerWorkerMs: 2, ValidMs: valid},
+		}},
+		Pools: []manager.PoolSettings{{Pool: pool}},
+	}})
+	for _, id := range []manager.WorkerID{"w1", "w2", "w3"} {
+		f.worker(id, pool, 2000)
+	}
+	f.run(700)
+	return f
+}
+
+// answer answers the request under way: only the named workers may run the step.
+func (f *fleet) answer(may ...manager.WorkerID) dispatcher.AdviceRequest {
+	list := f.d.Advice()
+	require.Len(f.t, list, 1, "one call at a time")
+	permits := map[manager.WorkerID]manager.Permit{}
+	for _, l := range list[0].Workers {
+		if slices.Contains(may, l.Worker) {
+			permits[l.Worker] = manager.Permit("permit-" + l.Worker)
+		}
+	}
+	f.send(dispatcher.Event{Advice: &dispatcher.AdviceResult{Request: list[0], Permits: permits}})
+	return list[0]
+}
+
+func TestAdvisedTasksStartOnlyWithPermits(t *testing.T) {
+	f := newAdvisedFleet(t, 30*manager.Second)
+	f.submit("a", task(1000, 4))
+	f.run(500)
+	for _, w := range f.workers {
+		require.Empty(t, w.started, "a task was started before the advice")
+	}
+	r := f.answer("w2")
+	require.Len(t, r.Workers, 3)
+	f.run(5 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.state("a"))
+	require.Len(t, f.workers[1].started, 4)
+	for _, s := range f.workers[1].started {
+		require.Equal(t, manager.Permit("permit-w2"), s.Permit)
+	}
+	require.Empty(t, f.d.Advice(), "workers that were denied are asked for again")
+}
+
+// A call that failed is repeated; so is one for a worker whose permit has run out or whose life is another one.
+func TestAdviceIsAskedAgainWhereItIsNeeded(t *testing.T) {
+	f := newAdvisedFleet(t, 4*manager.Second)
+	f.submit("a", task(1000, 2))
+	f.run(200)
+	failed := f.d.Advice()
+	require.Len(t, failed, 1)
+	f.run(500)
+	require.Empty(t, f.d.Advice(), "a second call was made beside the first one")
+	f.send(dispatcher.Event{Advice: &dispatcher.AdviceResult{Request: failed[0], Failed: true}})
+	f.run(600)
+	f.answer("w1")
+	f.workers[0].work = manager.Minute
+	f.run(600)
+	require.Len(t, f.workers[0].started, 2)
+	f.workers[0].crash()
+	f.run(1 * manager.Second)
+	r := f.answer("w1")
+	require.Equal(t, []manager.WorkerLife{f.workers[0].report.Life}, r.Workers, "the new life needs a permit of its own")
+	f.workers[0].work = 500
+	f.run(3 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.state("a"))
+}
+
+func TestPermitThatHasRunOutIsNotUsed(t *testing.T) {
+	f := newAdvisedFleet(t, 3*manager.Second)
+	f.submit("a", task(2000, 4))
+	f.run(200)
+	f.answer("w1")
+	f.run(4 * manager.Second)
+	require.NotEmpty(t, f.workers[0].started)
+	require.Less(t, len(f.workers[0].started), 3, "a start came after the permit had run out")
+	require.NotEmpty(t, f.d.Advice())
+}
--- a/pkg/manager/dispatcher/direct.go
+++ b/pkg/manager/dispatcher/direct.go
@@ -6,6 +6,24 @@
 // follows within that.
 const inviteTime = 2 * manager.Second
 
+const (
+	// perWorkerPause spreads the reports of a large fleet: a report costs the leader some tenths of a
+	// millisecond of its processor.
+	perWorkerPause = 0.75
+	// maxPause keeps the reports well within a lease.
+	maxPause = 2 * manager.Second
+)
+
+// pause is the time between an answer and the next report.
+func (d *Dispatcher) pause() manager.Duration {
+	return max(d.Options.NextMs, min(maxPause, manager.Duration(perWorkerPause*float64(len(d.workers)))))
+}
+
+// reportAge is the age up to which the latest report of a worker shows what it does now.
+func (d *Dispatcher) reportAge() manager.Duration {
+	return max(freshReport, 2*(d.pause()+d.Options.ParkIdleMs))
+}
+
 // countDirect notes whether a worker reports here or through another node.
 func (d *Dispatcher) countDirect(now manager.Time, w *worker, direct bool) {
 	if direct {
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	Wave      *manager.UpkeepWave
 	Duty      *DutyResult
 	Listing   *Listing
+	Advice    *AdviceResult
 }
 
 // Answer ends the wait of a caller.
@@ -95,6 +96,7 @@
 	backlog  map[manager.PoolID]bool
 	lending  lending
 	schedule schedule
+	advice   advice
 	// direct counts the workers that report here.
 	direct int
 	// expiredAt is when leases that have ended were looked for last.
@@ -194,6 +196,8 @@
 		d.takeDuty(now, *e.Duty, c)
 	case e.Listing != nil:
 		d.takeListing(*e.Listing, c)
+	case e.Advice != nil:
+		d.takeAdvice(now, *e.Advice)
 	}
 	return []Answer{{Ticket: e.Ticket}}
 }
--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -245,3 +246,24 @@
 	f.step()
 	require.Equal(t, manager.Address("leader"), f.answers[again].Orders.ReportTo, "there is room again")
 }
+
+// Thousands of workers that report three times a second would take the leader's whole processor.
+func TestReportsOfALargeFleetAreSpread(t *testing.T) {
+	for _, c := range []struct {
+		workers int
+		want    manager.Duration
+	}{{100, dispatcher.DefaultNext}, {2000, 1500}, {5000, 2000}} {
+		f := newFleet(t)
+		var ticket dispatcher.Ticket
+		for i := range c.workers {
+			id := manager.WorkerID(fmt.Sprintf("w%d", i))
+			ticket = f.send(dispatcher.Event{Report: &manager.WorkerReport{
+				Life: manager.WorkerLife{Worker: id, Born: 1}, Sequence: 1, VM: manager.VMID(id), Pool: pool, Address: manager.Address(id),
+			}})
+		}
+		f.step()
+		f.now = f.now.Add(700)
+		f.step()
+		require.Equal(t, c.want, f.answers[ticket].Orders.NextMs)
+	}
+}
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -48,7 +48,7 @@
 // orders returns the answer to a worker's latest report and whether it should go out at once.
 func (d *Dispatcher) orders(now manager.Time, w *worker) (*manager.WorkerOrders, bool) {
 	o := &manager.WorkerOrders{
-		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.reportTo(now, w), NextMs: d.Options.NextMs,
+		LeaseMs: d.Options.LeaseMs, AckedEnds: w.acked, Token: d.Token, ReportTo: d.reportTo(now, w), NextMs: d.pause(),
 	}
 	urgent := len(w.latest.Ended) > 0
 	o.Stop = d.stops(now, w)
@@ -60,7 +60,7 @@
 		if _, ok := w.running[id]; ok || t == nil || t.Done || j.State.Ended() {
 			continue
 		}
-		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved})
+		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
 	}
 	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Pace) > 0
 }
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -113,6 +113,7 @@
 		if j.Left(s) == 0 || !j.StepReady(s) {
 			continue
 		}
+		list := d.permitted(now, j, s, list)
 		if step.Gang {
 			d.placeGang(now, j, s, list, c)
 			continue
@@ -131,6 +132,7 @@
 			best.give(step, perWorker)
 			c.Start = append(c.Start, recorder.Start{
 				Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: t.LastRun + 1, Life: best.life,
+				Permit: d.permit(j, s, best.life),
 			})
 		}
 	}
--- a/pkg/manager/dispatcher/recall.go
+++ b/pkg/manager/dispatcher/recall.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	w := d.workers[t.Open.Life.Worker]
-	if w == nil || w.life != t.Open.Life || w.latest.Draining || now.Sub(w.heardAt) > freshReport {
+	if w == nil || w.life != t.Open.Life || w.latest.Draining || now.Sub(w.heardAt) > d.reportAge() {
 		return false
 	}
 	r, ok := w.running[id]
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -213,6 +213,9 @@
 		w.ending = true
 		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved})
 		w.health.take(now, e.How)
+		if e.How == manager.RunRefused {
+			d.dropPermit(e.Task, w.life)
+		}
 		d.minor(manager.LogRunEnded, "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.life.Worker, "RanMs", now.Sub(r.At))
 	}
 }
--- a/pkg/manager/fleetwork.go
+++ b/pkg/manager/fleetwork.go
@@ -63,6 +63,8 @@
 	Run     RunNumber
 	Payload string
 	Saved   Checkpoint
+	// Permit is set for the queues that need one.
+	Permit Permit
 }
 
 // StopOrder stops a run.
@@ -94,10 +96,22 @@
 	// Priority 0 goes first.
 	Priority    int
 	MaxAttempts int
-	// Advised queues need a permission from outside for each worker.
-	Advised bool `json:",omitempty"`
+	// Advice is set where a service outside decides which workers may run a step.
+	Advice AdviceSettings `json:",omitzero"`
 }
 
+// AdviceSettings describe the service that decides which workers may run the steps of a queue.
+type AdviceSettings struct {
+	// DecisionMs and PerWorkerMs are the time of one call and what each worker adds to it.
+	DecisionMs  Duration
+	PerWorkerMs Duration
+	// ValidMs is how long a permit lasts; 0 stands for a queue without the service.
+	ValidMs Duration
+}
+
+// Permit lets one life of a worker run the tasks of a step for a while; it is opaque to the manager.
+type Permit string
+
 // PoolSettings are the settings of a pool of workers.
 type PoolSettings struct {
 	Pool PoolID
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -10,6 +10,9 @@
 
 // Messages of the log; docs/LOGS.md is made from LogMessages.
 const (
+	LogAdviceAnswered                = "Advice answered"
+	LogAdviceAsked                   = "Advice asked"
+	LogAdviceFailed                  = "Advice failed"
 	LogAnswerNotEncoded              = "Answer not encoded"
 	LogCallNotAnswered               = "Call not answered"
 	LogChangesNotCommitted           = "Changes not committed"
@@ -77,6 +80,9 @@
 // LogMessages lists the messages that a node writes about the fleet's work.
 func LogMessages() []LogMessage {
 	return []LogMessage{
+		{LogAdviceAnswered, "Leader", "The service that permits workers has answered for a step; Failed says that it is asked again."},
+		{LogAdviceAsked, "Leader", "The service that permits workers is asked for those with the most room."},
+		{LogAdviceFailed, "Leader", "A call to the service that permits workers failed; Reason says how."},
 		{LogAnswerNotEncoded, "Any", "An answer could not be encoded: a fault of the program."},
 		{LogCallNotAnswered, "Any", "A caller's time passed without a reply of a leader; Sent says that one may have taken the call."},
 		{LogChangesNotCommitted, "Leader", "A commit failed; its callers get no clear answer, and the dispatcher starts over."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -116,7 +116,7 @@
 		return
 	}
 	t.LastRun = s.Run
-	t.Open = &Run{Number: s.Run, Life: s.Life, At: b.At}
+	t.Open = &Run{Number: s.Run, Life: s.Life, At: b.At, Permit: s.Permit}
 	j.open++
 	j.running[s.Task.Step]++
 	b.addRun(s.Task, t.Open)
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -76,6 +76,7 @@
 	Number manager.RunNumber
 	Life   manager.WorkerLife
 	At     manager.Time
+	Permit manager.Permit `json:",omitempty"`
 }
 
 // Wave is an upkeep wave and how far its VMs are.
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -27,6 +27,8 @@
 	Task manager.TaskID
 	Run  manager.RunNumber
 	Life manager.WorkerLife
+	// Permit goes out with the order, for the queues that need one.
+	Permit manager.Permit `json:",omitempty"`
 }
 
 // End records the end of a run.
