--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -49,7 +49,7 @@
 	// silentTimeout bounds how long sent bytes stay unacknowledged before a connection is given up.
 	silentTimeout = 1500 * time.Millisecond
 	// peerConnections bounds the idle connections to one node: the leader holds those of every other node.
-	peerConnections = 4
+	peerConnections = 8
 	// peerIdle bounds the idle time of kept connections.
 	peerIdle = 30 * time.Second
 )
--- a/pkg/manager/dispatcher/direct.go
+++ b/pkg/manager/dispatcher/direct.go
@@ -25,13 +25,13 @@
 }
 
 // countDirect notes whether a worker reports here or through another node.
-func (d *Dispatcher) countDirect(now manager.Time, w *worker, direct bool) {
-	if direct {
+func (d *Dispatcher) countDirect(now manager.Time, w *worker, forwarded bool) {
+	if !forwarded {
 		d.hold(w)
 	} else if now >= w.invitedUntil {
 		d.release(w)
 	}
-	w.direct = direct
+	w.forwarded = forwarded
 }
 
 // hold and release keep the number of workers that report here or were asked to.
@@ -52,7 +52,7 @@
 // reportTo returns where a worker should report next; empty leaves it. It answers fleets with more workers than
 // connections can be held here: each worker asked is counted at once, as thousands report within a second.
 func (d *Dispatcher) reportTo(now manager.Time, w *worker) manager.Address {
-	if w.direct || w.holdsPlace {
+	if w.holdsPlace {
 		return d.Options.Address
 	}
 	if !d.roomForDirect() {
@@ -63,6 +63,11 @@
 	return d.Options.Address
 }
 
+// crowded tells whether more workers are known than can report here.
+func (d *Dispatcher) crowded() bool {
+	return d.Options.MaxDirect > 0 && len(d.workers) > d.Options.MaxDirect
+}
+
 // roomForDirect tells whether more workers may report here.
 func (d *Dispatcher) roomForDirect() bool {
 	return d.Options.MaxDirect == 0 || d.direct < d.Options.MaxDirect
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -59,8 +59,9 @@
 
 // Defaults of Options.
 const (
-	// DefaultLease outlives an election and a restart of all replicas at once.
-	DefaultLease    = 6 * manager.Second
+	// DefaultLease outlives an election and a restart of all replicas within a second, each with the reports that
+	// follow; what a lost worker held waits for as long.
+	DefaultLease    = 4 * manager.Second
 	DefaultParkIdle = 600 * manager.Millisecond
 	DefaultParkBusy = 150 * manager.Millisecond
 	DefaultNext     = 300 * manager.Millisecond
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	queue    = manager.QueueID("quotes")
-	pool     = manager.PoolID("pricing")
-	other    = manager.PoolID("cover")
-	spare    = manager.PoolID("ledger")
-	leaseEnd = 6*manager.Second + 120 + 150
+	queue = manager.QueueID("quotes")
+	pool  = manager.PoolID("pricing")
+	other = manager.PoolID("cover")
+	spare = manager.PoolID("ledger")
+	// leaseEnd is when a lease has ended by a clock that is 2% slow, with the slack for rounding.
+	leaseEnd = dispatcher.DefaultLease + dispatcher.DefaultLease*2/100 + 150
 )
 
 // fleet drives a dispatcher in virtual time; every step is committed at once unless held.
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -36,7 +36,8 @@
 
 // patience is how long a report may wait for an order.
 func (d *Dispatcher) patience(w *worker) manager.Duration {
-	if w.latest.Draining || d.backlog[w.latest.Pool] || !w.direct && !w.holdsPlace && !d.roomForDirect() {
+	if w.latest.Draining || d.backlog[w.latest.Pool] || w.forwarded && d.crowded() {
+		// A forwarded report that waits holds a connection of the node that brings it.
 		return 0
 	}
 	if d.holds(w).finite {
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -31,10 +31,10 @@
 	// holdsPlace counts the worker among those that report here, and until invitedUntil as it was asked to.
 	holdsPlace   bool
 	invitedUntil manager.Time
-	// direct says that the latest report came here, not through another node.
-	direct   bool
-	parked   bool
-	parkedAt manager.Time
+	// forwarded says that the latest report came through another node.
+	forwarded bool
+	parked    bool
+	parkedAt  manager.Time
 	// lapsedUntil is when the lease of everything on the worker has ended for certain.
 	lapsedUntil manager.Time
 	// evacuating bars new starts, as the VM is to be moved or kept up.
@@ -85,7 +85,7 @@
 	if r.Draining && !w.latest.Draining {
 		d.note(manager.LogWorkerDrains, "Worker", w.life.Worker, "RemainingMs", r.RemainingMs)
 	}
-	d.countDirect(now, w, !e.Forwarded)
+	d.countDirect(now, w, e.Forwarded)
 	w.latest, w.heardAt = r, now
 	w.ticket, w.parked, w.parkedAt, w.touched = t, true, now, true
 	w.heldStale, w.unseen = true, true
