--- a/pkg/manager/dispatcher/stranded.go
+++ b/pkg/manager/dispatcher/stranded.go
@@ -57,7 +57,9 @@
 		if i < 0 {
 			continue
 		}
-		d.note(manager.LogTaskStranded, "Pool", p.pool, "VM", (*free)[i].vm, "Lasting", p.stranded.Lasting, "Gang", p.stranded.Gang, "Room", p.stranded.Room)
+		if !(*free)[i].chosen {
+			d.note(manager.LogTaskStranded, "Pool", p.pool, "VM", (*free)[i].vm, "Lasting", p.stranded.Lasting, "Gang", p.stranded.Gang, "Room", p.stranded.Room)
+		}
 		d.send(now, (*free)[i], p.pool, c)
 		*free = slices.Delete(*free, i, i+1)
 	}
