Apply a long log in parts, so that leaders do not depose each other after a restart

Cause: after a restart of all, the first commit of the new leader commits the whole log, which every replica applied at once and was silent meanwhile.

--- a/internal/storer/inbox.go
+++ b/internal/storer/inbox.go
@@ -103,11 +103,16 @@
 		return manager.ErrUnavailable{Part: "replica", Reason: "too many calls wait"}
 	}
 	f(&i.next)
+	i.poke()
+	return nil
+}
+
+// poke makes the driver take another turn.
+func (i *inbox) poke() {
 	select {
 	case i.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 func (i *inbox) control(f func(now manager.Time)) {
--- a/internal/storer/replicated_test.go
+++ b/internal/storer/replicated_test.go
@@ -29,8 +29,9 @@
 	folder  string
 	members []manager.ReplicaMember
 	servers []*httptest.Server
-	// disk is set on every replica.
-	disk journaler.Disk
+	// disk is set on every replica, machine makes the state of each.
+	disk    journaler.Disk
+	machine func() storer.Machine
 
 	mu     sync.Mutex
 	stores []*storer.Replicated
@@ -102,6 +103,9 @@
 		HTTP: &http.Client{Transport: &http.Transport{}}, Seed: uint64(i),
 		Options: replicator.Options{HeartbeatPeriod: 100, ElectionTimeout: 600}, SnapshotEvery: 50,
 	}
+	if g.machine != nil {
+		s.Machine, s.SnapshotEvery = g.machine(), 0
+	}
 	require.NoError(g.t, s.Open())
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -251,7 +251,7 @@
 	if r.role == RoleLeader {
 		r.replicate(now)
 	}
-	ready := Ready{Messages: r.messages, Reads: r.doneReads, Entries: r.log.unsaved(), Snapshot: r.installed}
+	ready := Ready{Messages: r.messages, Entries: r.log.unsaved(), Snapshot: r.installed}
 	if r.hardDirty {
 		h := r.hard
 		ready.HardState = &h
@@ -259,13 +259,45 @@
 	} else {
 		ready.Early = r.early
 	}
-	ready.Committed = r.log.slice(r.handedOut+1, r.commit)
-	r.handedOut = r.commit
+	ready.Committed = r.nextCommitted()
+	r.handedOut += manager.Index(len(ready.Committed))
+	ready.Reads = r.readsAt(r.handedOut)
 	r.log.saving = r.log.last()
-	r.messages, r.early, r.doneReads, r.hardDirty, r.installed = nil, nil, nil, false, nil
+	r.messages, r.early, r.hardDirty, r.installed = nil, nil, false, nil
 	return ready
 }
 
+// nextCommitted returns the next committed entries that were not handed out, up to some bytes: after a
+// restart the whole log is committed at once, and applying it must not keep the replica from its peers.
+func (r *Replica) nextCommitted() []manager.Entry {
+	list := r.log.slice(r.handedOut+1, r.commit)
+	size := 0
+	for i, e := range list {
+		size += len(e.Data)
+		if i > 0 && size > r.Options.MaxBatchBytes {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+// readsAt takes the reads that need no entry beyond an index; the others wait until theirs are handed out.
+func (r *Replica) readsAt(i manager.Index) []ReadResult {
+	var done, later []ReadResult
+	for _, read := range r.doneReads {
+		if read.Confirmed && read.Index > i {
+			later = append(later, read)
+			continue
+		}
+		done = append(done, read)
+	}
+	r.doneReads = later
+	return done
+}
+
+// Behind tells whether committed entries are not handed out yet.
+func (r *Replica) Behind() bool { return r.handedOut < r.commit }
+
 // Persisted says that what ready asked for is on disk.
 func (r *Replica) Persisted(now manager.Time, ready Ready) {
 	if n := len(ready.Entries); n > 0 {
@@ -355,5 +387,5 @@
 	return r.lead.confirmedAt, true
 }
 
-// Leads tells whether the replica leads and its own term's first entry is committed.
-func (r *Replica) Leads() bool { return r.role == RoleLeader && r.commit >= r.lead.opened }
+// Leads tells whether the replica leads and has handed out its own term's first entry, with all before it.
+func (r *Replica) Leads() bool { return r.role == RoleLeader && r.handedOut >= r.lead.opened }
