Share the tries of a node's calls while no leader answers

Cause: each call that found no leader tried again every 60 ms. On the grown site some 800 calls on 34 nodes made up to 13,000 tries a second (worked out), which kept a new leader from its peers until it was deposed. Change: the calls that wait on a node pause as many times longer as they are many, and all go on as soon as one is answered.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -28,8 +28,6 @@
 	attemptTimeout = 900 * time.Millisecond
 	// documentTimeout bounds one try that carries a whole configuration.
 	documentTimeout = 4 * time.Second
-	// retryPause is the pause between two tries.
-	retryPause = 60 * time.Millisecond
 	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
 	maxReplyBytes = 8 << 20
 	// readyAge is how long a node stays ready without an answer of the leader, as elections pass within it.
@@ -50,6 +48,7 @@
 	Control manager.Address
 
 	servedAt atomicTime
+	waiters  waiters
 }
 
 var _ manager.Desk = (*Node)(nil)
@@ -74,6 +73,7 @@
 		reply, reached, err := n.try(ctx, c)
 		if err == nil || final(err) {
 			n.servedAt.set(n.Clock.Now())
+			n.waiters.wake()
 			if sent && manager.IsErrUnavailable(err) {
 				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
 				klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
@@ -86,14 +86,12 @@
 			return reply, err
 		}
 		n.Finder.Refresh()
-		select {
-		case <-ctx.Done():
+		if !n.waiters.wait(ctx) {
 			klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
 			if sent {
 				return reply, manager.ErrOutcomeUnknown{}
 			}
 			return reply, manager.ErrUnavailable{Part: "leader", Reason: "none was reached in time"}
-		case <-time.After(retryPause):
 		}
 	}
 }
