--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -40,6 +40,9 @@
 	// region; the time-out still holds several syncs of a slow disk.
 	heartbeatPeriod = 150 * manager.Millisecond
 	electionTimeout = 700 * manager.Millisecond
+	// snapshotEvery bounds the entries that a restart applies again: some hundreds take half a core a quarter of a
+	// second.
+	snapshotEvery = 800
 	// readyDelay lets the balancer notice that the node is not ready any more.
 	readyDelay = 2300 * time.Millisecond
 	// stopMargin is kept free at the end of the grace.
@@ -110,8 +113,9 @@
 	book := recorder.New()
 	f.store = &storer.Replicated{
 		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{Book: book},
-		MinFreeBytes: uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
-		Options:      replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
+		MinFreeBytes:  uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
+		SnapshotEvery: snapshotEvery,
+		Options:       replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
 	}
 	if s.Found {
 		f.store.Replica, f.store.Initial = seedMembers(s)
