Take no earlier life for a VM's return from its upkeep; build the program for tests in one place

Cause: two waves shared a VM. The second one's order found it busy and was repeated; meanwhile the VM came back from the first wave in a new life, later than the life in the order, so that it counted as back from the second wave as soon as that order was taken, and gave its place to another VM. The same happens where a VM that was busy crashes. Ruled out: another life in the record of a repeated order (one that was taken, but not answered, would never end). Change: a life that was met before the upkeep began counts as its return only after the time of an upkeep; a VM that another wave has down is not ordered.

--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -13,6 +13,16 @@
 
 const fileMode = 0o600
 
+// Build builds the program from a package two folders up into a folder and returns its file.
+func Build(folder string) (string, error) {
+	binary := filepath.Join(folder, "mulberryhaven")
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "../../cmd/mulberryhaven").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build program: %s: %w", out, err)
+	}
+	return binary, nil
+}
+
 // Process is one process of the program.
 type Process struct {
 	// Binary is the program's file.
--- a/internal/prover/stand_test.go
+++ b/internal/prover/stand_test.go
@@ -1,14 +1,11 @@
 package prover
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -46,10 +43,8 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	binary = filepath.Join(folder, "mulberryhaven")
-	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "../../cmd/mulberryhaven").CombinedOutput()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, string(out), err)
+	if binary, err = launcher.Build(folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -58,13 +58,13 @@
 	Folder string
 	// Core and Plain are the nodes with and without a disk.
 	Core, Plain int
-	Workers     int
+	WorkerCount int
 	Seed        uint64
 
 	Network Network
 	Nodes   []*Node
 	Ledger  emulator.Ledger
-	Staff   []*emulator.Worker
+	Workers []*emulator.Worker
 	cloud   *httptest.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -95,10 +95,10 @@
 		}
 	}
 	rng := rand.New(rand.NewPCG(f.Seed, 5))
-	for i := range f.Workers {
+	for i := range f.WorkerCount {
 		f.addWorker(i, rng)
 	}
-	cloud.Workers = f.Staff
+	cloud.Workers = f.Workers
 	return nil
 }
 
@@ -110,7 +110,7 @@
 	for _, k := range rng.Perm(len(f.Nodes)) {
 		w.Nodes = append(w.Nodes, f.Nodes[k].At(portControl))
 	}
-	f.Staff = append(f.Staff, w)
+	f.Workers = append(f.Workers, w)
 	go w.Run(f.ctx)
 }
 
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -1,12 +1,10 @@
 package soaker
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -15,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/launcher"
 )
 
 var (
@@ -46,10 +46,8 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	binary = filepath.Join(folder, "mulberryhaven")
-	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "../../cmd/mulberryhaven").CombinedOutput()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, string(out), err)
+	if binary, err = launcher.Build(folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
@@ -93,7 +91,7 @@
 func (s *soak) play(seed uint64) {
 	t := s.t
 	s.rng, s.busy = rand.New(rand.NewPCG(seed, 3)), map[*Node]bool{}
-	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: 3 + int(seed%2), Plain: *big, Workers: 5, Seed: seed}
+	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: 3 + int(seed%2), Plain: *big, WorkerCount: 5, Seed: seed}
 	defer s.close()
 	require.NoError(t, s.fleet.Start())
 	s.watch = newWatch(s.fleet, seed)
@@ -142,7 +140,7 @@
 
 func (s *soak) fault(d time.Duration) {
 	n, other := s.node(), s.node()
-	w := s.fleet.Staff[s.rng.IntN(len(s.fleet.Staff))]
+	w := s.fleet.Workers[s.rng.IntN(len(s.fleet.Workers))]
 	switch s.rng.IntN(12) {
 	case 0, 1:
 		s.process(n, func() { s.must(s.fleet.Kill(n)) }, d, func() { s.must(s.fleet.Launch(n, false)) })
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -157,7 +157,7 @@
 			if d.upkeep.begunAt[vm] == 0 {
 				d.upkeep.begunAt[vm] = now
 			}
-			if w := d.byVM[vm]; w != nil && d.returned(w, wave.Born[vm]) {
+			if w := d.byVM[vm]; w != nil && d.returned(now, w, wave.Born[vm]) {
 				c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepDone})
 				d.note(manager.LogUpkeepDone, "VM", vm, "Wave", wave.Wave, "Worker", w.life.Worker)
 				continue
@@ -187,11 +187,12 @@
 // calm tells whether a pool could do without a VM for a while.
 func (d *Dispatcher) calm(p manager.PoolID) bool { return d.lending.loads[p] < calmLoad }
 
-// returned tells whether a worker is a later life than the one that an upkeep ended. An upkeep of a VM
-// whose worker was not known is over once one was met after it began.
-func (d *Dispatcher) returned(w *worker, ended manager.Time) bool {
-	if ended == 0 {
-		return w.metAt > d.upkeep.begunAt[w.latest.VM]
+// returned tells whether a worker is a later life than the one that an upkeep ended. A life that was met before
+// the upkeep began may be one that it ended too, as its order waited; it counts once an upkeep would be over.
+func (d *Dispatcher) returned(now manager.Time, w *worker, ended manager.Time) bool {
+	began := d.upkeep.begunAt[w.latest.VM]
+	if ended == 0 || w.life.Born > ended && now.Sub(began) < upkeepSpan {
+		return w.metAt > began
 	}
 	return w.life.Born > ended
 }
@@ -216,7 +217,8 @@
 	var list []manager.VMID
 	load := map[manager.VMID]int{}
 	for _, vm := range wave.VMs {
-		if _, moving := d.Book.Moves[vm]; moving || wave.State[vm] != recorder.UpkeepWaiting {
+		_, moving := d.Book.Moves[vm]
+		if moving || wave.State[vm] != recorder.UpkeepWaiting || d.inOtherUpkeep(wave, vm) {
 			continue
 		}
 		list = append(list, vm)
@@ -231,6 +233,16 @@
 	return list
 }
 
+// inOtherUpkeep tells whether another wave has a VM down, so that the platform would refuse an order for it.
+func (d *Dispatcher) inOtherUpkeep(wave *recorder.Wave, vm manager.VMID) bool {
+	for id, other := range d.Book.Waves {
+		if s := other.State[vm]; id != wave.Wave && (s == recorder.UpkeepOrdered || s == recorder.UpkeepBegun) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) order(wave *recorder.Wave, vm manager.VMID, born manager.Time, c *recorder.Changes) {
 	c.Upkeep = append(c.Upkeep, recorder.Upkeep{Wave: wave.Wave, VM: vm, State: recorder.UpkeepOrdered, Born: born})
 	d.note(manager.LogUpkeepOrdered, "VM", vm, "Wave", wave.Wave, "Born", born)
