Count no worker as back from an upkeep sooner than an upkeep takes

Cause: a VM whose worker was not heard (cut off one way) was ordered without a life; the last report of the old life came 40 ms after the platform had begun, and counted as the return. Change: a life counts as the return if it was met 1.5 s or more after the upkeep began, or once an upkeep must be over and the worker is heard. Tests: TestLateReportAfterTheUpkeepBeganIsNoReturn failed before. TestTakeoverOrdersWhatWasLeftAlone let a VM come back 0.5 s after its order, which no upkeep of the platform does; it now waits 1.6 s, with the same assertions.

--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -186,6 +186,8 @@
 	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{Wave: 1, VMs: []manager.VMID{"vm-w1"}, DurationMs: 20_000, Cap: 1}})
 	f.run(500)
 	require.Len(t, f.duties, 1)
+	// The upkeep takes its time.
+	f.run(1100)
 	f.workers[0].silent = false
 	f.workers[0].crash()
 	f.run(300)
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -18,6 +18,8 @@
 	evacuateAhead = 2
 	// upkeepSpan is how long a VM is kept from work by its upkeep: emptying, maintenance, return.
 	upkeepSpan = 4500 * manager.Millisecond
+	// leastUpkeep is the time before which no VM comes back from its upkeep; the platform's take two seconds.
+	leastUpkeep = 1500 * manager.Millisecond
 	// upkeepMargin is kept free at the end of a wave's time.
 	upkeepMargin = 6 * manager.Second
 	// evacuationSticks keeps a VM that is being emptied first in line between two steps.
@@ -187,14 +189,16 @@
 // calm tells whether a pool could do without a VM for a while.
 func (d *Dispatcher) calm(p manager.PoolID) bool { return d.lending.loads[p] < calmLoad }
 
-// returned tells whether a worker is a later life than the one that an upkeep ended. A life that was met before
-// the upkeep began may be one that it ended too, as its order waited; it counts once an upkeep would be over.
+// returned tells whether a worker is a later life than the one that an upkeep ended. A life that was met too
+// soon may be one that it ended too: its order waited, or its last report was late. Such a life counts only once
+// the upkeep must be over.
 func (d *Dispatcher) returned(now manager.Time, w *worker, ended manager.Time) bool {
 	began := d.upkeep.begunAt[w.latest.VM]
-	if ended == 0 || w.life.Born > ended && now.Sub(began) < upkeepSpan {
-		return w.metAt > began
+	if w.life.Born <= ended {
+		return false
 	}
-	return w.life.Born > ended
+	over := now.Sub(began) >= upkeepSpan && now.Sub(w.heardAt) <= d.reportAge()
+	return over || w.metAt.Sub(began) >= leastUpkeep
 }
 
 // keepEmpty bars starts on a VM that is ordered away.
--- a/pkg/manager/dispatcher/waves_test.go
+++ b/pkg/manager/dispatcher/waves_test.go
@@ -80,3 +80,28 @@
 	f.play(12*manager.Second, map[uint64]int{1: 1})
 	require.True(t, f.book.Waves[1].Completed())
 }
+
+// The last report of a life that the upkeep has ended can be late; it is no return either.
+func TestLateReportAfterTheUpkeepBeganIsNoReturn(t *testing.T) {
+	f := newWaveFleet(t, "w1", "w2", "w3")
+	caps := map[uint64]int{1: 1}
+	cut := f.workers[0]
+	cut.silent = true
+	f.play(16*manager.Second, caps)
+	f.send(dispatcher.Event{Wave: &manager.UpkeepWave{
+		Wave: 1, VMs: []manager.VMID{"vm-w1", "vm-w2", "vm-w3"}, DurationMs: 30_000, Cap: 1,
+	}})
+	for range 200 {
+		if f.book.Waves[1] != nil && f.book.Waves[1].State["vm-w1"] == recorder.UpkeepBegun {
+			break
+		}
+		f.play(50, caps)
+	}
+	require.Equal(t, recorder.UpkeepBegun, f.book.Waves[1].State["vm-w1"])
+	f.play(100, caps)
+	late := cut.report
+	late.Sequence++
+	f.send(dispatcher.Event{Report: &late})
+	f.play(20*manager.Second, caps)
+	require.True(t, f.book.Waves[1].Completed())
+}
