Compress between nodes with one writer, and not at all where an answer is small

Cause: every call between nodes held a gzip writer of the middleware while it waited and closed it at its end, used or not; closing an unused one makes its compressor, 1.2 MB for each answer. Change: one packer a node; answers are encoded first and packed only from 4 KB on. Calls use the same one.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -49,6 +48,7 @@
 
 	servedAt atomicTime
 	waiters  waiters
+	packer   packer
 }
 
 var _ manager.Desk = (*Node)(nil)
@@ -132,7 +132,7 @@
 	}
 	packed := len(data) >= minPackedBytes
 	if packed {
-		if data, err = pack(data); err != nil {
+		if data, err = n.packer.pack(data); err != nil {
 			return reply, err
 		}
 	}
@@ -159,22 +159,6 @@
 	return reply, nil
 }
 
-// pack compresses a body.
-func pack(data []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("pack call: %w", err)
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, fmt.Errorf("pack call: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("pack call: %w", err)
-	}
-	return b.Bytes(), nil
-}
-
 // Ready returns why no call can be taken now, or nil.
 func (n *Node) Ready() error {
 	if n.Leader != nil && n.Leader.Serving() {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -1,9 +1,7 @@
 package coordinator
 
 import (
-	"compress/gzip"
 	"errors"
-	"net/http"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
@@ -14,13 +12,8 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-const (
-	// maxPeerBytes bounds the body of another node's call.
-	maxPeerBytes = 32 << 20
-	// minPackedBytes is the size from which bodies between nodes are packed: a configuration of hundreds of
-	// queues takes seconds on a thin link, unpacked.
-	minPackedBytes = 4 << 10
-)
+// maxPeerBytes bounds the body of another node's call.
+const maxPeerBytes = 32 << 20
 
 func isRemoved(err error) bool {
 	e, ok := errors.AsType[manager.ErrConflict](err)
@@ -29,15 +22,15 @@
 
 // AddRoutes adds the endpoints for other nodes.
 func (n *Node) AddRoutes(e *echo.Echo) {
-	e.Use(middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minPackedBytes}), middleware.Decompress())
-	e.GET(finder.PathView, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Finder.View()) })
+	e.Use(middleware.Decompress())
+	e.GET(finder.PathView, func(c echo.Context) error { return n.packer.answer(c, n.Finder.View()) })
 	e.POST(PathCall, n.takeCall)
 	if n.Leader == nil {
 		return
 	}
 	e.POST(PathJoin, n.takeJoin)
 	e.POST(storer.PathReplicate, n.takeExchange)
-	e.POST(storer.PathProbe, func(c echo.Context) error { return c.JSON(http.StatusOK, n.Leader.Store.Probe()) })
+	e.POST(storer.PathProbe, func(c echo.Context) error { return n.packer.answer(c, n.Leader.Store.Probe()) })
 }
 
 // takeCall answers another node's call here or not at all, so that calls never go in circles.
@@ -54,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, reply)
+	return n.packer.answer(c, reply)
 }
 
 func (n *Node) takeJoin(c echo.Context) error {
@@ -68,7 +61,7 @@
 	if err := n.Leader.Join(c.Request().Context(), q); err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, struct{}{})
+	return n.packer.answer(c, struct{}{})
 }
 
 func (n *Node) takeExchange(c echo.Context) error {
@@ -80,5 +73,5 @@
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, answer)
+	return n.packer.answer(c, answer)
 }
--- a/internal/coordinator/peers_test.go
+++ b/internal/coordinator/peers_test.go
@@ -48,7 +48,7 @@
 	(&Node{}).AddRoutes(e)
 	data, err := json.Marshal(manager.DeskCall{Kind: manager.DeskReadBack})
 	require.NoError(t, err)
-	packed, err := pack(data)
+	packed, err := (&packer{}).pack(data)
 	require.NoError(t, err)
 	r := httptest.NewRequest(http.MethodPost, PathCall, bytes.NewReader(packed))
 	r.Header.Set("Content-Encoding", "gzip")
