Let a deposed leader stop naming itself to the nodes that still reach it

Cause: a node's view fell back to what it had seen last while its replica knew no leader; on a deposed leader that is the node itself, for 3 s. Other nodes look at their leader first, took its word and asked no one else. Ruled out: the new dispatcher's work (it starts 22 ms after its election), links of the nodes (replica 1 answers each call at once, with "not the leader"). Change: a view never falls back to the node itself.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -84,7 +84,8 @@
 	}
 }
 
-// View returns the latest view; its Leader is empty if it is too old to be used.
+// View returns the latest view; its Leader is empty if it is too old to be used. A node names itself only while
+// its own replica leads: a deposed leader would keep those that still reach it from the next one.
 func (f *Finder) View() View {
 	if f.Local != nil {
 		if v, ok := f.Local(); ok && v.Leader != "" {
@@ -95,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.view
-	if f.Clock.Now().Sub(f.seenAt) > fresh {
+	if v.Leader == f.Own || f.Clock.Now().Sub(f.seenAt) > fresh {
 		v.Leader = ""
 	}
 	return v
