--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -33,7 +33,7 @@
 	memorySharePercent = 70
 	// directSharePercent of the descriptors are for workers that report to the leader; the others are for
 	// callers, other nodes and calls that those bring.
-	directSharePercent = 35
+	directSharePercent = 25
 	// minFreeDiskShare is the share of the disk below which no change is taken.
 	minFreeDiskShare = 8
 	// heartbeatPeriod and electionTimeout are shorter than the replicator's own, as all replicas are in one
@@ -52,7 +52,7 @@
 	// silentTimeout bounds how long sent bytes stay unacknowledged before a connection is given up.
 	silentTimeout = 1500 * time.Millisecond
 	// peerConnections bounds the idle connections to one node: the leader holds those of every other node.
-	peerConnections = 8
+	peerConnections = 4
 	// peerIdle bounds the idle time of kept connections.
 	peerIdle = 30 * time.Second
 )
@@ -126,7 +126,7 @@
 	f.leader = &coordinator.Leader{
 		Clock: f.Clock, Store: f.store, Book: book,
 		Options: dispatcher.Options{
-			LeaseMs: min(dispatcher.DefaultLease, s.Work.MaxLeaseMs), StopMs: s.Work.StopMs, DutyGapMs: s.Work.DutyGapMs, Address: s.Control,
+			LeaseMs: workLease(s), StopMs: s.Work.StopMs, DutyGapMs: s.Work.DutyGapMs, Address: s.Control,
 			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
 		},
 		Wall:   func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -10,8 +10,13 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 )
 
-// dutyTimeout bounds one call to the platform, which may be slow.
-const dutyTimeout = 3 * time.Second
+const (
+	// dutyTimeout bounds one call to the platform, which may be slow, and the wait for a turn to make it.
+	dutyTimeout = 3 * time.Second
+	// maxDuties bounds the orders to the platform that are under way: it takes a few hundred a second from all
+	// nodes, and each order holds a descriptor.
+	maxDuties = 32
+)
 
 // DutyCaller calls the platform's API for VMs.
 type DutyCaller interface {
@@ -39,10 +44,39 @@
 	}
 }
 
-func (l *Leader) perform(d dispatcher.Duty) {
+// dutyTurns lets orders go out a few at a time. It answers turns in which hundreds of VMs change their pool at once.
+type dutyTurns struct {
+	slots chan struct{}
+	// allowed tells whether the dispatcher with a token still leads.
+	allowed func(manager.OrderToken) bool
+}
+
+// perform calls the platform when the order's turn has come, unless another dispatcher may lead by then.
+func (t *dutyTurns) perform(caller DutyCaller, d dispatcher.Duty) dispatcher.DutyOutcome {
+	wait := time.NewTimer(dutyTimeout)
+	defer wait.Stop()
+	select {
+	case t.slots <- struct{}{}:
+	case <-wait.C:
+		return dispatcher.DutyUnclear
+	}
+	defer func() { <-t.slots }()
+	if !t.allowed(d.Token) {
+		return dispatcher.DutyUnclear
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
 	defer cancel()
-	r := dispatcher.DutyResult{Duty: d, Outcome: l.Duties.Perform(ctx, d)}
+	return caller.Perform(ctx, d)
+}
+
+// mayOrder tells whether this replica leads with a token.
+func (l *Leader) mayOrder(token manager.OrderToken) bool {
+	term, ok := l.leadership()
+	return ok && manager.OrderToken(term) == token
+}
+
+func (l *Leader) perform(d dispatcher.Duty) {
+	r := dispatcher.DutyResult{Duty: d, Outcome: l.turns.perform(l.Duties, d)}
 	if err := l.inbox.add(dispatcher.Event{Duty: &r}, nil); err != nil {
 		klog.InfoS(manager.LogOutcomeOrderPlatformDropped, "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
 	}
--- /dev/null
+++ b/internal/coordinator/duties_test.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+// slowPlatform takes a while for each order and counts those under way.
+type slowPlatform struct {
+	DutyCaller
+	takes time.Duration
+
+	mu             sync.Mutex
+	now, most, all int
+}
+
+func (p *slowPlatform) Perform(ctx context.Context, _ dispatcher.Duty) dispatcher.DutyOutcome {
+	p.mu.Lock()
+	p.now++
+	p.all++
+	p.most = max(p.most, p.now)
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.now--
+	}()
+	select {
+	case <-ctx.Done():
+		return dispatcher.DutyUnclear
+	case <-time.After(p.takes):
+		return dispatcher.DutyTaken
+	}
+}
+
+// orderAll performs orders for many VMs at once and counts their outcomes.
+func orderAll(turns *dutyTurns, p DutyCaller, n int) map[dispatcher.DutyOutcome]int {
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	outcomes := map[dispatcher.DutyOutcome]int{}
+	for i := range n {
+		work.Go(func() {
+			o := turns.perform(p, dispatcher.Duty{VM: manager.VMID(fmt.Sprint(i)), Token: 1})
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[o]++
+		})
+	}
+	work.Wait()
+	return outcomes
+}
+
+func newTurns(allowed func(manager.OrderToken) bool) *dutyTurns {
+	return &dutyTurns{slots: make(chan struct{}, maxDuties), allowed: allowed}
+}
+
+// At the end of a turn most of a fleet of thousands of VMs is switched off at once.
+func TestOrdersGoOutAFewAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &slowPlatform{takes: 10 * time.Millisecond}
+		outcomes := orderAll(newTurns(func(manager.OrderToken) bool { return true }), p, 1500)
+		require.Equal(t, 1500, outcomes[dispatcher.DutyTaken])
+		require.Equal(t, maxDuties, p.most)
+	})
+}
+
+func TestOrdersThatWaitEndWithTheLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &slowPlatform{takes: 10 * time.Millisecond}
+		began := time.Now()
+		leads := func(manager.OrderToken) bool { return time.Since(began) < 25*time.Millisecond }
+		outcomes := orderAll(newTurns(leads), p, 1500)
+		require.Equal(t, 3*maxDuties, p.all)
+		require.Equal(t, 1500-3*maxDuties, outcomes[dispatcher.DutyUnclear])
+	})
+}
+
+func TestOrdersOfASilentPlatformEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		p := &slowPlatform{takes: time.Hour}
+		outcomes := orderAll(newTurns(func(manager.OrderToken) bool { return true }), p, 1500)
+		require.Equal(t, 1500, outcomes[dispatcher.DutyUnclear])
+		require.LessOrEqual(t, time.Since(began), 2*dutyTimeout)
+	})
+}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -42,6 +42,7 @@
 	Wall func() manager.Time
 
 	inbox   eventBox
+	turns   dutyTurns
 	calls   map[dispatcher.Ticket]chan outcome
 	current *dispatcher.Dispatcher
 	term    manager.Term
@@ -53,6 +54,7 @@
 func (l *Leader) Init() {
 	l.calls = map[dispatcher.Ticket]chan outcome{}
 	l.inbox.wake = make(chan struct{}, 1)
+	l.turns = dutyTurns{slots: make(chan struct{}, maxDuties), allowed: l.mayOrder}
 	l.stop, l.done = make(chan struct{}), make(chan struct{})
 }
 
