Refuse soon on a node that is cut off from every leader

Cause: a node that reaches no replica held each call until its deadline (2.85 s) and each report for 0.9 s, and stayed ready for 2 s. Ruled out: the takeover (it starts 0.75 s after the cut); links of the other nodes. Change: a node counts as cut off when no leader has answered for 1.5 s, longer than an election takes. It is not ready then, and a call waits 0.3 s there; calls that came before wait until that time. A refusal says that the call has not run only where none of its attempts was sent, as before.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -29,8 +29,11 @@
 	documentTimeout = 4 * time.Second
 	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
 	maxReplyBytes = 8 << 20
-	// readyAge is how long a node stays ready without an answer of the leader, as elections pass within it.
-	readyAge = 2 * manager.Second
+	// isolatedAge is how long a node goes without an answer of a leader before it counts as cut off, as elections
+	// pass within it.
+	isolatedAge = 1500 * manager.Millisecond
+	// isolatedPatience bounds a call on a node that is cut off: other nodes may reach the leader.
+	isolatedPatience = 300 * manager.Millisecond
 )
 
 // Node is the desk of one node: it answers calls where its replica leads and brings them to the
@@ -47,6 +50,8 @@
 	Control manager.Address
 
 	servedAt atomicTime
+	// calledAt is when the first call came.
+	calledAt atomicTime
 	waiters  waiters
 	packer   packer
 }
@@ -68,15 +73,16 @@
 }
 
 func (n *Node) call(ctx context.Context, c manager.DeskCall) (manager.DeskReply, error) {
-	sent := false
+	start, sent := n.Clock.Now(), false
+	n.calledAt.setOnce(start)
 	for {
-		reply, reached, err := n.try(ctx, c)
+		reply, reached, err := n.attempt(ctx, start, c)
 		if err == nil || final(err) {
 			n.servedAt.set(n.Clock.Now())
 			n.waiters.wake()
 			if sent && manager.IsErrUnavailable(err) {
 				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
-				klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
+				n.noteUnanswered(c, sent, err)
 				return reply, manager.ErrOutcomeUnknown{}
 			}
 			return reply, err
@@ -86,8 +92,8 @@
 			return reply, err
 		}
 		n.Finder.Refresh()
-		if !n.waiters.wait(ctx) {
-			klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader, "Error", err.Error())
+		if !n.pause(ctx, start) {
+			n.noteUnanswered(c, sent, err)
 			if sent {
 				return reply, manager.ErrOutcomeUnknown{}
 			}
@@ -96,6 +102,40 @@
 	}
 }
 
+func (n *Node) noteUnanswered(c manager.DeskCall, sent bool, err error) {
+	klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader,
+		"Isolated", n.isolated(n.Clock.Now()), "Error", err.Error())
+}
+
+// attempt makes one try within a call's patience.
+func (n *Node) attempt(ctx context.Context, start manager.Time, c manager.DeskCall) (manager.DeskReply, bool, error) {
+	ctx, cancel := n.limit(ctx, start)
+	defer cancel()
+	return n.try(ctx, c)
+}
+
+// pause waits until the next try and returns false if the call should end without one.
+func (n *Node) pause(ctx context.Context, start manager.Time) bool {
+	limited, cancel := n.limit(ctx, start)
+	defer cancel()
+	return n.waiters.wait(limited) || ctx.Err() == nil && !n.isolated(n.Clock.Now())
+}
+
+// limit bounds ctx by the patience of a call that came at start. On a node that is cut off it is short: without an
+// answer the caller goes to another node, where its call can still be in time.
+func (n *Node) limit(ctx context.Context, start manager.Time) (context.Context, context.CancelFunc) {
+	until := max(start.Add(isolatedPatience), n.reachedAt().Add(isolatedAge))
+	return context.WithTimeout(ctx, until.Sub(n.Clock.Now()).Std())
+}
+
+// reachedAt is when a leader answered last, or the first call came.
+func (n *Node) reachedAt() manager.Time {
+	return max(n.servedAt.get(), n.Finder.ReachedAt(), n.calledAt.get())
+}
+
+// isolated tells whether no leader has answered for longer than an election takes.
+func (n *Node) isolated(now manager.Time) bool { return now.Sub(n.reachedAt()) >= isolatedAge }
+
 // final tells whether an error is the leader's own answer.
 func final(err error) bool {
 	return manager.IsErrInvalid(err) || manager.IsErrNotExist(err) || manager.IsErrConflict(err) ||
@@ -164,7 +204,7 @@
 	if n.Leader != nil && n.Leader.Serving() {
 		n.servedAt.set(n.Clock.Now())
 	}
-	if n.Clock.Now().Sub(max(n.servedAt.get(), n.Finder.ReachedAt())) > readyAge {
+	if n.Clock.Now().Sub(max(n.servedAt.get(), n.Finder.ReachedAt())) >= isolatedAge {
 		return manager.ErrUnavailable{Part: "leader", Reason: "it does not answer"}
 	}
 	return nil
