Lend the VMs that can be ordered, and sooner after their last move

Cause: the pause of 5 s after a move that was taken also held back VMs that had arrived or were switched off, as long as a whole turn lasts; a list read while VMs were on their way kept these from being lent for 15 s; and a VM that could not be ordered was counted as room on its way, so that the pool got no other. Change: only VMs that can be ordered now are lendable; one that has arrived can be ordered at once, one that was switched off after 2 s; one listed on its way counts as arrived 2 s after the list was asked for.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -34,6 +34,8 @@
 	leastWorkers = 2
 	// listAge is the age after which the list of VMs is read again.
 	listAge = 15 * manager.Second
+	// moveSettles is when a VM that was on its way to a pool surely takes an order again, or refuses it as busy.
+	moveSettles = 2 * manager.Second
 )
 
 // lending is what a dispatcher keeps between two looks at the pools.
@@ -75,7 +77,7 @@
 	d.lending.lookedAt = now
 	loads := d.loads(now)
 	d.notePools(now, loads)
-	free := d.lendable(loads)
+	free := d.lendable(now, loads)
 	d.lending.room = manager.Resources{}
 	for _, vm := range free {
 		d.lending.room = d.lending.room.Add(vm.capacity)
@@ -168,8 +170,8 @@
 }
 
 // lendable returns the VMs that may change their pool: those that are paid for and without work first,
-// then those that are off.
-func (d *Dispatcher) lendable(loads []*poolLoad) []lendableVM {
+// then those that are off. One that can't be ordered now would hide that a pool lacks room.
+func (d *Dispatcher) lendable(now manager.Time, loads []*poolLoad) []lendableVM {
 	kept := d.inWaves()
 	var on, off []lendableVM
 	spare := d.spareWorkers(loads)
@@ -178,15 +180,16 @@
 			continue
 		}
 		vm, w := d.lending.vms[id], d.byVM[id]
+		ready := d.mayOrder(now, id)
 		switch {
 		case w != nil:
 			chosen := w.leaving
 			w.leaving = false
-			if spare[w.latest.Pool] > 0 && d.floats(w) {
+			if ready && spare[w.latest.Pool] > 0 && d.floats(w) {
 				spare[w.latest.Pool]--
 				on = append(on, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w, chosen: chosen})
 			}
-		case vm.Up && d.standbyPool(vm.Pool):
+		case ready && d.settled(now, vm) && d.standbyPool(vm.Pool):
 			off = append(off, lendableVM{vm: id, pool: vm.Pool, capacity: vm.Capacity})
 		}
 	}
@@ -194,6 +197,11 @@
 	return append(on, off...)
 }
 
+// settled tells whether a listed VM is in its pool. The list may have been read while the VM was on its way.
+func (d *Dispatcher) settled(now manager.Time, vm ListedVM) bool {
+	return vm.Up || vm.Moving && now.Sub(d.lending.listedAt) > moveSettles
+}
+
 // rank orders the VMs that may go: those that were chosen before, then those with the fewest runs.
 func (d *Dispatcher) rank(vm lendableVM) int {
 	if vm.chosen {
@@ -291,6 +299,7 @@
 		if w := d.byVM[vm]; w != nil && w.latest.Pool == to {
 			c.Move = append(c.Move, recorder.Move{VM: vm})
 			d.lending.arrived(vm, to)
+			delete(d.upkeep.retryAt, vm)
 			continue
 		}
 		if !d.mayOrder(now, vm) {
@@ -331,6 +340,8 @@
 			d.forget(w)
 		}
 		if d.standbyPool(r.Duty.Pool) {
+			// Nothing reports from a VM that is off.
+			d.upkeep.retryAt[vm] = now.Add(moveSettles)
 			c.Move = append(c.Move, recorder.Move{VM: vm})
 			d.lending.arrived(vm, r.Duty.Pool)
 		}
--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -65,8 +65,10 @@
 
 // ListedVM is a VM of the list.
 type ListedVM struct {
-	Pool     manager.PoolID
-	Up       bool
+	Pool manager.PoolID
+	Up   bool
+	// Moving says that the VM is on its way to its pool.
+	Moving   bool
 	Capacity manager.Resources
 	Labels   []manager.Label
 }
