Look at no worker for a task where one that needs less found no room; say that a replica joins once it does

Cause: with a backlog, each waiting job was compared with every worker of a pool that is full. Change: within a step, needs that found no room are kept, and as large ones passed over; room only shrinks in a step.

--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -57,10 +57,15 @@
 			return l.Store.RemoveReplica(ctx, m.Replica)
 		}
 	}
-	klog.InfoS(manager.LogReplicaJoins, "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
-	return l.Store.AddReplica(ctx, manager.ReplicaMember{
+	err := l.Store.AddReplica(ctx, manager.ReplicaMember{
 		Replica: s.Members.LastReplica + 1, Address: q.Address, AvailabilityZone: q.AvailabilityZone, Disk: q.Disk,
 	})
+	if err != nil {
+		// The node that asks logs why it has not joined.
+		return fmt.Errorf("take in replica: %w", err)
+	}
+	klog.InfoS(manager.LogReplicaJoins, "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
+	return nil
 }
 
 // dropReplaced removes a silent replica once another voter has come for it, so that it counts for no quorum,
--- a/pkg/manager/dispatcher/order_test.go
+++ b/pkg/manager/dispatcher/order_test.go
@@ -95,3 +95,26 @@
 		require.NoError(t, f.answers[ticket].Err)
 	}
 }
+
+// Jobs behind one that finds no room are still placed where they need less, in whichever resource.
+func TestSmallerTasksArePlacedBehindOneWithoutRoom(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 1000)
+	w.report.Capacity.MemoryMegaBytes = 1000
+	w.work = manager.Minute
+	f.run(4 * manager.Second)
+	large, small, thin := task(900, 1), task(300, 1), task(950, 1)
+	large.Room.MemoryMegaBytes, small.Room.MemoryMegaBytes, thin.Room.MemoryMegaBytes = 1200, 100, 100
+	f.submit("a", large)
+	f.submit("b", thin)
+	f.submit("c", large)
+	f.submit("d", small)
+	f.run(500)
+	require.Len(t, w.runs, 1, "one of the two that fit")
+	require.Zero(t, f.book.Jobs["a"].Open())
+	require.Zero(t, f.book.Jobs["c"].Open())
+	w.report.Capacity.ProcessorMilliCores = 2000
+	f.run(1 * manager.Second)
+	require.Equal(t, 1, f.book.Jobs["b"].Open())
+	require.Equal(t, 1, f.book.Jobs["d"].Open())
+}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -49,8 +49,9 @@
 			d.backlog[p] = true
 			continue
 		}
+		var lack shortage
 		for _, t := range d.line(now, p) {
-			d.placeJob(now, t.job, pools[p], c)
+			d.placeJob(now, t.job, pools[p], &lack, c)
 			if d.gangWaits(now, t.job, c) {
 				// Smaller tasks would take the room that the gang waits for.
 				break
@@ -108,12 +109,26 @@
 	return q
 }
 
-func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, list []*candidate, c *recorder.Changes) {
+// shortage are the needs for which no worker of a pool has room any more in a step. It answers a backlog of hundreds
+// of jobs: each would be compared with every worker of a pool that is full.
+type shortage []manager.Resources
+
+// covers tells whether a need is at least as large as one that found no room.
+func (s shortage) covers(need manager.Resources) bool {
+	return slices.ContainsFunc(s, need.Fits)
+}
+
+// undemanding tells whether only room decides which worker may run a task.
+func undemanding(step *manager.GraphStep, t *recorder.Task) bool {
+	return step.Requires == "" && step.MaxPerWorker == 0 && !step.Lasting && t.FailedOn == ""
+}
+
+func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, all []*candidate, lack *shortage, c *recorder.Changes) {
 	for s, step := range j.Steps {
 		if j.Left(s) == 0 || !j.StepReady(s) {
 			continue
 		}
-		list := d.permitted(now, j, s, list)
+		list := d.permitted(now, j, s, all)
 		if step.Gang {
 			d.placeGang(now, j, s, list, c)
 			continue
@@ -124,7 +139,7 @@
 			if t.Done || t.Open != nil {
 				continue
 			}
-			best := choose(now, step, t, perWorker, list)
+			best := lack.choose(now, &j.Steps[s], t, perWorker, list, len(list) == len(all))
 			if best == nil {
 				d.backlog[d.poolOf(j)] = true
 				break
@@ -138,6 +153,20 @@
 	}
 }
 
+// choose returns the worker that suits a task best, without a look at them where a task that needs less found none;
+// open says that all workers of the pool may run the step.
+func (s *shortage) choose(now manager.Time, step *manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerLife]int, list []*candidate, open bool) *candidate {
+	roomDecides := open && undemanding(step, t)
+	if roomDecides && s.covers(stepRoom(*step)) {
+		return nil
+	}
+	best := choose(now, *step, t, perWorker, list)
+	if best == nil && roomDecides {
+		*s = append(*s, stepRoom(*step))
+	}
+	return best
+}
+
 // give counts a task of a step against the worker.
 func (w *candidate) give(step manager.GraphStep, perWorker map[manager.WorkerLife]int) {
 	w.room = w.room.Sub(stepRoom(step))
