Hand leadership over while the leader's disk is full

Cause: a leader whose disk takes no more bytes refused every change and went on leading, and its dispatcher ended and began again 70 times a second, for as long as the disk was full, while the other replicas had room. Change: a leader looks at its room each 200 ms and asks another voter to lead, at most once in 5 s, so that replicas that are all full do not pass the leadership round. The request to stand goes out before the leader's own writes. A dispatcher whose commit failed begins again after 200 ms.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -23,6 +23,8 @@
 	gatherPause = 6 * time.Millisecond
 	// commitTimeout bounds the wait for a commit; a leader without a quorum steps down earlier.
 	commitTimeout = 5 * time.Second
+	// restartPause is the pause after a commit that failed: a full disk refuses each one at once.
+	restartPause = 200 * manager.Millisecond
 )
 
 // outcome ends the wait of a call.
@@ -46,6 +48,8 @@
 	calls   map[dispatcher.Ticket]chan outcome
 	current *dispatcher.Dispatcher
 	term    manager.Term
+	// startAt is when a dispatcher may start again after a commit that failed.
+	startAt manager.Time
 	stop    chan struct{}
 	done    chan struct{}
 }
@@ -112,6 +116,9 @@
 		}
 		return false
 	}
+	if l.term == term && l.Clock.Now() < l.startAt {
+		return false
+	}
 	if l.current == nil || l.term != term {
 		l.depose("a new term began")
 		l.inbox.open()
@@ -168,6 +175,7 @@
 		l.end(t, outcome{err: manager.ErrNotLeader{}})
 	}
 	l.current = nil
+	l.startAt = l.Clock.Now().Add(restartPause)
 }
 
 // depose ends every call, as this replica does not dispatch.
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -65,6 +65,7 @@
 	held      []replicator.Ready
 	snapshot  manager.SnapshotMeta
 	probeAt   manager.Time
+	room      roomWatch
 	peers     *peerSet
 
 	inbox inbox
@@ -177,6 +178,7 @@
 		return err
 	}
 	r.feed(now, batch)
+	r.leaveFullDisk(now)
 	for {
 		ready := r.replica.Ready(r.Clock.Now())
 		if ready.Empty() {
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -63,6 +63,7 @@
 	LogSilentReplicaNotRemoved       = "Silent replica not removed"
 	LogSilentReplicaRemoved          = "Silent replica removed"
 	LogSlowSync                      = "Slow sync"
+	LogLeaderLeavesFullDisk          = "Leadership is handed over, as the disk is full"
 	LogSnapshotNotStored             = "Snapshot not stored"
 	LogTaskPlaced                    = "Task placed"
 	LogTaskStranded                  = "Task stranded"
@@ -132,6 +133,7 @@
 		{LogSettingsNotTakenOldOnes, "Any", "Changed settings are not valid."},
 		{LogSilentReplicaNotRemoved, "Leader", "Another change of the replicas is under way."},
 		{LogSilentReplicaRemoved, "Leader", "A replica that is not heard was replaced by another voter."},
+		{LogLeaderLeavesFullDisk, "Replica", "The leader's disk takes no change; another replica is asked to lead."},
 		{LogSlowSync, "Replica", "A write to the disk took so long that elections and commits suffer."},
 		{LogSnapshotNotStored, "Replica", "The disk has no room for a snapshot; the log grows meanwhile."},
 		{LogTaskPlaced, "Leader", "A run of a task is given to a worker; its order goes out with the answer to a report."},
--- a/pkg/manager/replicator/members.go
+++ b/pkg/manager/replicator/members.go
@@ -174,7 +174,7 @@
 		return
 	}
 	r.transfer.asked = true
-	r.send(manager.ReplicaMessage{Kind: manager.MessageTransfer, To: r.transfer.target})
+	r.sendEarly(manager.ReplicaMessage{Kind: manager.MessageTransfer, To: r.transfer.target})
 }
 
 func (r *Replica) takeTransfer(now manager.Time, m manager.ReplicaMessage) {
