Name no leader on a replica whose disk hangs

Cause: the driver of a replica waits for its disk, and what it tells others of the leader stays as it was. Change: what the driver wrote last counts for an election time-out. Test: TestLeaderWithAHangingDiskIsNotNamed (failed before).

--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -89,7 +89,7 @@
 	if r.replica == nil {
 		return
 	}
-	r.view.formed = true
+	r.view.formed, r.view.at = true, r.Clock.Now()
 	before := r.view.status
 	r.view.status, r.view.leads = r.replica.Status(), r.replica.Leads()
 	if s := r.view.status; s.Leader != before.Leader || s.Role != before.Role {
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -88,12 +88,8 @@
 // Recent calls f with the state if a quorum confirmed within an election time-out that this replica
 // leads, else it confirms that anew.
 func (r *Replicated) Recent(ctx context.Context, f func(manager.Applier)) error {
-	limit := r.Options.ElectionTimeout
-	if limit == 0 {
-		limit = replicator.DefaultElectionTimeout
-	}
 	r.mu.Lock()
-	if at := r.view.confirmed; at != 0 && r.Clock.Now().Sub(at) < limit {
+	if at := r.view.confirmed; at != 0 && r.Clock.Now().Sub(at) < r.electionTimeout() {
 		defer r.mu.Unlock()
 		f(r.state)
 		return nil
@@ -111,10 +107,22 @@
 	})
 }
 
-// Leader returns the leader's address and whether it is this replica.
+// electionTimeout is how long a leader counts without being heard.
+func (r *Replicated) electionTimeout() manager.Duration {
+	if r.Options.ElectionTimeout == 0 {
+		return replicator.DefaultElectionTimeout
+	}
+	return r.Options.ElectionTimeout
+}
+
+// Leader returns the leader's address and whether it is this replica. A replica whose disk hangs names none, as
+// others may have elected another leader meanwhile.
 func (r *Replicated) Leader() (manager.Address, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.Clock.Now().Sub(r.view.at) >= r.electionTimeout() {
+		return "", false
+	}
 	s := r.view.status
 	for _, m := range s.Members.List {
 		if m.Replica == s.Leader {
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -81,6 +81,8 @@
 
 // view is what other goroutines may know of the replica.
 type view struct {
+	// at is when the driver wrote the view.
+	at        manager.Time
 	status    replicator.Status
 	leads     bool
 	confirmed manager.Time
--- a/internal/storer/room_test.go
+++ b/internal/storer/room_test.go
@@ -1,7 +1,10 @@
 package storer_test
 
 import (
+	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,3 +64,38 @@
 		return g.store(first).Status().Commit >= s.Status().Commit
 	}, wait, tick, "the replica catches up once its disk has room")
 }
+
+// hangingDisk waits at each sync of files in a folder until it is released.
+type hangingDisk struct {
+	journaler.RealDisk
+	folder  *atomic.Value
+	release chan struct{}
+}
+
+func (d hangingDisk) Sync(f *os.File) error {
+	if folder, _ := d.folder.Load().(string); folder != "" && strings.HasPrefix(f.Name(), folder) {
+		<-d.release
+	}
+	return d.RealDisk.Sync(f)
+}
+
+// A leader whose disk hangs is replaced within an election, and must not go on naming itself to other nodes.
+func TestLeaderWithAHangingDiskIsNotNamed(t *testing.T) {
+	t.Parallel()
+	disk := hangingDisk{folder: &atomic.Value{}, release: make(chan struct{})}
+	g := newGroup(t, 3, func(g *group) { g.disk = disk })
+	first, s := g.leader()
+	disk.folder.Store(g.path(first))
+	defer close(disk.release)
+	go func() { _, _ = s.Propose(t.Context(), change("hangs", 0)) }()
+	require.Eventually(t, func() bool {
+		a, leads := s.Leader()
+		return !leads && a == ""
+	}, wait, tick)
+	at, next := g.leader()
+	require.NotEqual(t, first, at)
+	require.Eventually(t, func() bool {
+		_, err := next.Propose(t.Context(), change("goes on", 0))
+		return err == nil
+	}, wait, tick)
+}
