--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/duties.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// dutyTimeout bounds one call to the platform, which may be slow, and the wait for a turn to make it.
+	// dutyTimeout bounds one call to the platform, which may be slow, and the wait for a free slot.
 	dutyTimeout = 3 * time.Second
 	// maxDuties bounds the orders to the platform that are under way: it takes a few hundred a second from all
 	// nodes, and each order holds a descriptor.
@@ -44,24 +44,25 @@
 	}
 }
 
-// dutyTurns lets orders go out a few at a time. It answers turns in which hundreds of VMs change their pool at once.
-type dutyTurns struct {
+// dutyLimiter bounds the orders to the platform that are under way. It answers surges that end or begin: hundreds of
+// VMs change their pool at once.
+type dutyLimiter struct {
 	slots chan struct{}
-	// allowed tells whether the dispatcher with a token still leads.
-	allowed func(manager.OrderToken) bool
+	// leads tells whether the dispatcher with a token still leads.
+	leads func(manager.OrderToken) bool
 }
 
-// perform calls the platform when the order's turn has come, unless another dispatcher may lead by then.
-func (t *dutyTurns) perform(caller DutyCaller, d dispatcher.Duty) dispatcher.DutyOutcome {
+// perform calls the platform once there is a free slot, unless another dispatcher may lead by then.
+func (b *dutyLimiter) perform(caller DutyCaller, d dispatcher.Duty) dispatcher.DutyOutcome {
 	wait := time.NewTimer(dutyTimeout)
 	defer wait.Stop()
 	select {
-	case t.slots <- struct{}{}:
+	case b.slots <- struct{}{}:
 	case <-wait.C:
 		return dispatcher.DutyUnclear
 	}
-	defer func() { <-t.slots }()
-	if !t.allowed(d.Token) {
+	defer func() { <-b.slots }()
+	if !b.leads(d.Token) {
 		return dispatcher.DutyUnclear
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
@@ -69,14 +70,14 @@
 	return caller.Perform(ctx, d)
 }
 
-// mayOrder tells whether this replica leads with a token.
-func (l *Leader) mayOrder(token manager.OrderToken) bool {
+// holdsToken tells whether this replica leads in the term of a token.
+func (l *Leader) holdsToken(token manager.OrderToken) bool {
 	term, ok := l.leadership()
 	return ok && manager.OrderToken(term) == token
 }
 
 func (l *Leader) perform(d dispatcher.Duty) {
-	r := dispatcher.DutyResult{Duty: d, Outcome: l.turns.perform(l.Duties, d)}
+	r := dispatcher.DutyResult{Duty: d, Outcome: l.limiter.perform(l.Duties, d)}
 	if err := l.inbox.add(dispatcher.Event{Duty: &r}, nil); err != nil {
 		klog.InfoS(manager.LogOutcomeOrderPlatformDropped, "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
 	}
--- a/internal/coordinator/duties_test.go
+++ b/internal/coordinator/duties_test.go
@@ -43,13 +43,13 @@
 }
 
 // orderAll performs orders for many VMs at once and counts their outcomes.
-func orderAll(turns *dutyTurns, p DutyCaller, n int) map[dispatcher.DutyOutcome]int {
+func orderAll(b *dutyLimiter, p DutyCaller, n int) map[dispatcher.DutyOutcome]int {
 	var mu sync.Mutex
 	var work sync.WaitGroup
 	outcomes := map[dispatcher.DutyOutcome]int{}
 	for i := range n {
 		work.Go(func() {
-			o := turns.perform(p, dispatcher.Duty{VM: manager.VMID(fmt.Sprint(i)), Token: 1})
+			o := b.perform(p, dispatcher.Duty{VM: manager.VMID(fmt.Sprint(i)), Token: 1})
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[o]++
@@ -59,15 +59,15 @@
 	return outcomes
 }
 
-func newTurns(allowed func(manager.OrderToken) bool) *dutyTurns {
-	return &dutyTurns{slots: make(chan struct{}, maxDuties), allowed: allowed}
+func newDutyLimiter(leads func(manager.OrderToken) bool) *dutyLimiter {
+	return &dutyLimiter{slots: make(chan struct{}, maxDuties), leads: leads}
 }
 
 // At the end of a turn most of a fleet of thousands of VMs is switched off at once.
 func TestOrdersGoOutAFewAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &slowPlatform{takes: 10 * time.Millisecond}
-		outcomes := orderAll(newTurns(func(manager.OrderToken) bool { return true }), p, 1500)
+		outcomes := orderAll(newDutyLimiter(func(manager.OrderToken) bool { return true }), p, 1500)
 		require.Equal(t, 1500, outcomes[dispatcher.DutyTaken])
 		require.Equal(t, maxDuties, p.most)
 	})
@@ -78,7 +78,7 @@
 		p := &slowPlatform{takes: 10 * time.Millisecond}
 		began := time.Now()
 		leads := func(manager.OrderToken) bool { return time.Since(began) < 25*time.Millisecond }
-		outcomes := orderAll(newTurns(leads), p, 1500)
+		outcomes := orderAll(newDutyLimiter(leads), p, 1500)
 		require.Equal(t, 3*maxDuties, p.all)
 		require.Equal(t, 1500-3*maxDuties, outcomes[dispatcher.DutyUnclear])
 	})
@@ -88,7 +88,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		p := &slowPlatform{takes: time.Hour}
-		outcomes := orderAll(newTurns(func(manager.OrderToken) bool { return true }), p, 1500)
+		outcomes := orderAll(newDutyLimiter(func(manager.OrderToken) bool { return true }), p, 1500)
 		require.Equal(t, 1500, outcomes[dispatcher.DutyUnclear])
 		require.LessOrEqual(t, time.Since(began), 2*dutyTimeout)
 	})
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -44,7 +44,7 @@
 	Wall func() manager.Time
 
 	inbox   eventBox
-	turns   dutyTurns
+	limiter dutyLimiter
 	calls   map[dispatcher.Ticket]chan outcome
 	current *dispatcher.Dispatcher
 	term    manager.Term
@@ -58,7 +58,7 @@
 func (l *Leader) Init() {
 	l.calls = map[dispatcher.Ticket]chan outcome{}
 	l.inbox.wake = make(chan struct{}, 1)
-	l.turns = dutyTurns{slots: make(chan struct{}, maxDuties), allowed: l.mayOrder}
+	l.limiter = dutyLimiter{slots: make(chan struct{}, maxDuties), leads: l.holdsToken}
 	l.stop, l.done = make(chan struct{}), make(chan struct{})
 }
 
