--- a/pkg/manager/dispatcher/cost_test.go
+++ b/pkg/manager/dispatcher/cost_test.go
@@ -19,8 +19,9 @@
 	next  dispatcher.Ticket
 }
 
-func newCrowd(workers int) *crowd {
-	c := &crowd{book: recorder.New(), now: 1_000_000, pools: max(1, workers/10)}
+// newPools is a fleet without workers, with a queue for each pool.
+func newPools(n int) (*crowd, *manager.FleetConfiguration) {
+	c := &crowd{book: recorder.New(), now: 1_000_000, pools: n}
 	f := &manager.FleetConfiguration{Version: 1}
 	for p := range c.pools {
 		pool := manager.PoolID(fmt.Sprintf("p%03d", p))
@@ -32,6 +33,11 @@
 	}
 	c.book.Apply(recorder.Changes{At: c.now, Configure: f})
 	c.d = dispatcher.New(c.book, 1, dispatcher.Options{}, c.now)
+	return c, f
+}
+
+func newCrowd(workers int) *crowd {
+	c, f := newPools(max(1, workers/10))
 	var jobs []dispatcher.Event
 	for _, q := range f.Queues {
 		jobs = append(jobs, dispatcher.Event{Submit: &manager.Graph{
--- a/pkg/manager/dispatcher/turn_test.go
+++ b/pkg/manager/dispatcher/turn_test.go
@@ -6,23 +6,11 @@
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
-	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
 // newTurn is a fleet in which one pool of four has its turn: its jobs ask for three times what it holds.
 func newTurn(workers int) *crowd {
-	c := &crowd{book: recorder.New(), now: 1_000_000, pools: 4}
-	f := &manager.FleetConfiguration{Version: 1}
-	for p := range c.pools {
-		pool := manager.PoolID(fmt.Sprintf("p%03d", p))
-		f.Pools = append(f.Pools, manager.PoolSettings{Pool: pool})
-		f.Queues = append(f.Queues, manager.QueueSettings{
-			Queue: manager.QueueID("q" + pool), Host: "h", Prefix: "/" + string(pool) + "/", Pool: pool,
-			TimeoutMs: 3000, SlackMs: 3600, Stretch: 1.6, MaxAttempts: 3,
-		})
-	}
-	c.book.Apply(recorder.Changes{At: c.now, Configure: f})
-	c.d = dispatcher.New(c.book, 1, dispatcher.Options{}, c.now)
+	c, _ := newPools(4)
 	for range 3 {
 		c.report(0, workers)
 	}
