--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -13,7 +13,6 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
-	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
 const (
@@ -100,11 +99,7 @@
 // leadership returns the term if this replica is known to lead now.
 func (l *Leader) leadership() (manager.Term, bool) {
 	term, leads, confirmed := l.Store.Leadership()
-	limit := l.Store.Options.ElectionTimeout
-	if limit == 0 {
-		limit = replicator.DefaultElectionTimeout
-	}
-	return term, leads && confirmed != 0 && l.Clock.Now().Sub(confirmed) < limit && !l.inbox.stopping()
+	return term, leads && confirmed != 0 && l.Clock.Now().Sub(confirmed) < l.Store.ElectionTimeout() && !l.inbox.stopping()
 }
 
 // turn runs one step and its commit; it returns whether something was committed.
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -128,10 +128,11 @@
 	return context.WithTimeout(ctx, until.Sub(n.Clock.Now()).Std())
 }
 
+// answeredAt is when a leader answered last.
+func (n *Node) answeredAt() manager.Time { return max(n.servedAt.get(), n.Finder.ReachedAt()) }
+
 // reachedAt is when a leader answered last, or the first call came.
-func (n *Node) reachedAt() manager.Time {
-	return max(n.servedAt.get(), n.Finder.ReachedAt(), n.calledAt.get())
-}
+func (n *Node) reachedAt() manager.Time { return max(n.answeredAt(), n.calledAt.get()) }
 
 // isolated tells whether no leader has answered for longer than an election takes.
 func (n *Node) isolated(now manager.Time) bool { return now.Sub(n.reachedAt()) >= isolatedAge }
@@ -204,7 +205,7 @@
 	if n.Leader != nil && n.Leader.Serving() {
 		n.servedAt.set(n.Clock.Now())
 	}
-	if n.Clock.Now().Sub(max(n.servedAt.get(), n.Finder.ReachedAt())) >= isolatedAge {
+	if n.Clock.Now().Sub(n.answeredAt()) >= isolatedAge {
 		return manager.ErrUnavailable{Part: "leader", Reason: "it does not answer"}
 	}
 	return nil
--- a/internal/coordinator/packer.go
+++ b/internal/coordinator/packer.go
@@ -16,12 +16,13 @@
 // queues takes seconds on a thin link, unpacked.
 const minPackedBytes = 4 << 10
 
-// packer compresses bodies one after the other with a single writer, as each writer takes most of a megabyte.
+// packer compresses bodies one after the other with a single writer, as each writer takes a megabyte.
 type packer struct {
 	mu sync.Mutex
 	w  *gzip.Writer
 }
 
+// pack returns the compressed body.
 func (p *packer) pack(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	p.mu.Lock()
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -89,7 +89,7 @@
 // leads, else it confirms that anew.
 func (r *Replicated) Recent(ctx context.Context, f func(manager.Applier)) error {
 	r.mu.Lock()
-	if at := r.view.confirmed; at != 0 && r.Clock.Now().Sub(at) < r.electionTimeout() {
+	if at := r.view.confirmed; at != 0 && r.Clock.Now().Sub(at) < r.ElectionTimeout() {
 		defer r.mu.Unlock()
 		f(r.state)
 		return nil
@@ -107,8 +107,8 @@
 	})
 }
 
-// electionTimeout is how long a leader counts without being heard.
-func (r *Replicated) electionTimeout() manager.Duration {
+// ElectionTimeout is how long a leader counts without being heard.
+func (r *Replicated) ElectionTimeout() manager.Duration {
 	if r.Options.ElectionTimeout == 0 {
 		return replicator.DefaultElectionTimeout
 	}
@@ -120,7 +120,7 @@
 func (r *Replicated) Leader() (manager.Address, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.Clock.Now().Sub(r.view.at) >= r.electionTimeout() {
+	if r.Clock.Now().Sub(r.view.at) >= r.ElectionTimeout() {
 		return "", false
 	}
 	s := r.view.status
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -34,7 +34,8 @@
 	leastWorkers = 2
 	// listAge is the age after which the list of VMs is read again.
 	listAge = 15 * manager.Second
-	// moveSettles is when a VM that was on its way to a pool surely takes an order again, or refuses it as busy.
+	// moveSettles is when a VM that was on its way to a pool takes orders again; a move takes a second or two. One
+	// that does not yet refuses them as busy.
 	moveSettles = 2 * manager.Second
 )
 
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -40,6 +40,7 @@
 	LogOperatorsCallRefused          = "Operator's call refused"
 	LogOrderPlatformNotCreated       = "Order to the platform not created"
 	LogOrderPlatformNotEncoded       = "Order to the platform not encoded"
+	LogOrderPlatformNotSent          = "Order to the platform not sent"
 	LogOutcomeOrderPlatformDropped   = "Outcome of an order to the platform dropped"
 	LogPlannedStopBegins             = "Planned stop begins"
 	LogPlatformAnswered              = "Platform answered"
@@ -85,7 +86,7 @@
 		{LogAdviceAsked, "Leader", "The service that permits workers is asked for those with the most room."},
 		{LogAdviceFailed, "Leader", "A call to the service that permits workers failed; Reason says how."},
 		{LogAnswerNotEncoded, "Any", "An answer could not be encoded: a fault of the program."},
-		{LogCallNotAnswered, "Any", "A caller's time passed without a reply of a leader; Sent says that one may have taken the call."},
+		{LogCallNotAnswered, "Any", "A caller's time passed without a reply of a leader; Sent says that one may have taken the call, Isolated that none has answered this node for longer than an election takes."},
 		{LogChangesNotCommitted, "Leader", "A commit failed; its callers get no clear answer, and the dispatcher starts over."},
 		{LogConfigurationOvertaken, "Leader", "A configuration that is not newer than the one held was acknowledged and changes nothing."},
 		{LogConfigurationTaken, "Leader", "A newer configuration is being committed."},
@@ -111,6 +112,7 @@
 		{LogOperatorsCallRefused, "Any", "An operator's call is not valid."},
 		{LogOrderPlatformNotCreated, "Leader", "An order could not be made: its address is wrong."},
 		{LogOrderPlatformNotEncoded, "Leader", "An order could not be encoded: a fault of the program."},
+		{LogOrderPlatformNotSent, "Leader", "An order waited too long for others, or its dispatcher may not lead any more; it is decided anew."},
 		{LogOutcomeOrderPlatformDropped, "Leader", "The dispatcher ended before the outcome came; the next one repeats the order."},
 		{LogPlannedStopBegins, "Any", "A signal asked the process to stop."},
 		{LogPlatformAnswered, "Leader", "The outcome of an order for a VM."},
