Keep a replica that is stopping from leading again while another can

Change: Replica.StepDown marks the replica as stopping. It then starts elections one election timeout later than the others, and transfers leadership at once if it is elected all the same. It still votes, and leads where no other replica holds the log.

--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -321,9 +321,11 @@
 	return r.log.Close()
 }
 
-// StepDown transfers leadership to another replica before a planned stop; it returns early when ctx ends.
+// StepDown transfers leadership to another replica before a planned stop and keeps the replica from leading again while
+// another can; it returns early when ctx ends.
 func (r *Replicated) StepDown(ctx context.Context) {
 	const poll = 20 * time.Millisecond
+	r.inbox.control(r.stepDownReplica)
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		leads, voters := r.view.isLeader, len(r.view.status.Members.List)
@@ -331,11 +333,13 @@
 		if !leads || voters < 2 {
 			return
 		}
-		r.inbox.control(func(now manager.Time) {
-			if r.replica != nil {
-				r.replica.TransferLeadership(now)
-			}
-		})
+		r.inbox.control(r.stepDownReplica)
 		time.Sleep(poll)
 	}
 }
+
+func (r *Replicated) stepDownReplica(now manager.Time) {
+	if r.replica != nil {
+		r.replica.StepDown(now)
+	}
+}
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -5,7 +5,7 @@
 // resetElectionTimer draws the time of the next election, in case no leader is heard until then.
 func (r *Replica) resetElectionTimer(now manager.Time) {
 	least := r.Options.ElectionTimeout
-	r.electionAt = now.Add(least + manager.Duration(r.Rand.Int64N(int64(least/2))))
+	r.electionAt = now.Add(r.electionDelay() + least + manager.Duration(r.Rand.Int64N(int64(least/2))))
 }
 
 // scheduleElectionRetry draws the time of the next election after one without a winner. The first retries
@@ -13,7 +13,7 @@
 func (r *Replica) scheduleElectionRetry(now manager.Time) {
 	const initialDivisor = 4
 	span := min(r.Options.ElectionTimeout/initialDivisor<<min(r.attempts, initialDivisor), r.Options.ElectionTimeout)
-	r.electionAt = now.Add(span + manager.Duration(r.Rand.Int64N(int64(span))))
+	r.electionAt = now.Add(r.electionDelay() + span + manager.Duration(r.Rand.Int64N(int64(span))))
 }
 
 func (r *Replica) becomeFollower(now manager.Time, t manager.Term, leader manager.ReplicaID) {
--- a/pkg/manager/replicator/faults_test.go
+++ b/pkg/manager/replicator/faults_test.go
@@ -24,10 +24,12 @@
 	actions := []func(){
 		f.operate, f.operate, f.operate, f.operate, f.crashOne, f.crashAll, f.restart, f.partition, f.oneWay, f.healNetwork,
 		f.degradeNetwork, f.skewClock, f.jumpClock, f.toggleDiskHang, f.longOutage, f.loseTwoInTurn, f.changeMembers, f.transferLeader,
+		f.stepDown,
 	}
 	names := []string{
 		"operate", "operate", "operate", "operate", "crash", "crash all", "restart", "partition", "one way", "heal network",
 		"lossy", "skew", "jump", "toggle disk hang", "long outage", "lose two in turn", "members", "transfer",
+		"step down",
 	}
 	i := rapid.IntRange(0, len(actions)-1).Draw(f.t, "action")
 	f.t.Log(f.now, names[i])
@@ -169,8 +171,26 @@
 	}
 }
 
+// stepDown prepares a node for the end of its process, which comes with a later action or when all faults end.
+func (f *faults) stepDown() {
+	if n := f.node(); n.up {
+		n.replica.StepDown(f.clock(n))
+		n.stopping = true
+	}
+}
+
+// stopNodes ends the processes of the nodes that were prepared for it.
+func (f *faults) stopNodes() {
+	for _, id := range f.order {
+		if n := f.nodes[id]; n.stopping && n.up {
+			f.crash(n, true)
+		}
+	}
+}
+
 // checkRecovery ends all faults and requires that the group commits again and that all members agree.
 func (f *faults) checkRecovery() {
+	f.stopNodes()
 	f.endFaults()
 	f.delay = 20
 	f.run(15_000)
--- a/pkg/manager/replicator/leadership.go
+++ b/pkg/manager/replicator/leadership.go
@@ -82,6 +82,9 @@
 	if r.transfer.target != 0 && now >= r.transfer.until {
 		r.transfer = transferState{}
 	}
+	if r.stopping {
+		r.TransferLeadership(now)
+	}
 	if now.Sub(r.lead.roundAt) >= r.Options.HeartbeatPeriod {
 		r.startRound(now)
 	}
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -110,6 +110,8 @@
 	// attempts counts the elections since a leader was last heard.
 	attempts int
 	transfer transferState
+	// stopping means that the process is about to stop.
+	stopping bool
 	lead     *leaderState
 	// sender is where the latest message came from; a replica that joins knows no members yet.
 	sender manager.ReplicaMember
--- a/pkg/manager/replicator/sim_test.go
+++ b/pkg/manager/replicator/sim_test.go
@@ -72,6 +72,8 @@
 	register  register
 	up        bool
 	diskHangs bool
+	// stopping means that the process is about to stop.
+	stopping bool
 	// pending is written to disk until syncedAt.
 	pending  *replicator.Ready
 	syncedAt manager.Time
@@ -166,7 +168,7 @@
 	n.replica.Start(s.clock(n), replicator.PersistentState{
 		HardState: n.disk.hard, Snapshot: n.disk.snapshot.Meta, Entries: slices.Clone(n.disk.entries),
 	})
-	n.up = true
+	n.up, n.stopping = true, false
 }
 
 // crash stops a node; writes that were not synced are lost, or a part of them survives.
