Refuse a call that never left its node as not run, with a pause chosen from the outage

The nodes' calls to the leader never get a connection, yet a timeout while connecting counted as 'may have run': 374 tries ended with 504, which callers repeat within 50 ms until their four retries are used up.

Change: a call counts as sent only once it has got a connection to the leader (httptrace.GotConn). retrier.OutagePause chooses the pause: it grows with the outage, differs by caller, and leaves time for another try. The platform adapter only writes it.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,6 +18,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/retrier"
 )
 
 // PathCall is the endpoint for calls between nodes.
@@ -62,6 +64,7 @@
 func (n *Node) Call(ctx context.Context, c manager.FleetCall) (manager.FleetReply, error) {
 	start := n.Clock.Now()
 	reply, err := n.call(ctx, c)
+	err = n.addPause(ctx, c, err)
 	meter.DeskCallSeconds(c.Kind).Update(n.Clock.Now().Sub(start).Std().Seconds())
 	outcome := "taken"
 	if err != nil {
@@ -102,6 +105,20 @@
 	}
 }
 
+// addPause adds to a refusal when the caller should try again.
+func (n *Node) addPause(ctx context.Context, c manager.FleetCall, err error) error {
+	e, ok := errors.AsType[manager.ErrUnavailable](err)
+	if !ok || e.RetryAfterMs > 0 {
+		return err
+	}
+	now, remaining := n.Clock.Now(), manager.Duration(0)
+	if end, ok := ctx.Deadline(); ok {
+		remaining = manager.Duration(time.Until(end).Milliseconds())
+	}
+	e.RetryAfterMs = retrier.OutagePause(now.Sub(n.reachedAt()), remaining, c.Path)
+	return e
+}
+
 func (n *Node) noteUnanswered(c manager.FleetCall, sent bool, err error) {
 	klog.InfoS(manager.LogCallNotAnswered, "Kind", c.Kind, "Path", c.Path, "Sent", sent, "Leader", n.Finder.View().Leader,
 		"Isolated", n.isolated(n.Clock.Now()), "Error", err.Error())
@@ -143,7 +160,8 @@
 		manager.IsErrOverloaded(err) || manager.IsErrUnavailable(err)
 }
 
-// try makes one attempt; reached says that the call may have been taken.
+// try makes one attempt; reached says that the call may have been taken: a call for which no connection was obtained has
+// not left this node.
 func (n *Node) try(ctx context.Context, c manager.FleetCall) (reply manager.FleetReply, reached bool, err error) {
 	if n.Leader != nil && n.Leader.Serving() {
 		reply, err = n.Leader.Call(ctx, c)
@@ -159,10 +177,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	reply, err = n.post(ctx, leader, c)
-	var dial *net.OpError
-	refused := errors.As(err, &dial) && dial.Op == "dial"
-	return reply, !refused && !manager.IsErrNotLeader(err), err
+	return reply, connected && !manager.IsErrNotLeader(err), err
 }
 
 func (n *Node) post(ctx context.Context, a manager.Address, c manager.FleetCall) (manager.FleetReply, error) {
--- a/internal/translator/errors.go
+++ b/internal/translator/errors.go
@@ -48,7 +48,7 @@
 	Reason  string            `json:",omitempty"`
 	Leader  manager.Address   `json:",omitempty"`
 	Command manager.CommandID `json:",omitempty"`
-	// RetryAfterMs is when an overloaded part will have room.
+	// RetryAfterMs is when the caller should try again.
 	RetryAfterMs manager.Duration `json:",omitempty"`
 	// Current is the profile that won against a stale version.
 	Current *manager.Profile `json:",omitempty"`
@@ -69,7 +69,7 @@
 		return http.StatusGatewayTimeout, b
 	}
 	if e, ok := errors.AsType[manager.ErrUnavailable](err); ok {
-		b.Code, b.Kind, b.Reason = CodeUnavailable, e.Component, e.Reason
+		b.Code, b.Kind, b.Reason, b.RetryAfterMs = CodeUnavailable, e.Component, e.Reason, e.RetryAfterMs
 		return http.StatusServiceUnavailable, b
 	}
 	if e, ok := errors.AsType[manager.ErrOverloaded](err); ok {
@@ -124,7 +124,7 @@
 	case CodeUnknown:
 		return manager.ErrOutcomeUnknown{Command: b.Command}
 	case CodeUnavailable:
-		return manager.ErrUnavailable{Component: b.Kind, Reason: b.Reason}
+		return manager.ErrUnavailable{Component: b.Kind, Reason: b.Reason, RetryAfterMs: b.RetryAfterMs}
 	case CodeOverloaded:
 		return manager.ErrOverloaded{RetryAfterMs: b.RetryAfterMs}
 	case CodeUnauthorized:
--- a/pkg/manager/errors.go
+++ b/pkg/manager/errors.go
@@ -80,6 +80,8 @@
 type ErrUnavailable struct {
 	Component string
 	Reason    string
+	// RetryAfterMs is when the caller should try again; 0 leaves that to the caller.
+	RetryAfterMs Duration
 }
 
 func (e ErrUnavailable) Error() string {
