Give up reports that are too old for their worker

Cause: since a call without a connection counts as not sent, a report that hung on a lost leader was tried again at the next one after 0.9 s.

Change: a report older than 500 ms is not sent on; the worker goes to another node with a fresh one.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -31,6 +31,9 @@
 	documentTimeout = 4 * time.Second
 	// maxReplyBytes bounds a reply of the leader; a configuration is the largest.
 	maxReplyBytes = 8 << 20
+	// reportPatience is the age up to which a report is sent to the leader: workers drop an answer that comes later than
+	// a second, of which the leader may hold the report for a part.
+	reportPatience = 500 * manager.Millisecond
 	// isolatedAge is how long a node goes without an answer of a leader before it counts as cut off, as elections
 	// pass within it.
 	isolatedAge = 1500 * manager.Millisecond
@@ -91,7 +94,7 @@
 			return reply, err
 		}
 		sent = sent || reached
-		if reached && c.Kind == manager.CallReport {
+		if c.Kind == manager.CallReport && (reached || n.Clock.Now().Sub(start) > reportPatience) {
 			return reply, err
 		}
 		n.Finder.Refresh()
--- a/internal/coordinator/outage_test.go
+++ b/internal/coordinator/outage_test.go
@@ -77,3 +77,22 @@
 		require.LessOrEqual(t, refusal.RetryAfterMs, 5*manager.Second)
 	})
 }
+
+// The leader has lost power: a report that has waited for a connection is given up while its worker still waits, as the
+// worker drops an answer that comes later than a second.
+func TestOldReportIsNotSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		n := newNodeOf(func(ctx context.Context) (net.Conn, error) {
+			tries++
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		began := time.Now()
+		_, err := n.Call(context.Background(), manager.FleetCall{Kind: manager.CallReport, Report: &manager.WorkerReport{}})
+		require.Error(t, err)
+		require.Equal(t, 1, tries)
+		require.Less(t, time.Since(began), time.Second)
+		n.HTTP.CloseIdleConnections()
+	})
+}
