Read the list of VMs while an ordered VM has no worker

Change: an ordered VM without a worker makes the dispatcher read the list again.

Result: TestWaveEndsForVMThatIsGoneAfterItsOrder fails without the change.

--- a/pkg/manager/dispatcher/upkeep.go
+++ b/pkg/manager/dispatcher/upkeep.go
@@ -158,6 +158,10 @@
 			down++
 			d.blockStarts(vm)
 			d.repeatOrder(now, wave, vm)
+			if d.byVM[vm] == nil {
+				// The platform answers orders for a VM that is lost as busy until the VM leaves the list.
+				d.maintenance.listingNeeded = true
+			}
 		case recorder.MaintenanceStarted:
 			if d.maintenance.startedAt[vm] == 0 {
 				d.maintenance.startedAt[vm] = now
--- a/pkg/manager/dispatcher/waves_test.go
+++ b/pkg/manager/dispatcher/waves_test.go
@@ -107,3 +107,30 @@
 	f.runWithPlatform(20*manager.Second, caps)
 	require.True(t, f.state.Waves[1].Completed())
 }
+
+// A VM is lost and stays on the platform's list for a while: its order is answered as busy, and the wave would use a part
+// of its cap for a VM that no longer exists.
+func TestWaveEndsForVMThatIsGoneAfterItsOrder(t *testing.T) {
+	f := newFleet(t)
+	gone := f.worker("w1", pool, 4000)
+	f.worker("w2", pool, 4000)
+	f.run(4 * manager.Second)
+	gone.silent = true
+	f.run(16 * manager.Second)
+	f.send(dispatcher.Event{Wave: &manager.MaintenanceRequest{Wave: 1, VMs: []manager.VMID{"vm-w1"}, DurationMs: 30_000, Cap: 1}})
+	listed := map[manager.VMID]dispatcher.ListedVM{"vm-w1": {Pool: pool}, "vm-w2": {Pool: pool, Up: true}}
+	for i := range 200 {
+		f.run(50)
+		if i == 100 {
+			listed = map[manager.VMID]dispatcher.ListedVM{"vm-w2": {Pool: pool, Up: true}}
+		}
+		for _, order := range f.platformOrders {
+			f.send(dispatcher.Event{Platform: &dispatcher.PlatformResult{Order: order, Outcome: dispatcher.OutcomeBusy}})
+		}
+		if f.d.WantsListing(f.now) {
+			f.send(dispatcher.Event{Listing: &dispatcher.Listing{AskedAt: f.now, VMs: listed}})
+		}
+		f.platformOrders = nil
+	}
+	require.True(t, f.state.Waves[1].Completed(), "the wave waits for a VM that no longer exists")
+}
