Pack finite tasks and switch off the VMs that a pool can do without

Finite tasks were spread over all VMs of a pool, so that at the end of a load peak few tasks on each kept all of them on; a VM went off only after 1.2 s without any task.

Change: finite tasks go to the fullest worker that fits. VMs that a pool can do without at a load of 0.8 get no new finite tasks and are switched off, or lent, as soon as they are idle; they still take long-running tasks. An overloaded pool gets idle VMs first, then those that are off, then those that have to finish tasks. The time of 1.2 s is gone.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -26,8 +26,6 @@
 	maxLoadRatio = 0.6
 	// standbyLoad ranks VMs that are switched off behind idle ones, which are paid for already.
 	standbyLoad = lowLoad
-	// idleTimeout is how long a VM without work stays switched on, as another load peak may follow.
-	idleTimeout = 1200 * manager.Millisecond
 	// poolLogPeriod is the pause between two log lines about each pool.
 	poolLogPeriod = 1 * manager.Second
 	// minPoolWorkers is the number of workers that a pool always keeps.
@@ -70,7 +68,7 @@
 }
 
 // balancePools moves VMs without long-running tasks from the pools with the lowest load to those with the highest, and
-// switches off idle VMs. It is made for queues that peak one after the other, each for some seconds and beyond the
+// switches off those that no pool needs. It is made for queues that peak one after the other, each for some seconds and beyond the
 // capacity of its own pool.
 func (d *Dispatcher) balancePools(now manager.Time, c *recorder.Changes) {
 	d.updateMoves(now, c)
@@ -93,10 +91,11 @@
 		d.lending.loads[p.pool] = p.load(manager.Resources{})
 		d.lending.overloaded = d.lending.overloaded || d.lending.loads[p.pool] > 1
 	}
-	d.switchOffIdle(now, free, c)
+	d.switchOffSurplus(now, loads, free, c)
 }
 
-// lendOne moves a VM to the pool with the highest load, from the pool whose load stays the lowest.
+// lendOne moves a VM to the pool with the highest load. It takes one that arrives soon, and among those one from the pool
+// whose load stays the lowest.
 func (d *Dispatcher) lendOne(now manager.Time, loads []*poolLoad, free *[]lendableVM, c *recorder.Changes) bool {
 	if len(loads) == 0 {
 		return false
@@ -106,14 +105,18 @@
 	if high <= 1 {
 		return false
 	}
-	best, bestLoad := -1, maxLoadRatio*high
+	best, bestDelay, bestLoad := -1, idleVM, 0.0
 	for i, vm := range *free {
 		left := standbyLoad
 		if from := findLoad(loads, vm.pool); from != nil {
 			left = from.load(manager.Resources{}.Sub(vm.capacity))
 		}
-		if vm.pool != to.pool && left < bestLoad {
-			best, bestLoad = i, left
+		if vm.pool == to.pool || left >= maxLoadRatio*high {
+			continue
+		}
+		delay := d.lendingDelay(vm)
+		if best < 0 || cmp.Or(cmp.Compare(delay, bestDelay), cmp.Compare(left, bestLoad)) < 0 {
+			best, bestDelay, bestLoad = i, delay, left
 		}
 	}
 	if best < 0 {
@@ -162,101 +165,6 @@
 	return used, vms
 }
 
-// lendableVM is a VM that may move to another pool.
-type lendableVM struct {
-	vm       manager.VMID
-	pool     manager.PoolID
-	capacity manager.Resources
-	worker   *worker
-	// selected means that the worker was selected to move in the previous pass.
-	selected bool
-}
-
-// lendable returns the VMs that may move to another pool. Those that are switched on come first: those that were
-// selected before, then those with the fewest runs. Those that are switched off follow. VMs that can't get an order now
-// are left out, as they would count as capacity on its way and hide that a pool lacks some.
-func (d *Dispatcher) lendable(now manager.Time, loads []*poolLoad) []lendableVM {
-	blocked := d.inMaintenance()
-	var on, off []lendableVM
-	spare := d.spareWorkers(loads)
-	for _, id := range sortedListedVMs(d.lending.vms) {
-		if _, moving := d.State.Moves[id]; moving || blocked[id] || d.lending.rejected[id] || d.maintenance.fenced[id] {
-			continue
-		}
-		vm, w := d.lending.vms[id], d.byVM[id]
-		ready := d.mayOrder(now, id)
-		switch {
-		case w != nil:
-			selected := w.movePending
-			w.movePending = false
-			if ready && spare[w.latest.Pool] > 0 && d.movable(w) {
-				spare[w.latest.Pool]--
-				on = append(on, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w, selected: selected})
-			}
-		case ready && d.inPool(now, vm) && d.isStandby(vm.Pool):
-			off = append(off, lendableVM{vm: id, pool: vm.Pool, capacity: vm.Capacity})
-		}
-	}
-	slices.SortStableFunc(on, func(a, b lendableVM) int { return cmp.Compare(d.rank(a), d.rank(b)) })
-	return append(on, off...)
-}
-
-// inPool reports whether a listed VM has arrived in its pool. The list may have been read while the VM was moving.
-func (d *Dispatcher) inPool(now manager.Time, vm ListedVM) bool {
-	return vm.Up || vm.Moving && now.Sub(d.lending.listedAt) > moveTime
-}
-
-// rank orders the lendable VMs: those that were selected before, then those with the fewest runs.
-func (d *Dispatcher) rank(vm lendableVM) int {
-	if vm.selected {
-		return -1
-	}
-	return len(d.State.Runs(vm.worker.instance))
-}
-
-// movable reports whether a worker has no long-running task and is not draining.
-func (d *Dispatcher) movable(w *worker) bool {
-	return !w.latest.Draining && d.usageOf(w).longRunning == (manager.Resources{})
-}
-
-// spareWorkers returns how many workers each pool may lend. A pool that has not had a job yet lends none, as its
-// long-running tasks may still arrive.
-func (d *Dispatcher) spareWorkers(loads []*poolLoad) map[manager.PoolID]int {
-	spare := map[manager.PoolID]int{}
-	for _, w := range d.workers {
-		spare[w.latest.Pool]++
-	}
-	used := map[manager.PoolID]bool{}
-	for _, j := range d.State.Jobs {
-		used[d.poolOf(j)] = true
-	}
-	for p, n := range spare {
-		spare[p] = n - minPoolWorkers
-		if l := findLoad(loads, p); !used[p] || l != nil && l.unplaceable != nil {
-			spare[p] = 0
-		}
-	}
-	return spare
-}
-
-// inMaintenance returns the VMs that are in maintenance, are being evacuated for it, or wait for it without a worker.
-func (d *Dispatcher) inMaintenance() map[manager.VMID]bool {
-	list := map[manager.VMID]bool{}
-	for _, id := range d.waves() {
-		wave := d.State.Waves[id]
-		for _, vm := range wave.VMs {
-			w := d.byVM[vm]
-			switch wave.State[vm] {
-			case recorder.MaintenanceOrdered, recorder.MaintenanceStarted:
-				list[vm] = true
-			case recorder.MaintenanceWaiting:
-				list[vm] = w == nil || w.evacuating
-			}
-		}
-	}
-	return list
-}
-
 // moveVM orders a VM to another pool as soon as it is idle.
 func (d *Dispatcher) moveVM(now manager.Time, vm lendableVM, to manager.PoolID, c *recorder.Changes) {
 	if vm.pool == to {
@@ -275,27 +183,6 @@
 	d.log(manager.LogVMMoveOrdered, "VM", vm.vm, "From", vm.pool, "To", to)
 }
 
-// switchOffIdle moves VMs that have been idle for idleTimeout to a standby pool.
-func (d *Dispatcher) switchOffIdle(now manager.Time, free []lendableVM, c *recorder.Changes) {
-	standby := d.firstStandbyPool()
-	for _, vm := range free {
-		w := vm.worker
-		if w == nil || standby == "" {
-			continue
-		}
-		if !d.isIdle(w) || !d.hasLowLoad(w.latest.Pool) {
-			w.idleSince = 0
-			continue
-		}
-		if w.idleSince == 0 {
-			w.idleSince = now
-		}
-		if now.Sub(w.idleSince) > idleTimeout {
-			d.moveVM(now, vm, standby, c)
-		}
-	}
-}
-
 // updateMoves ends the moves of VMs that have arrived, and repeats orders whose outcome is not known.
 func (d *Dispatcher) updateMoves(now manager.Time, c *recorder.Changes) {
 	for _, vm := range sortedVMs(d.State.Moves) {
@@ -375,15 +262,6 @@
 	return ""
 }
 
-func sortedListedVMs(m map[manager.VMID]ListedVM) []manager.VMID {
-	list := make([]manager.VMID, 0, len(m))
-	for vm := range m {
-		list = append(list, vm)
-	}
-	slices.Sort(list)
-	return list
-}
-
 func (d *Dispatcher) isStandby(p manager.PoolID) bool {
 	return slices.ContainsFunc(d.State.Configuration.Pools, func(s manager.PoolSettings) bool { return s.Pool == p && s.Standby })
 }
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -85,7 +85,7 @@
 func (d *Dispatcher) candidates(now manager.Time, ready map[manager.PoolID]bool) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sortedWorkers() {
-		if !ready[w.latest.Pool] || w.endsPending || !w.polling && now.Sub(w.heardAt) > maxCandidateAge || w.latest.Draining || w.evacuating || w.movePending || w.health.excluded(now) || d.usageOf(w).unknownRuns {
+		if !ready[w.latest.Pool] || w.endsPending || !w.polling && now.Sub(w.heardAt) > maxCandidateAge || w.latest.Draining || w.evacuating || w.health.excluded(now) || d.usageOf(w).unknownRuns {
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
@@ -213,6 +213,9 @@
 	if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
 		return false
 	}
+	if w.movePending && !step.LongRunning {
+		return false
+	}
 	if t.FailedOn == w.instance.Worker && now.Sub(t.EndedAt) < failedWorkerDelay {
 		return false
 	}
@@ -223,7 +226,7 @@
 
 // score ranks the workers that may run a task.
 func (w *candidate) score(step manager.GraphStep, t *recorder.Task) float64 {
-	score := w.spread(stepResources(step))
+	score := w.bestFit(stepResources(step))
 	if step.LongRunning {
 		score = w.pack(stepResources(step))
 	}
@@ -236,9 +239,10 @@
 	return score
 }
 
-// spread prefers the worker with the largest share of its capacity left free.
-func (w *candidate) spread(need manager.Resources) float64 {
-	score := leastFree(w.free, need, w.latest.Capacity)
+// bestFit prefers the worker with the smallest share of its capacity left free, so that other VMs become idle when a load
+// peak ends.
+func (w *candidate) bestFit(need manager.Resources) float64 {
+	score := -leastFree(w.free, need, w.latest.Capacity)
 	if w.lowLoad && w.longRunning != (manager.Resources{}) {
 		score += notLendableBonus
 	}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -42,9 +42,8 @@
 	evacuating  bool
 	evacuatedAt manager.Time
 	firstSeenAt manager.Time
-	// movePending blocks new starts, as the VM moves to another pool once it is idle.
+	// movePending blocks new starts of finite tasks, as the VM moves to another pool once it is idle.
 	movePending    bool
-	idleSince      manager.Time
 	health         health
 	shares         map[manager.TaskID]manager.Percent
 	throttleOrders []manager.ThrottleOrder
