--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -110,9 +110,9 @@
 	if err := os.MkdirAll(s.DataFolder, 0o750); err != nil {
 		return fmt.Errorf("create data folder: %w", err)
 	}
-	book := recorder.New()
+	state := recorder.New()
 	f.store = &storer.Replicated{
-		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{Book: book},
+		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{State: state},
 		MinFreeBytes:  uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
 		SnapshotEvery: snapshotEvery,
 		Options:       replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
@@ -124,13 +124,13 @@
 		return fmt.Errorf("open store: %w", err)
 	}
 	f.leader = &coordinator.Leader{
-		Clock: f.Clock, Store: f.store, Book: book,
+		Clock: f.Clock, Store: f.store, State: state,
 		Options: dispatcher.Options{
 			LeaseMs: workLease(s), StopMs: s.Work.StopMs, OrderGapMs: s.Work.DutyGapMs, Address: s.Control,
 			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
 		},
-		Wall:   func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
-		Duties: platform.Cloud{Address: s.PlatformAddress, Advisor: s.AdvisorAddress, Holder: s.Node, HTTP: client},
+		Wall:     func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
+		Platform: platform.Cloud{Address: s.PlatformAddress, Advisor: s.AdvisorAddress, Holder: s.Node, HTTP: client},
 	}
 	f.leader.Init()
 	f.node.Leader = f.leader
--- a/internal/assembler/fleetlisten.go
+++ b/internal/assembler/fleetlisten.go
@@ -54,9 +54,9 @@
 		handler http.Handler
 		idle    time.Duration
 	}{
-		{s.Front, platform.Front{Desk: f.node}, idleTimeout},
+		{s.Front, platform.Front{API: f.node}, idleTimeout},
 		{s.Ready, platform.Ready{Check: f.Ready}, idleTimeout},
-		{s.Control, platform.Control{Desk: f.node}, lease.Std()},
+		{s.Control, platform.Control{API: f.node}, lease.Std()},
 		{manager.Address(net.JoinHostPort(s.Address, fmt.Sprint(s.MetricsPort))), metrics, idleTimeout},
 	} {
 		if err := f.serve(s.Bind(h.address), h.handler, h.idle); err != nil {
--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -48,7 +48,7 @@
 	var queue manager.QueueSettings
 	var id manager.GraphID
 	var err error
-	l.Store.Inspect(func() { queue, id, err = locate(l.Book.Configuration, c.Host, c.Path) })
+	l.Store.Inspect(func() { queue, id, err = locate(l.State.Configuration, c.Host, c.Path) })
 	if err != nil {
 		return manager.FleetReply{}, err
 	}
@@ -63,10 +63,10 @@
 	var reply manager.FleetReply
 	l.Store.Inspect(func() {
 		if id == "" {
-			reply.Pending = l.Book.Pending(queue.Queue)
+			reply.Pending = l.State.Pending(queue.Queue)
 			return
 		}
-		j := l.Book.Jobs[id]
+		j := l.State.Jobs[id]
 		if j == nil {
 			err = manager.ErrNotExist{Kind: "job", Name: string(id)}
 			return
@@ -76,20 +76,20 @@
 	return l.checked(reply, err)
 }
 
-// read answers from the book.
+// read answers from the replicated state.
 func (l *Leader) read(c manager.FleetCall) (manager.FleetReply, error) {
 	var reply manager.FleetReply
 	var err error
 	l.Store.Inspect(func() {
 		switch c.Kind {
 		case manager.CallReadBack:
-			if l.Book.Configuration == nil {
+			if l.State.Configuration == nil {
 				err = manager.ErrUnavailable{Component: "configuration", Reason: "none is known yet"}
 				return
 			}
-			reply.Document = l.Book.Configuration.Document
+			reply.Document = l.State.Configuration.Document
 		case manager.CallWaveState:
-			w := l.Book.Waves[c.Wave.Wave]
+			w := l.State.Waves[c.Wave.Wave]
 			if w == nil {
 				err = manager.ErrNotExist{Kind: "wave", Name: c.Path}
 				return
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -1,3 +1,3 @@
-// Package coordinator drives the dispatcher on the replica that leads, and brings every call of a
-// fleet's callers, workers and operators to it from whichever node took it.
+// Package coordinator runs the dispatcher on the replica that leads, and forwards the calls of a fleet's callers, workers
+// and operators to it from every other node.
 package coordinator
--- a/internal/coordinator/events.go
+++ b/internal/coordinator/events.go
@@ -7,7 +7,7 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 )
 
-// maxEvents bounds the events that wait for a turn.
+// maxEvents bounds the events that wait for a cycle.
 const maxEvents = 4096
 
 // queuedEvent is an event and the call that waits for its answer.
@@ -16,7 +16,7 @@
 	done  chan outcome
 }
 
-// eventBox collects events between two turns.
+// eventBox collects events between two cycles.
 type eventBox struct {
 	wake chan struct{}
 
@@ -27,7 +27,7 @@
 	closing bool
 }
 
-// add queues an event, or says why it was not.
+// add queues an event. It fails if this replica does not lead, or too many events wait.
 func (b *eventBox) add(e dispatcher.Event, done chan outcome) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -55,7 +55,7 @@
 	return list
 }
 
-func (b *eventBox) takeAndShut() []queuedEvent {
+func (b *eventBox) takeAndClose() []queuedEvent {
 	b.mu.Lock()
 	b.opened = false
 	b.mu.Unlock()
--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -18,17 +18,17 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// PathJoin is the endpoint where a node with a disk asks to become a replica.
+// PathJoin is the endpoint where a node with a disk requests to become a replica.
 const PathJoin = "/fleet/join"
 
 const (
-	// joinPeriod is the pause between two looks at the own membership.
+	// joinPeriod is the interval between two checks of the membership.
 	joinPeriod = time.Second
 	// joinTimeout bounds one request to join; the change has to be committed.
 	joinTimeout = 2 * time.Second
 )
 
-// JoinRequest asks the leader to take in a replica.
+// JoinRequest asks the leader to add a replica.
 type JoinRequest struct {
 	Address          manager.Address
 	AvailabilityZone manager.AvailabilityZone
@@ -37,10 +37,11 @@
 	Replica manager.ReplicaID
 }
 
-// KindRemoved is the kind of the conflict that tells a replica that it was removed for good.
+// KindRemoved is the kind of the conflict that is returned to a replica that was removed.
 const KindRemoved = "removed replica"
 
-// Join takes a replica into the group, one change at a time; the node asks again until it is a member.
+// Join adds a replica to the group. Membership changes are made one at a time, so the node repeats the request until it is
+// a member.
 func (l *Leader) Join(ctx context.Context, q JoinRequest) error {
 	s := l.Store.Status()
 	for _, m := range s.Members.List {
@@ -62,15 +63,15 @@
 	})
 	if err != nil {
 		// The node that asks logs why it has not joined.
-		return fmt.Errorf("take in replica: %w", err)
+		return fmt.Errorf("add replica: %w", err)
 	}
 	klog.InfoS(manager.LogReplicaAdded, "Replica", s.Members.LastReplica+1, "Address", q.Address, "Disk", q.Disk)
 	return nil
 }
 
-// dropReplaced removes a silent replica once another voter has come for it, so that it counts for no quorum,
-// or if it has no vote.
-func (l *Leader) dropReplaced(ctx context.Context, founded int) {
+// removeReplaced removes a silent replica if another voter has replaced it, so that it no longer counts for a quorum, or if
+// it is a learner.
+func (l *Leader) removeReplaced(ctx context.Context, founded int) {
 	s := l.Store.Status()
 	gone, ok := replaced(s.Members, s.Silent, founded)
 	if !ok {
@@ -105,20 +106,20 @@
 	return silentVoters[0], true
 }
 
-// Joiner keeps the local disk a member of the group.
+// Joiner keeps the replica on the local disk a member of the group.
 type Joiner struct {
 	Request JoinRequest
 	Store   *storer.Replicated
 	Leader  *Leader
 	Finder  *finder.Finder
 	HTTP    *http.Client
-	// Removed is called once the group has removed this disk for good.
+	// Removed is called once the group has removed this disk.
 	Removed func()
-	// Founded is the least number of voters to keep.
+	// Founded is the number of voters at the bootstrap, the least number to keep.
 	Founded int
 }
 
-// Run asks to join until ctx ends.
+// Run requests membership until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
 	t := time.NewTicker(joinPeriod)
 	defer t.Stop()
@@ -129,14 +130,15 @@
 		case <-t.C:
 		}
 		if j.Leader.Serving() {
-			j.Leader.dropReplaced(ctx, j.Founded)
+			j.Leader.removeReplaced(ctx, j.Founded)
 			continue
 		}
-		j.look(ctx)
+		j.requestJoin(ctx)
 	}
 }
 
-func (j *Joiner) look(ctx context.Context) {
+// requestJoin asks the leader to add this disk unless it is a member.
+func (j *Joiner) requestJoin(ctx context.Context) {
 	v := j.Finder.View()
 	if v.Leader == "" || v.Leader == j.Request.Address || len(v.Members) == 0 {
 		return
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// idlePause is the longest pause between two turns; leases and parked reports are looked at then.
+	// idlePause is the longest pause between two cycles, which check leases and held reports.
 	idlePause = 40 * time.Millisecond
 	// gatherPause lets events gather for one commit; each commit costs a sync on every replica.
 	gatherPause = 6 * time.Millisecond
@@ -34,16 +34,16 @@
 
 // Leader runs the dispatcher while the local replica leads.
 type Leader struct {
-	Clock   manager.Clock
-	Store   *storer.Replicated
-	Book    *recorder.State
-	Options dispatcher.Options
-	Duties  DutyCaller
+	Clock    manager.Clock
+	Store    *storer.Replicated
+	State    *recorder.State
+	Options  dispatcher.Options
+	Platform PlatformCaller
 	// Wall returns the time of day.
 	Wall func() manager.Time
 
 	inbox   eventBox
-	limiter dutyLimiter
+	limiter orderLimiter
 	calls   map[dispatcher.CallID]chan outcome
 	current *dispatcher.Dispatcher
 	term    manager.Term
@@ -57,11 +57,11 @@
 func (l *Leader) Init() {
 	l.calls = map[dispatcher.CallID]chan outcome{}
 	l.inbox.wake = make(chan struct{}, 1)
-	l.limiter = dutyLimiter{slots: make(chan struct{}, maxDuties), leads: l.holdsToken}
+	l.limiter = orderLimiter{slots: make(chan struct{}, maxPlatformOrders), leads: l.holdsToken}
 	l.stop, l.done = make(chan struct{}), make(chan struct{})
 }
 
-// Run takes events until Close.
+// Run processes events until Close.
 func (l *Leader) Run() {
 	defer close(l.done)
 	t := time.NewTimer(idlePause)
@@ -69,13 +69,13 @@
 	for {
 		select {
 		case <-l.stop:
-			l.depose("it is stopping")
+			l.endCalls("it is stopping")
 			return
 		case <-t.C:
 		case <-l.inbox.wake:
 			time.Sleep(gatherPause)
 		}
-		for l.turn() {
+		for l.runCycle() {
 		}
 		t.Reset(idlePause)
 	}
@@ -87,10 +87,10 @@
 	<-l.done
 }
 
-// PrepareStop refuses every call from now on, so that leadership can be handed over.
+// PrepareStop refuses every call from now on, so that leadership can be transferred.
 func (l *Leader) PrepareStop() { l.inbox.prepareStop() }
 
-// Serving tells whether the local replica leads and a quorum confirmed that lately.
+// Serving reports whether the local replica leads and a quorum has confirmed that recently.
 func (l *Leader) Serving() bool {
 	_, ok := l.leadership()
 	return ok
@@ -102,12 +102,12 @@
 	return term, leads && confirmed != 0 && l.Clock.Now().Sub(confirmed) < l.Store.ElectionTimeout() && !l.inbox.stopping()
 }
 
-// turn runs one step and its commit; it returns whether something was committed.
-func (l *Leader) turn() bool {
+// runCycle runs one cycle of the dispatcher and commits its changes. It reports whether there were any.
+func (l *Leader) runCycle() bool {
 	term, ok := l.leadership()
 	if !ok {
 		if _, leads, _ := l.Store.Leadership(); !leads || l.inbox.stopping() {
-			l.depose("another replica leads")
+			l.endCalls("another replica leads")
 		}
 		return false
 	}
@@ -115,13 +115,13 @@
 		return false
 	}
 	if l.current == nil || l.term != term {
-		l.depose("a new term began")
+		l.endCalls("a new term began")
 		l.inbox.open()
 		l.term = term
 		l.Store.Inspect(func() {
-			l.current = dispatcher.New(l.Book, manager.FencingToken(term), l.Options, l.Clock.Now())
+			l.current = dispatcher.New(l.State, manager.FencingToken(term), l.Options, l.Clock.Now())
 		})
-		klog.InfoS(manager.LogDispatcherStarted, "Token", term, "Jobs", len(l.Book.Active()))
+		klog.InfoS(manager.LogDispatcherStarted, "Token", term, "Jobs", len(l.State.Active()))
 	}
 	events := l.takeEvents()
 	var changes recorder.Changes
@@ -132,7 +132,7 @@
 	})
 	if changes.Empty() {
 		l.deliver(answers)
-		l.follow()
+		l.performEffects()
 		return false
 	}
 	l.deliver(answers)
@@ -142,7 +142,7 @@
 	}
 	l.Store.Inspect(func() { answers = l.current.Committed(l.Clock.Now()) })
 	l.deliver(answers)
-	l.follow()
+	l.performEffects()
 	return true
 }
 
@@ -159,7 +159,7 @@
 	return err
 }
 
-// fail ends the calls that wait for a commit which did not come, and starts over.
+// fail ends the calls that wait for a commit that failed, and discards the dispatcher.
 func (l *Leader) fail(err error) {
 	klog.ErrorS(err, manager.LogChangesNotCommitted, "Token", l.term)
 	forCommit, forOrders := l.current.PendingCalls()
@@ -173,9 +173,9 @@
 	l.startAt = l.Clock.Now().Add(restartPause)
 }
 
-// depose ends every call, as this replica does not dispatch.
-func (l *Leader) depose(reason string) {
-	for _, e := range l.inbox.takeAndShut() {
+// endCalls ends every call and discards the dispatcher, as this replica does not lead.
+func (l *Leader) endCalls(reason string) {
+	for _, e := range l.inbox.takeAndClose() {
 		l.calls[e.event.Call] = e.done
 	}
 	if l.current != nil {
@@ -226,8 +226,8 @@
 	}
 }
 
-// follow does what a step left to do: log lines and calls to the platform.
-func (l *Leader) follow() {
+// performEffects writes the log lines of a cycle and makes its calls to the platform.
+func (l *Leader) performEffects() {
 	for _, n := range l.current.LogLines() {
 		meter.Decisions(n.Message).Inc()
 		if e := n.Ended; e != nil {
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -41,8 +41,7 @@
 	isolatedPatience = 300 * manager.Millisecond
 )
 
-// Node is the desk of one node: it answers calls where its replica leads and brings them to the
-// leader elsewhere.
+// Node is the fleet API of one node: it answers calls if its replica leads and forwards them to the leader otherwise.
 type Node struct {
 	Clock  manager.Clock
 	Finder *finder.Finder
@@ -51,7 +50,7 @@
 	Leader *Leader
 	// Own is this node's peer address.
 	Own manager.Address
-	// Control is where this node takes operators; the port is the same on every node.
+	// Control is where this node answers operators; the port is the same on every node.
 	Control manager.Address
 
 	servedAt atomicTime
@@ -63,18 +62,18 @@
 
 var _ manager.FleetAPI = (*Node)(nil)
 
-// Call brings a call to the leader and tries again until ctx ends; every call may be repeated.
+// Call forwards a call to the leader and tries again until ctx ends; every call may be repeated.
 func (n *Node) Call(ctx context.Context, c manager.FleetCall) (manager.FleetReply, error) {
 	start := n.Clock.Now()
 	reply, err := n.call(ctx, c)
 	err = n.addPause(ctx, c, err)
-	meter.DeskCallSeconds(c.Kind).Update(n.Clock.Now().Sub(start).Std().Seconds())
+	meter.FleetCallSeconds(c.Kind).Update(n.Clock.Now().Sub(start).Std().Seconds())
 	outcome := "taken"
 	if err != nil {
 		_, body := translator.FromError(err)
 		outcome = string(body.Code)
 	}
-	meter.DeskCalls(c.Kind, outcome).Inc()
+	meter.FleetCalls(c.Kind, outcome).Inc()
 	return reply, err
 }
 
@@ -154,10 +153,10 @@
 // reachedAt is when a leader answered last, or the first call came.
 func (n *Node) reachedAt() manager.Time { return max(n.answeredAt(), n.calledAt.get()) }
 
-// isolated tells whether no leader has answered for longer than an election takes.
+// isolated reports whether no leader has answered for longer than an election takes.
 func (n *Node) isolated(now manager.Time) bool { return now.Sub(n.reachedAt()) >= isolatedAge }
 
-// final tells whether an error is the leader's own answer.
+// final reports whether an error is the leader's own answer.
 func final(err error) bool {
 	return manager.IsErrInvalid(err) || manager.IsErrNotExist(err) || manager.IsErrConflict(err) ||
 		manager.IsErrOverloaded(err) || manager.IsErrUnavailable(err)
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -24,17 +24,17 @@
 func (n *Node) AddRoutes(e *echo.Echo) {
 	e.Use(middleware.Decompress())
 	e.GET(finder.PathView, func(c echo.Context) error { return n.packer.answer(c, n.Finder.View()) })
-	e.POST(PathCall, n.takeCall)
+	e.POST(PathCall, n.handleCall)
 	if n.Leader == nil {
 		return
 	}
-	e.POST(PathJoin, n.takeJoin)
-	e.POST(storer.PathReplicate, n.takeExchange)
+	e.POST(PathJoin, n.handleJoin)
+	e.POST(storer.PathReplicate, n.handleExchange)
 	e.POST(storer.PathProbe, func(c echo.Context) error { return n.packer.answer(c, n.Leader.Store.Probe()) })
 }
 
-// takeCall answers another node's call here or not at all, so that calls never go in circles.
-func (n *Node) takeCall(c echo.Context) error {
+// handleCall answers the call of another node. It never forwards it, so that calls do not loop.
+func (n *Node) handleCall(c echo.Context) error {
 	var call manager.FleetCall
 	if err := listener.Decode(c, maxPeerBytes, &call); err != nil {
 		return err
@@ -50,7 +50,7 @@
 	return n.packer.answer(c, reply)
 }
 
-func (n *Node) takeJoin(c echo.Context) error {
+func (n *Node) handleJoin(c echo.Context) error {
 	var q JoinRequest
 	if err := listener.Decode(c, maxPeerBytes, &q); err != nil {
 		return err
@@ -64,7 +64,7 @@
 	return n.packer.answer(c, struct{}{})
 }
 
-func (n *Node) takeExchange(c echo.Context) error {
+func (n *Node) handleExchange(c echo.Context) error {
 	var e storer.Exchange
 	if err := listener.Decode(c, maxPeerBytes, &e); err != nil {
 		return err
--- a/internal/coordinator/duties.go
+++ b/internal/coordinator/platformorders.go
@@ -11,16 +11,16 @@
 )
 
 const (
-	// dutyTimeout bounds one call to the platform, which may be slow, and the wait for a free slot.
-	dutyTimeout = 3 * time.Second
-	// maxDuties bounds the orders to the platform that are under way: it takes a few hundred a second from all
+	// platformTimeout bounds a call to the platform, and the wait for a free slot.
+	platformTimeout = 3 * time.Second
+	// maxPlatformOrders bounds the orders to the platform that are under way: it takes a few hundred a second from all
 	// nodes, and each order holds a descriptor.
-	maxDuties = 32
+	maxPlatformOrders = 32
 )
 
-// DutyCaller calls the platform's API for VMs.
-type DutyCaller interface {
-	// Perform orders a move or an upkeep.
+// PlatformCaller calls the platform's API for VMs.
+type PlatformCaller interface {
+	// Perform orders a move or maintenance.
 	Perform(ctx context.Context, d dispatcher.PlatformOrder) dispatcher.PlatformOutcome
 	// List reads the list of VMs.
 	List(ctx context.Context) (dispatcher.Listing, error)
@@ -28,13 +28,13 @@
 	Advise(ctx context.Context, r dispatcher.AdviceRequest) (map[manager.WorkerID]manager.Permit, error)
 }
 
-// adviceMargin is added to the time that the service for permits says it takes: others may be before us.
+// adviceMargin is added to the time that the advisor says it takes, as it answers one call after the other.
 const adviceMargin = 2 * time.Second
 
 func (l *Leader) advise(r dispatcher.AdviceRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.LimitMs.Std()+adviceMargin)
 	defer cancel()
-	permits, err := l.Duties.Advise(ctx, r)
+	permits, err := l.Platform.Advise(ctx, r)
 	if err != nil {
 		klog.InfoS(manager.LogAdviceFailed, "RequestID", r.Step.Graph, "Step", r.Step.Step, "Reason", err.Error())
 	}
@@ -44,17 +44,17 @@
 	}
 }
 
-// dutyLimiter bounds the orders to the platform that are under way. It answers surges that end or begin: hundreds of
-// VMs change their pool at once.
-type dutyLimiter struct {
+// orderLimiter bounds the orders to the platform that are under way. It is made for load peaks that begin or end, when
+// hundreds of VMs change their pool at once.
+type orderLimiter struct {
 	slots chan struct{}
-	// leads tells whether the dispatcher with a token still leads.
+	// leads reports whether the dispatcher with a token still leads.
 	leads func(manager.FencingToken) bool
 }
 
 // perform calls the platform once there is a free slot, unless another dispatcher may lead by then.
-func (b *dutyLimiter) perform(caller DutyCaller, d dispatcher.PlatformOrder) dispatcher.PlatformOutcome {
-	wait := time.NewTimer(dutyTimeout)
+func (b *orderLimiter) perform(caller PlatformCaller, d dispatcher.PlatformOrder) dispatcher.PlatformOutcome {
+	wait := time.NewTimer(platformTimeout)
 	defer wait.Stop()
 	select {
 	case b.slots <- struct{}{}:
@@ -67,29 +67,29 @@
 		klog.InfoS(manager.LogPlatformOrderNotSent, "VM", d.VM, "Token", d.Token, "Reason", "another dispatcher may lead")
 		return dispatcher.OutcomeUnknown
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
 	return caller.Perform(ctx, d)
 }
 
-// holdsToken tells whether this replica leads in the term of a token.
+// holdsToken reports whether this replica leads in the term of a token.
 func (l *Leader) holdsToken(token manager.FencingToken) bool {
 	term, ok := l.leadership()
 	return ok && manager.FencingToken(term) == token
 }
 
 func (l *Leader) perform(d dispatcher.PlatformOrder) {
-	r := dispatcher.PlatformResult{Order: d, Outcome: l.limiter.perform(l.Duties, d)}
+	r := dispatcher.PlatformResult{Order: d, Outcome: l.limiter.perform(l.Platform, d)}
 	if err := l.inbox.add(dispatcher.Event{Platform: &r}, nil); err != nil {
 		klog.InfoS(manager.LogPlatformOutcomeDropped, "VM", d.VM, "Outcome", r.Outcome, "Reason", err.Error())
 	}
 }
 
 func (l *Leader) list() {
-	ctx, cancel := context.WithTimeout(context.Background(), dutyTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
 	asked := l.Clock.Now()
-	listing, err := l.Duties.List(ctx)
+	listing, err := l.Platform.List(ctx)
 	if err != nil {
 		klog.InfoS(manager.LogPlatformListNotRead, "Reason", err.Error())
 		return
--- a/internal/coordinator/duties_test.go
+++ b/internal/coordinator/platformorders_test.go
@@ -16,7 +16,7 @@
 
 // slowPlatform takes a while for each order and counts those under way.
 type slowPlatform struct {
-	DutyCaller
+	PlatformCaller
 	takes time.Duration
 
 	mu             sync.Mutex
@@ -43,7 +43,7 @@
 }
 
 // orderAll performs orders for many VMs at once and counts their outcomes.
-func orderAll(b *dutyLimiter, p DutyCaller, n int) map[dispatcher.PlatformOutcome]int {
+func orderAll(b *orderLimiter, p PlatformCaller, n int) map[dispatcher.PlatformOutcome]int {
 	var mu sync.Mutex
 	var work sync.WaitGroup
 	outcomes := map[dispatcher.PlatformOutcome]int{}
@@ -59,8 +59,8 @@
 	return outcomes
 }
 
-func newDutyLimiter(leads func(manager.FencingToken) bool) *dutyLimiter {
-	return &dutyLimiter{slots: make(chan struct{}, maxDuties), leads: leads}
+func newDutyLimiter(leads func(manager.FencingToken) bool) *orderLimiter {
+	return &orderLimiter{slots: make(chan struct{}, maxPlatformOrders), leads: leads}
 }
 
 // At the end of a turn most of a fleet of thousands of VMs is switched off at once.
@@ -69,7 +69,7 @@
 		p := &slowPlatform{takes: 10 * time.Millisecond}
 		outcomes := orderAll(newDutyLimiter(func(manager.FencingToken) bool { return true }), p, 1500)
 		require.Equal(t, 1500, outcomes[dispatcher.OutcomeAccepted])
-		require.Equal(t, maxDuties, p.most)
+		require.Equal(t, maxPlatformOrders, p.most)
 	})
 }
 
@@ -79,8 +79,8 @@
 		began := time.Now()
 		leads := func(manager.FencingToken) bool { return time.Since(began) < 25*time.Millisecond }
 		outcomes := orderAll(newDutyLimiter(leads), p, 1500)
-		require.Equal(t, 3*maxDuties, p.all)
-		require.Equal(t, 1500-3*maxDuties, outcomes[dispatcher.OutcomeUnknown])
+		require.Equal(t, 3*maxPlatformOrders, p.all)
+		require.Equal(t, 1500-3*maxPlatformOrders, outcomes[dispatcher.OutcomeUnknown])
 	})
 }
 
@@ -90,6 +90,6 @@
 		p := &slowPlatform{takes: time.Hour}
 		outcomes := orderAll(newDutyLimiter(func(manager.FencingToken) bool { return true }), p, 1500)
 		require.Equal(t, 1500, outcomes[dispatcher.OutcomeUnknown])
-		require.LessOrEqual(t, time.Since(began), 2*dutyTimeout)
+		require.LessOrEqual(t, time.Since(began), 2*platformTimeout)
 	})
 }
--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -6,19 +6,18 @@
 	"time"
 )
 
-// retryPause is the pause between two tries of all calls of a node together.
+// retryPause is the pause between two retries of all calls of a node together.
 const retryPause = 60 * time.Millisecond
 
-// waiters are the calls of a node that no leader has answered. Together they try as often as one would alone,
-// and all go on as soon as one of them is answered: a new leader would be kept from its work by the tries of
-// hundreds of calls on each node.
+// waiters are the calls of a node that no leader has answered. Together they retry as often as one call would, and all
+// retry as soon as one of them is answered: the retries of hundreds of calls on each node would overload a new leader.
 type waiters struct {
 	mu    sync.Mutex
 	count int
 	woken chan struct{}
 }
 
-// wait returns true when the call should try again, and false once ctx has ended.
+// wait returns true when the call should be retried, and false once ctx has ended.
 func (w *waiters) wait(ctx context.Context) bool {
 	w.mu.Lock()
 	w.count++
@@ -44,7 +43,7 @@
 	}
 }
 
-// wake lets all calls that wait try again.
+// wake makes all waiting calls retry.
 func (w *waiters) wake() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -54,13 +54,13 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_decisions_total{message=%q}`, message))
 }
 
-// DeskCalls counts the calls of callers, workers and operators by kind and outcome.
-func DeskCalls(k manager.FleetCallKind, outcome string) *metrics.Counter {
+// FleetCalls counts the calls of callers, workers and operators by kind and outcome.
+func FleetCalls(k manager.FleetCallKind, outcome string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_desk_calls_total{kind=%q,outcome=%q}`, k, outcome))
 }
 
-// DeskCallSeconds is the time from a call's arrival at a node to its answer.
-func DeskCallSeconds(k manager.FleetCallKind) *metrics.Histogram {
+// FleetCallSeconds is the time from a call's arrival at a node to its answer.
+func FleetCallSeconds(k manager.FleetCallKind) *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(fmt.Sprintf(`mulberryhaven_desk_call_seconds{kind=%q}`, k))
 }
 
