Start no long-running task on a VM whose move is ordered

Cause: since long-running tasks may start on VMs that are to be switched off, one that arrives while the move of an idle VM is ordered could start there, and the move would end it.

Change: a worker whose move is ordered gets no start at all; one that only waits to become idle still gets long-running tasks.

Result: TestLongRunningTaskAvoidsVMWithOrderedMove fails without the change.

--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -56,7 +56,7 @@
 		switch {
 		case w != nil:
 			selected := w.movePending
-			w.movePending = false
+			w.movePending, w.moveOrdered = false, false
 			if ready && spare[w.latest.Pool] > 0 && d.movable(w) {
 				spare[w.latest.Pool]--
 				on = append(on, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w, selected: selected})
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -68,8 +68,8 @@
 }
 
 // balancePools moves VMs without long-running tasks from the pools with the lowest load to those with the highest, and
-// switches off those that no pool needs. It is made for queues that peak one after the other, each for some seconds and beyond the
-// capacity of its own pool.
+// switches off those that no pool needs. It is made for queues that peak one after the other, each for some seconds and
+// beyond the capacity of its own pool.
 func (d *Dispatcher) balancePools(now manager.Time, c *recorder.Changes) {
 	d.updateMoves(now, c)
 	if d.State.Configuration == nil || now.Sub(d.lending.balancedAt) < balancePeriod {
@@ -179,6 +179,9 @@
 	if !d.mayOrder(now, vm.vm) {
 		return
 	}
+	if vm.worker != nil {
+		vm.worker.moveOrdered = true
+	}
 	c.Move = append(c.Move, recorder.Move{VM: vm.vm, Pool: to, From: vm.pool})
 	d.log(manager.LogVMMoveOrdered, "VM", vm.vm, "From", vm.pool, "To", to)
 }
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -85,7 +85,7 @@
 func (d *Dispatcher) candidates(now manager.Time, ready map[manager.PoolID]bool) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
 	for _, w := range d.sortedWorkers() {
-		if !ready[w.latest.Pool] || w.endsPending || !w.polling && now.Sub(w.heardAt) > maxCandidateAge || w.latest.Draining || w.evacuating || w.health.excluded(now) || d.usageOf(w).unknownRuns {
+		if !ready[w.latest.Pool] || !d.mayGetTasks(now, w) {
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
@@ -95,6 +95,13 @@
 	return pools
 }
 
+// mayGetTasks reports whether a worker is available and stays so.
+func (d *Dispatcher) mayGetTasks(now manager.Time, w *worker) bool {
+	leaving := w.latest.Draining || w.evacuating || w.moveOrdered
+	heard := w.polling || now.Sub(w.heardAt) <= maxCandidateAge
+	return heard && !leaving && !w.endsPending && !w.health.excluded(now) && !d.usageOf(w).unknownRuns
+}
+
 // poolOf returns the pool that runs a job, or "" while its queue is not configured.
 func (d *Dispatcher) poolOf(j *recorder.Job) manager.PoolID {
 	return d.queue(j).Pool
--- a/pkg/manager/dispatcher/surplus_test.go
+++ b/pkg/manager/dispatcher/surplus_test.go
@@ -108,3 +108,26 @@
 	f.run(1 * manager.Second)
 	require.Zero(t, f.notRunning("watch"), "a task waits although each worker has enough free capacity")
 }
+
+// A long-running task arrives while idle VMs are ordered to the standby pool: the move would end a task that starts there.
+func TestLongRunningTaskAvoidsVMWithOrderedMove(t *testing.T) {
+	f := newLendingFleet(t)
+	f.acceptOrders = false
+	for i := range 4 {
+		f.worker(manager.WorkerID(fmt.Sprintf("p%d", i)), pool, 4000)
+	}
+	f.sendListing(map[manager.VMID]dispatcher.ListedVM{})
+	for len(f.platformOrders) == 0 {
+		f.submit(manager.GraphID(fmt.Sprintf("watch%d", f.now)), longRunning(10, 2, 1))
+		f.run(50)
+	}
+	f.submit("watch", longRunning(10, 6, 1))
+	f.run(1 * manager.Second)
+	ordered := map[manager.VMID]bool{}
+	for _, order := range f.platformOrders {
+		ordered[order.VM] = true
+	}
+	for _, w := range f.workers {
+		require.False(t, ordered[w.report.VM] && len(w.runs) > 0, "a task starts on %s, which is ordered away", w.report.VM)
+	}
+}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -43,7 +43,9 @@
 	evacuatedAt manager.Time
 	firstSeenAt manager.Time
 	// movePending blocks new starts of finite tasks, as the VM moves to another pool once it is idle.
-	movePending    bool
+	movePending bool
+	// moveOrdered blocks every new start, as the VM's move would end the task.
+	moveOrdered    bool
 	health         health
 	shares         map[manager.TaskID]manager.Percent
 	throttleOrders []manager.ThrottleOrder
