--- a/pkg/manager/retrier/doc.go
+++ b/pkg/manager/retrier/doc.go
@@ -1,2 +1,2 @@
-// Package retrier decides which failed attempts of a request may run again.
+// Package retrier decides which failed attempts of a request may run again, and when refused callers should return.
 package retrier
