--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -88,7 +88,7 @@
 }
 
 // spareWorkers returns how many workers each pool may lend. A pool that has not had a job yet lends none, as its
-// long-running tasks may still arrive.
+// long-running tasks may still arrive, and neither does one whose long-running tasks wait, as they may need every worker.
 func (d *Dispatcher) spareWorkers(loads []*poolLoad) map[manager.PoolID]int {
 	spare := map[manager.PoolID]int{}
 	for _, w := range d.workers {
@@ -100,7 +100,7 @@
 	}
 	for p, n := range spare {
 		spare[p] = n - minPoolWorkers
-		if l := findLoad(loads, p); !used[p] || l != nil && l.unplaceable != nil {
+		if l := findLoad(loads, p); !used[p] || l != nil && (l.unplaceable != nil || l.longRunningWaits) {
 			spare[p] = 0
 		}
 	}
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -49,6 +49,8 @@
 	free manager.Resources
 	// unplaceable is a step whose tasks find no worker in the pool, or nil.
 	unplaceable *manager.GraphStep
+	// longRunningWaits means that a long-running task has no worker yet.
+	longRunningWaits bool
 }
 
 // load returns the larger of need and running as a share of the pool's capacity after a gain, which may be negative.
@@ -92,6 +94,7 @@
 		case l == nil || j.Unreleased():
 		case j.LongRunning():
 			d.findUnplaceable(now, l, j)
+			l.longRunningWaits = l.longRunningWaits || hasWaitingTask(j)
 		default:
 			d.findUnplaceable(now, l, j)
 			d.addNeed(l, j)
