Log a replica's members, elections without a winner and the cause of a disk error

Added: 'Replica members changed' on each replica, 'Election not won' at most once a second with the voters that granted, refused or did not answer, the field Cause of 'Replica stopped after a disk error', and the metrics mulberryhaven_replica_running, _voters and _silent_voters. Decisions are unchanged: a refused pre-vote is recorded and was ignored before.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -39,6 +39,22 @@
 	return metrics.GetOrCreateCounter(`mulberryhaven_configuration_revision`)
 }
 
+// ReplicaRunning is 1 while this node's replica takes part in its group, and 0 once it has stopped in a process that
+// runs on.
+func ReplicaRunning() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_replica_running`)
+}
+
+// ReplicaVoters is the number of voters that this node's replica knows.
+func ReplicaVoters() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_replica_voters`)
+}
+
+// ReplicaSilentVoters is the number of voters that have not answered the leader for some seconds; it is 0 elsewhere.
+func ReplicaSilentVoters() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_replica_silent_voters`)
+}
+
 // PlacementSeconds is the time of one step of placement, from reading usage to the last order.
 func PlacementSeconds() *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(`mulberryhaven_placement_seconds`)
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -97,6 +97,7 @@
 			"LeaderBefore", before.Leader, "Commit", s.Commit)
 	}
 	r.view.status.Silent = r.replica.Silent(r.Clock.Now())
+	r.reporter.report(r.Clock.Now(), r.view.status)
 	r.view.confirmed = 0
 	if at, ok := r.replica.ConfirmedAt(); ok {
 		r.view.confirmed = at
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
+	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/applier"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
@@ -68,6 +69,7 @@
 	snapshot     manager.SnapshotMeta
 	probeAt      manager.Time
 	diskSpace    diskSpaceWatch
+	reporter     reporter
 	peers        *peerSet
 
 	inbox inbox
@@ -139,6 +141,7 @@
 		Rand: rand.New(rand.NewPCG(r.Seed, uint64(r.Replica))),
 	}
 	r.replica.Start(r.Clock.Now(), stored)
+	meter.ReplicaRunning().Set(1)
 	klog.InfoS(manager.LogReplicaStarted, "Group", r.identity.Group, "Replica", r.Replica, "Term", stored.HardState.Term)
 }
 
@@ -156,7 +159,7 @@
 		case <-r.inbox.wake:
 		}
 		if err := r.runCycle(); err != nil {
-			klog.ErrorS(err, manager.LogReplicaStopped)
+			r.reportStopped(err)
 			r.terminate(errors.Join(manager.ErrUnavailable{Component: manager.ComponentDisk, Reason: "a write failed"}, err))
 			return
 		}
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -22,6 +22,7 @@
 	LogDataFolderCleared             = "Data folder cleared because the group removed this replica"
 	LogDispatcherEnded               = "Dispatcher ended"
 	LogDispatcherStarted             = "Dispatcher started"
+	LogElectionNotWon                = "Election not won"
 	LogGroupCreated                  = "Replica group created"
 	LogHeartbeatRefused              = "Heartbeat refused"
 	LogJobAccepted                   = "Job accepted"
@@ -51,6 +52,7 @@
 	LogPoolLoad                      = "Pool loaded"
 	LogReplicaAdded                  = "Replica added"
 	LogReplicaLostDisk               = "Replica lost its disk"
+	LogReplicaMembersChanged         = "Replica members changed"
 	LogReplicaRoleChanged            = "Replica role changed"
 	LogReplicaStarted                = "Replica started"
 	LogReplicaStopped                = "Replica stopped after a disk error"
@@ -94,6 +96,7 @@
 		{LogDataFolderCleared, "Replica", "The disk joins the group again as a new one."},
 		{LogDispatcherEnded, "Leader", "This node stops dispatching."},
 		{LogDispatcherStarted, "Leader", "This node starts dispatching, with Token as its fencing token."},
+		{LogElectionNotWon, "Replica", "This replica has sought votes for ForMs without a winner. Granted, Refused and Unheard are the voters by their latest answer."},
 		{LogGroupCreated, "Replica", "The replica group was bootstrapped, which happens once in the lifetime of the system."},
 		{LogHeartbeatRefused, "Any", "A heartbeat could not be read and is ignored."},
 		{LogJobAccepted, "Leader", "A job is being committed."},
@@ -123,9 +126,10 @@
 		{LogPoolLoad, "Leader", "The load and the VMs of a pool, once a second while it has work."},
 		{LogReplicaAdded, "Leader", "A disk was added to the group as a replica, without a vote at first."},
 		{LogReplicaLostDisk, "Leader", "Another disk is in use at a replica's address, so the old replica is removed."},
+		{LogReplicaMembersChanged, "Replica", "The members that this replica knows have changed; a learner has no vote."},
 		{LogReplicaRoleChanged, "Replica", "The replica became the leader, follows another leader, or has lost its leader; Leader 0 means none."},
 		{LogReplicaStarted, "Replica", "The replica started with the state on its disk."},
-		{LogReplicaStopped, "Replica", "A write or sync failed, so the disk cannot be trusted; the replica does not take part again until it is restarted."},
+		{LogReplicaStopped, "Replica", "A write or sync failed, so the disk cannot be trusted; the replica does not take part again until it is restarted. Cause is the operating system's error."},
 		{LogRunEnded, "Leader", "A worker reported the end of a run."},
 		{LogRunLost, "Leader", "A worker instance ended or its lease expired without a report of the run."},
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -49,7 +49,7 @@
 func (r *Replica) preCampaign(now manager.Time) {
 	r.role, r.leader = RolePreCandidate, 0
 	r.scheduleElectionRetry(now)
-	r.votes = map[manager.ReplicaID]bool{r.ID: true}
+	r.votes, r.refusals = map[manager.ReplicaID]bool{r.ID: true}, map[manager.ReplicaID]bool{}
 	r.restartedVoters = map[manager.ReplicaID]bool{r.ID: r.recentlyRestarted(now)}
 	if r.preVoteWon() {
 		r.campaign(now, false)
@@ -81,7 +81,7 @@
 	r.role, r.leader = RoleCandidate, 0
 	r.scheduleElectionRetry(now)
 	r.attempts++
-	r.votes = map[manager.ReplicaID]bool{r.ID: true}
+	r.votes, r.refusals = map[manager.ReplicaID]bool{r.ID: true}, map[manager.ReplicaID]bool{}
 	if r.electionWon() {
 		r.becomeLeader(now)
 		return
@@ -121,6 +121,10 @@
 }
 
 func (r *Replica) handlePreVoteAnswer(now manager.Time, m manager.ReplicaMessage) {
+	if r.role == RolePreCandidate && m.Refused {
+		r.refusals[m.From] = true
+		return
+	}
 	if r.role != RolePreCandidate || m.Term != r.hardState.Term+1 {
 		return
 	}
@@ -144,7 +148,11 @@
 }
 
 func (r *Replica) handleVoteAnswer(now manager.Time, m manager.ReplicaMessage) {
-	if r.role != RoleCandidate || m.Refused {
+	if r.role != RoleCandidate {
+		return
+	}
+	if m.Refused {
+		r.refusals[m.From] = true
 		return
 	}
 	r.votes[m.From] = true
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -105,6 +105,8 @@
 	priorLeaseUntil manager.Time
 
 	votes map[manager.ReplicaID]bool
+	// refusals are the voters that refused their vote in the current election; they are only reported.
+	refusals map[manager.ReplicaID]bool
 	// restartedVoters are the voters that granted a pre-vote shortly after their own restart.
 	restartedVoters map[manager.ReplicaID]bool
 	// attempts counts the elections since a leader was last heard.
@@ -234,6 +236,8 @@
 	switch m.Kind {
 	case manager.MessagePreVote:
 		r.handlePreVote(now, m)
+	case manager.MessagePreVoteAnswer:
+		r.handlePreVoteAnswer(now, m)
 	case manager.MessageVote:
 		r.handleVote(now, m)
 	case manager.MessageVoteAnswer:
@@ -358,6 +362,9 @@
 	Members manager.Members
 	// Silent are the members that a leader has not heard for silentAfter.
 	Silent []manager.ReplicaID
+	// Granted and Refused are the voters that have answered a candidate's latest request.
+	Granted []manager.ReplicaID
+	Refused []manager.ReplicaID
 }
 
 // silentAfter is the time without an answer after which a leader reports a member as silent.
@@ -379,10 +386,22 @@
 
 // Status returns the current status, except for Silent.
 func (r *Replica) Status() Status {
-	return Status{
+	s := Status{
 		Replica: r.ID, Role: r.role, Term: r.hardState.Term, Leader: r.leader, Commit: r.commit,
 		Last: r.log.last(), First: r.log.base + 1, Members: r.members,
 	}
+	if r.role != RolePreCandidate && r.role != RoleCandidate {
+		return s
+	}
+	for _, m := range r.members.List {
+		switch {
+		case r.votes[m.Replica]:
+			s.Granted = append(s.Granted, m.Replica)
+		case r.refusals[m.Replica]:
+			s.Refused = append(s.Refused, m.Replica)
+		}
+	}
+	return s
 }
 
 // ConfirmedAt returns the start of the latest heartbeat round that a quorum has answered, a time at which the
