--- a/internal/storer/replicated_test.go
+++ b/internal/storer/replicated_test.go
@@ -139,6 +139,26 @@
 	return at, g.store(at)
 }
 
+// propose commits a change at whichever replica leads.
+func (g *group) propose(id string, v manager.Version) {
+	require.Eventually(g.t, func() bool {
+		for i := range g.members {
+			s := g.store(i)
+			if s == nil {
+				continue
+			}
+			if _, leads := s.Leader(); !leads {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := s.Propose(ctx, change(id, v))
+			cancel()
+			return err == nil
+		}
+		return false
+	}, wait, tick, id)
+}
+
 // slowDisk sleeps for pause nanoseconds before each sync.
 type slowDisk struct {
 	journaler.RealDisk
