Let a learner forget a leader that it hears no more

Callers: none notice at first. The group counts on its fourth disk to replace a lost voter; once that disk was removed while it did not answer for 5 s, it never came back, and the next loss of a voter left two of three for good.

Cause: a learner starts no election, so it kept its last leader for ever. Its node named that leader from its own replica, never asked another node, and never learned that the group had removed its disk.

TestRemovedLearnerForgetsItsLeader fails before ('Should be zero, but was 1').

Why it works: the learner's election timer, which a message of a leader resets, now ends its belief; the finder then asks the other nodes, and the leader answers that the disk was removed.

--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -181,9 +181,15 @@
 		r.tickLeader(now)
 		return
 	}
-	if now >= r.electionAt && r.isVoter(r.ID) {
+	if now < r.electionAt {
+		return
+	}
+	if r.isVoter(r.ID) {
 		r.preCampaign(now)
+		return
 	}
+	// A learner starts no election. It may have been removed, which only the current leader can tell its node.
+	r.becomeFollower(now, r.hardState.Term, 0)
 }
 
 // Step handles a message from another replica.
--- a/pkg/manager/replicator/voters_test.go
+++ b/pkg/manager/replicator/voters_test.go
@@ -85,3 +85,20 @@
 		require.NoError(t, s.failure)
 	}
 }
+
+// A learner that was removed while it was cut off kept naming its last leader, so that its node never noticed the removal.
+func TestRemovedLearnerForgetsItsLeader(t *testing.T) {
+	s := newOddVotersSim(3)
+	learner := s.addLearner(t)
+	for _, id := range s.order {
+		s.block(learner.id, id)
+	}
+	s.run(6 * manager.Second)
+	leader := s.leader()
+	require.NoError(t, leader.replica.RemoveMember(s.clock(leader), learner.id))
+	s.run(manager.Second)
+	s.blocked = map[[2]manager.ReplicaID]bool{}
+	s.run(6 * manager.Second)
+	require.Zero(t, learner.replica.Status().Leader)
+	require.NoError(t, s.failure)
+}
