Start after removed segments came back with a loss of power

Cause: deleteSegments removes several segments and never syncs the folder, so that each of them may be back or not, independently; ReadFolder took any gap between the segments' numbers for damage.

--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -20,6 +20,10 @@
 	Sync(f *os.File) error
 	// Replace replaces a file atomically: after a crash it holds either the old or the new content.
 	Replace(name string, data []byte) error
+	// Remove removes a file; the removal is durable after SyncFolder.
+	Remove(name string) error
+	// SyncFolder returns once the folder's names are durable.
+	SyncFolder(folder string) error
 	// FreeBytes returns the free space of the file system that holds the folder.
 	FreeBytes(folder string) (uint64, error)
 }
@@ -46,24 +50,23 @@
 }
 
 // Replace writes a temporary file, syncs it, renames it and syncs the folder.
-func (RealDisk) Replace(name string, data []byte) error {
+func (d RealDisk) Replace(name string, data []byte) error {
 	if err := renameio.WriteFile(name, data, fileMode); err != nil {
 		return fmt.Errorf("replace %s: %w", name, err)
 	}
-	return syncFolder(filepath.Dir(name))
+	return d.SyncFolder(filepath.Dir(name))
 }
 
-// FreeBytes returns the free space of the file system that holds the folder.
-func (RealDisk) FreeBytes(folder string) (uint64, error) {
-	var s syscall.Statfs_t
-	if err := syscall.Statfs(folder, &s); err != nil {
-		return 0, fmt.Errorf("read free space of %s: %w", folder, err)
+// Remove removes a file.
+func (RealDisk) Remove(name string) error {
+	if err := os.Remove(name); err != nil {
+		return fmt.Errorf("remove file: %w", err)
 	}
-	return s.Bavail * uint64(s.Bsize), nil
+	return nil
 }
 
-// syncFolder makes the folder's entries durable.
-func syncFolder(folder string) error {
+// SyncFolder returns once the folder's names are durable.
+func (RealDisk) SyncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
 		return fmt.Errorf("open folder: %w", err)
@@ -75,6 +78,15 @@
 	return nil
 }
 
+// FreeBytes returns the free space of the file system that holds the folder.
+func (RealDisk) FreeBytes(folder string) (uint64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(folder, &s); err != nil {
+		return 0, fmt.Errorf("read free space of %s: %w", folder, err)
+	}
+	return s.Bavail * uint64(s.Bsize), nil
+}
+
 // isFull reports whether the error means that the disk or the quota is full.
 func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
 
