Write the last record again when a log is opened

Callers would see: a process whose last sync failed is killed and starts again; it reads the record, and votes and acknowledges on it. A later loss of power takes the record: the replica forgets a vote or entries, or starts no more as its segment is damaged.

Cause: Open synced the newest segment, but after a failed sync the kernel may take the lost pages for clean, so that a second sync stores nothing.

Evidence: TestOpenWritesUnsyncedRecordsAgain fails on the old code ("the last record is torn: log is damaged").

Change: Open writes the last complete record of the newest segment again, in place, and syncs. The truncation of a torn record goes through Disk, too.

Why it works: only the last record can be unsynced, as each write waits for the sync before it. The same bytes are written over themselves, so that a kill or loss of power in between takes nothing that was durable.

--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -36,6 +36,9 @@
 	Bytes int64
 
 	segments []segment
+	// lastRecord is the last complete record of the newest segment, at lastOffset.
+	lastRecord []byte
+	lastOffset int64
 }
 
 func (c *Content) nextSegment() uint64 {
@@ -149,7 +152,11 @@
 		return fmt.Errorf("read segment: %w", err)
 	}
 	s := segment{number: number}
-	end, err := readFrames(b, func(_ int, data []byte) error { return c.addRecord(&s, data) })
+	start := 0
+	end, err := readFrames(b, func(offset int, data []byte) error {
+		start = offset
+		return c.addRecord(&s, data)
+	})
 	switch {
 	case errors.Is(err, ErrTorn) && last:
 		c.Torn = &TornRecord{File: name, Offset: int64(end)}
@@ -159,6 +166,7 @@
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	c.segments = append(c.segments, s)
+	c.lastRecord, c.lastOffset = b[start:end], int64(start)
 	c.Files++
 	c.Bytes += int64(len(b))
 	return nil
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -95,12 +96,7 @@
 	}
 	l.tornTail, l.unstarted = false, 0
 	l.hardState, l.last, l.segments = c.Stored.HardState, c.lastIndex(), c.segments
-	if c.Torn != nil {
-		if err := truncateTorn(*c.Torn); err != nil {
-			return c.Stored, nil, err
-		}
-	}
-	if err := l.syncNewest(); err != nil {
+	if err := l.completeNewest(c); err != nil {
 		return c.Stored, nil, err
 	}
 	if err := l.openSegment(c.nextSegment()); err != nil {
@@ -109,33 +105,31 @@
 	return c.Stored, c.SnapshotData, nil
 }
 
-// syncNewest syncs the newest segment. A process killed between a write and its sync leaves records that
-// this start has read but that a power loss could still erase.
-func (l *Log) syncNewest() error {
-	if len(l.segments) == 0 {
+// completeNewest truncates a torn record in the newest segment and makes the last complete one durable. A
+// process killed before the record's sync, or after a failed one, leaves a record that this start has read
+// but that a power loss could still erase; it is written again, as a sync alone does not store what a
+// failed sync has dropped.
+func (l *Log) completeNewest(c Content) error {
+	if len(c.segments) == 0 {
 		return nil
 	}
-	f, err := os.OpenFile(segmentName(l.Folder, l.segments[len(l.segments)-1].number), os.O_RDWR, fileMode)
+	f, err := os.OpenFile(segmentName(l.Folder, c.segments[len(c.segments)-1].number), os.O_RDWR, fileMode)
 	if err != nil {
 		return fmt.Errorf("open newest segment: %w", err)
 	}
 	defer f.Close()
-	return l.disk().Sync(f)
-}
-
-func truncateTorn(t TornRecord) error {
-	f, err := os.OpenFile(t.File, os.O_RDWR, fileMode)
-	if err != nil {
-		return fmt.Errorf("open torn segment: %w", err)
+	if c.Torn != nil {
+		if err := l.disk().Truncate(f, c.Torn.Offset); err != nil {
+			return err
+		}
 	}
-	defer f.Close()
-	if err := f.Truncate(t.Offset); err != nil {
-		return fmt.Errorf("truncate torn record: %w", err)
+	if _, err := f.Seek(c.lastOffset, io.SeekStart); err != nil {
+		return fmt.Errorf("seek to last record: %w", err)
 	}
-	if err := f.Sync(); err != nil {
-		return fmt.Errorf("sync after truncation: %w", err)
+	if err := l.disk().Write(f, c.lastRecord); err != nil {
+		return err
 	}
-	return nil
+	return l.disk().Sync(f)
 }
 
 // openSegment creates a new segment; its first record repeats the hard state, so that older segments
--- a/internal/journaler/retry_test.go
+++ b/internal/journaler/retry_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -59,6 +61,7 @@
 	if refused != nil {
 		data = data[:len(data)/2]
 	}
+	d.forgetDropped(f, at, at+int64(len(data)))
 	d.unsynced = append(d.unsynced, fileRange{f.Name(), at, at + int64(len(data))})
 	if err := d.RealDisk.Write(f, data); err != nil {
 		return err
@@ -79,16 +82,17 @@
 	if err := d.start("truncate", f.Name()); err != nil {
 		return err
 	}
-	var kept []fileRange
-	for _, r := range d.dropped {
-		if r.name != f.Name() || r.from < size {
-			kept = append(kept, r)
-		}
-	}
-	d.dropped = kept
+	d.forgetDropped(f, size, math.MaxInt64)
 	return d.RealDisk.Truncate(f, size)
 }
 
+// forgetDropped forgets the dropped bytes within a range that is written again or cut off.
+func (d *refusingDisk) forgetDropped(f *os.File, from, to int64) {
+	d.dropped = slices.DeleteFunc(d.dropped, func(r fileRange) bool {
+		return r.name == f.Name() && r.from >= from && r.to <= to
+	})
+}
+
 func (d *refusingDisk) Replace(name string, data []byte) error {
 	if err := d.start("replace", name); err != nil {
 		return err
@@ -158,6 +162,24 @@
 	}
 }
 
+// A sync at the start would not store the bytes that a failed one has dropped.
+func TestOpenWritesUnsyncedRecordsAgain(t *testing.T) {
+	folder := t.TempDir()
+	d := &refusingDisk{}
+	killed := &journaler.Log{Folder: folder, Disk: d}
+	open(t, killed)
+	require.NoError(t, killed.Save(nil, []manager.Entry{entry(1, 1)}))
+	d.refuse = refuseOnly("sync", firstSegment, errDisk)
+	require.ErrorIs(t, killed.Save(nil, []manager.Entry{entry(2, 1)}), journaler.ErrUnwritten)
+	require.NoError(t, killed.Close())
+	d.refuse = nil
+	second := &journaler.Log{Folder: folder, Disk: d}
+	require.Equal(t, []manager.Index{1, 2}, indexes(open(t, second)))
+	require.NoError(t, second.Close())
+	d.losePower(t)
+	require.Equal(t, []manager.Index{1, 2}, indexes(open(t, &journaler.Log{Folder: folder})))
+}
+
 func TestNothingIsWrittenBehindATornTail(t *testing.T) {
 	folder := t.TempDir()
 	d := &refusingDisk{refuse: refuseOnly("sync", firstSegment, syscall.EIO)}
