--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -14,12 +14,20 @@
 // Disk is the set of operations that a Log performs on its folder; tests replace it to inject
 // failed writes and syncs.
 type Disk interface {
+	// Create creates a new file; the file is durable after its first Sync.
+	Create(name string) (*os.File, error)
 	// Write appends to an open file.
 	Write(f *os.File, data []byte) error
 	// Sync returns once the file's content is durable.
 	Sync(f *os.File) error
+	// Truncate cuts an open file to a size, from which on the next Write goes on.
+	Truncate(f *os.File, size int64) error
 	// Replace replaces a file atomically: after a crash it holds either the old or the new content.
 	Replace(name string, data []byte) error
+	// Remove removes a file; the removal is durable after SyncFolder.
+	Remove(name string) error
+	// SyncFolder returns once the folder's names are durable.
+	SyncFolder(folder string) error
 	// FreeBytes returns the free space of the file system that holds the folder.
 	FreeBytes(folder string) (uint64, error)
 }
@@ -29,6 +37,15 @@
 
 var _ Disk = RealDisk{}
 
+// Create creates a new file.
+func (RealDisk) Create(name string) (*os.File, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("create file: %w", err)
+	}
+	return f, nil
+}
+
 // Write appends to an open file.
 func (RealDisk) Write(f *os.File, data []byte) error {
 	if _, err := f.Write(data); err != nil {
@@ -45,25 +62,35 @@
 	return nil
 }
 
+// Truncate cuts an open file to a size.
+func (RealDisk) Truncate(f *os.File, size int64) error {
+	if err := f.Truncate(size); err != nil {
+		return fmt.Errorf("truncate: %w", err)
+	}
+	if _, err := f.Seek(size, io.SeekStart); err != nil {
+		return fmt.Errorf("seek after truncation: %w", err)
+	}
+	return nil
+}
+
 // Replace writes a temporary file, syncs it, renames it and syncs the folder.
-func (RealDisk) Replace(name string, data []byte) error {
+func (d RealDisk) Replace(name string, data []byte) error {
 	if err := renameio.WriteFile(name, data, fileMode); err != nil {
 		return fmt.Errorf("replace %s: %w", name, err)
 	}
-	return syncFolder(filepath.Dir(name))
+	return d.SyncFolder(filepath.Dir(name))
 }
 
-// FreeBytes returns the free space of the file system that holds the folder.
-func (RealDisk) FreeBytes(folder string) (uint64, error) {
-	var s syscall.Statfs_t
-	if err := syscall.Statfs(folder, &s); err != nil {
-		return 0, fmt.Errorf("read free space of %s: %w", folder, err)
+// Remove removes a file.
+func (RealDisk) Remove(name string) error {
+	if err := os.Remove(name); err != nil {
+		return fmt.Errorf("remove file: %w", err)
 	}
-	return s.Bavail * uint64(s.Bsize), nil
+	return nil
 }
 
-// syncFolder makes the folder's entries durable.
-func syncFolder(folder string) error {
+// SyncFolder returns once the folder's names are durable.
+func (RealDisk) SyncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
 		return fmt.Errorf("open folder: %w", err)
@@ -75,16 +102,22 @@
 	return nil
 }
 
+// FreeBytes returns the free space of the file system that holds the folder.
+func (RealDisk) FreeBytes(folder string) (uint64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(folder, &s); err != nil {
+		return 0, fmt.Errorf("read free space of %s: %w", folder, err)
+	}
+	return s.Bavail * uint64(s.Bsize), nil
+}
+
 // isFull reports whether the error means that the disk or the quota is full.
 func isFull(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
 
-// undoWrite truncates the file to its size before a failed write, which may have written a part.
-func undoWrite(f *os.File, to int64) error {
-	if err := f.Truncate(to); err != nil {
-		return fmt.Errorf("truncate after a failed write: %w", err)
-	}
-	if _, err := f.Seek(to, io.SeekStart); err != nil {
-		return fmt.Errorf("seek after a failed write: %w", err)
+// unwritten marks the error of a disk operation with ErrUnwritten, and with ErrFull on a full disk.
+func unwritten(err error) error {
+	if isFull(err) {
+		return fmt.Errorf("%w: %w: %w", ErrUnwritten, ErrFull, err)
 	}
-	return nil
+	return fmt.Errorf("%w: %w", ErrUnwritten, err)
 }
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -15,8 +16,13 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
-// ErrFull reports that the disk is full: nothing was written, and the same write may be retried.
-var ErrFull = eris.New("the disk is full")
+var (
+	// ErrUnwritten reports a failed disk operation: nothing of the call counts as stored, and the same call
+	// may be repeated.
+	ErrUnwritten = eris.New("the write is not stored")
+	// ErrFull reports that the disk is full; it comes with ErrUnwritten.
+	ErrFull = eris.New("the disk is full")
+)
 
 const (
 	// segmentBytes is the default size at which the log starts a new segment; only whole segments are
@@ -34,6 +40,8 @@
 	HardState *manager.HardState `json:",omitempty"`
 	// Reset discards all earlier entries, as a snapshot from the leader replaced the log.
 	Reset bool `json:",omitempty"`
+	// Last is the last index in the log or the snapshot when the segment was started.
+	Last manager.Index `json:",omitempty"`
 	// Entries replace all earlier entries from the first one's index on.
 	Entries []manager.Entry `json:",omitempty"`
 }
@@ -50,11 +58,16 @@
 
 	mu        sync.Mutex
 	hardState manager.HardState
-	segments  []segment
-	file      *os.File
-	size      int64
-	// failed is the first write error; nothing is written after it.
-	failed error
+	// last is the last index in the log or the snapshot.
+	last     manager.Index
+	segments []segment
+	file     *os.File
+	// size is the number of synced bytes in the file.
+	size int64
+	// tornTail means that the file may hold bytes of a failed write after size.
+	tornTail bool
+	// unstarted is the number of a segment that could not be started and may still exist.
+	unstarted uint64
 }
 
 // segment is one file of the log.
@@ -81,13 +94,9 @@
 	if err != nil {
 		return c.Stored, nil, err
 	}
-	l.hardState, l.segments = c.Stored.HardState, c.segments
-	if c.Torn != nil {
-		if err := truncateTorn(*c.Torn); err != nil {
-			return c.Stored, nil, err
-		}
-	}
-	if err := l.syncNewest(); err != nil {
+	l.tornTail, l.unstarted = false, 0
+	l.hardState, l.last, l.segments = c.Stored.HardState, c.lastIndex(), c.segments
+	if err := l.completeNewest(c); err != nil {
 		return c.Stored, nil, err
 	}
 	if err := l.openSegment(c.nextSegment()); err != nil {
@@ -96,54 +105,53 @@
 	return c.Stored, c.SnapshotData, nil
 }
 
-// syncNewest syncs the newest segment. A process killed between a write and its sync leaves records that
-// this start has read but that a power loss could still erase.
-func (l *Log) syncNewest() error {
-	if len(l.segments) == 0 {
+// completeNewest truncates a torn record in the newest segment and makes the last complete one durable. A
+// process killed before the record's sync, or after a failed one, leaves a record that this start has read
+// but that a power loss could still erase; it is written again, as a sync alone does not store what a
+// failed sync has dropped.
+func (l *Log) completeNewest(c Content) error {
+	if len(c.segments) == 0 {
 		return nil
 	}
-	f, err := os.OpenFile(segmentName(l.Folder, l.segments[len(l.segments)-1].number), os.O_RDWR, fileMode)
+	f, err := os.OpenFile(segmentName(l.Folder, c.segments[len(c.segments)-1].number), os.O_RDWR, fileMode)
 	if err != nil {
 		return fmt.Errorf("open newest segment: %w", err)
 	}
 	defer f.Close()
-	return l.disk().Sync(f)
-}
-
-func truncateTorn(t TornRecord) error {
-	f, err := os.OpenFile(t.File, os.O_RDWR, fileMode)
-	if err != nil {
-		return fmt.Errorf("open torn segment: %w", err)
+	if c.Torn != nil {
+		if err := l.disk().Truncate(f, c.Torn.Offset); err != nil {
+			return err
+		}
 	}
-	defer f.Close()
-	if err := f.Truncate(t.Offset); err != nil {
-		return fmt.Errorf("truncate torn record: %w", err)
+	if _, err := f.Seek(c.lastOffset, io.SeekStart); err != nil {
+		return fmt.Errorf("seek to last record: %w", err)
 	}
-	if err := f.Sync(); err != nil {
-		return fmt.Errorf("sync after truncation: %w", err)
+	if err := l.disk().Write(f, c.lastRecord); err != nil {
+		return err
 	}
-	return nil
+	return l.disk().Sync(f)
 }
 
 // openSegment creates a new segment; its first record repeats the hard state, so that older segments
 // can be deleted.
 func (l *Log) openSegment(number uint64) error {
-	f, err := os.OpenFile(segmentName(l.Folder, number), os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+	h := l.hardState
+	data, err := encode(record{HardState: &h, Last: l.last})
 	if err != nil {
-		return fmt.Errorf("create segment: %w", err)
+		return err
 	}
-	h := l.hardState
-	data, err := encode(record{HardState: &h})
+	f, err := l.disk().Create(segmentName(l.Folder, number))
 	if err != nil {
-		return errors.Join(err, f.Close())
+		return err
 	}
 	for _, step := range []func() error{
 		func() error { return l.disk().Write(f, data) },
 		func() error { return l.disk().Sync(f) },
-		func() error { return syncFolder(l.Folder) },
+		func() error { return l.disk().SyncFolder(l.Folder) },
 	} {
 		if err := step(); err != nil {
-			return errors.Join(err, f.Close(), os.Remove(f.Name()))
+			l.unstarted = number
+			return errors.Join(err, f.Close())
 		}
 	}
 	if l.file != nil {
@@ -165,70 +173,91 @@
 	return appendFrame(nil, data), nil
 }
 
-// Save writes and syncs one batch. After ErrFull the same batch may be retried; after any other write or
-// sync error the state of the file is unknown and all further writes return that error.
+// Save writes and syncs one batch.
 func (l *Log) Save(h *manager.HardState, entries []manager.Entry) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failed != nil {
-		return l.failed
-	}
-	data, err := encode(record{HardState: h, Entries: entries})
-	if err != nil {
-		return err
-	}
-	if err := l.write(data); err != nil {
+	if err := l.write(record{HardState: h, Entries: entries}); err != nil {
 		return err
 	}
 	if h != nil {
 		l.hardState = *h
 	}
 	if n := len(entries); n > 0 {
-		l.segments[len(l.segments)-1].last = max(l.segments[len(l.segments)-1].last, entries[n-1].Index)
+		l.last = entries[n-1].Index
+		l.segments[len(l.segments)-1].last = max(l.segments[len(l.segments)-1].last, l.last)
 	}
-	return l.rotate()
+	l.rotate()
+	return nil
 }
 
-func (l *Log) write(data []byte) error {
+func (l *Log) write(r record) error {
+	if l.file == nil {
+		return os.ErrClosed
+	}
+	data, err := encode(r)
+	if err != nil {
+		return err
+	}
+	if err := l.repair(); err != nil {
+		return unwritten(err)
+	}
+	// After a failed sync the system may have dropped the data, so that it must be written again.
+	l.tornTail = true
 	if err := l.disk().Write(l.file, data); err != nil {
-		cut := undoWrite(l.file, l.size)
-		if isFull(err) && cut == nil {
-			return errors.Join(ErrFull, err)
-		}
-		l.failed = errors.Join(err, cut)
-		return l.failed
+		return unwritten(err)
 	}
 	if err := l.disk().Sync(l.file); err != nil {
-		l.failed = err
-		return l.failed
+		return unwritten(err)
 	}
+	l.tornTail = false
 	l.size += int64(len(data))
 	return nil
 }
 
-// rotate starts a new segment once the current one is large enough; a full disk only delays that.
-func (l *Log) rotate() error {
+// repair undoes what a failed operation may have left: it would be read as the newest segment, with a
+// hard state that is old by then, or as damage.
+func (l *Log) repair() error {
+	if l.unstarted != 0 {
+		if err := l.disk().Remove(segmentName(l.Folder, l.unstarted)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		if err := l.disk().SyncFolder(l.Folder); err != nil {
+			return err
+		}
+		l.unstarted = 0
+	}
+	if l.tornTail {
+		if err := l.disk().Truncate(l.file, l.size); err != nil {
+			return err
+		}
+		l.tornTail = false
+	}
+	return nil
+}
+
+// rotate starts a new segment once the current one is large enough; after a failure, the next Save tries
+// again.
+func (l *Log) rotate() {
 	limit := l.SegmentBytes
 	if limit == 0 {
 		limit = segmentBytes
 	}
-	if l.size < limit {
-		return nil
+	if l.size >= limit {
+		_ = l.openSegment(l.segments[len(l.segments)-1].number + 1)
 	}
-	err := l.openSegment(l.segments[len(l.segments)-1].number + 1)
-	if err != nil && !isFull(err) {
-		l.failed = err
-		return err
-	}
-	return nil
 }
 
 // SaveSnapshot stores a snapshot and deletes the oldest segments without entries after keepAfter.
 func (l *Log) SaveSnapshot(s replicator.Snapshot, keepAfter manager.Index) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failed != nil {
-		return l.failed
+	return l.saveSnapshot(s, keepAfter)
+}
+
+func (l *Log) saveSnapshot(s replicator.Snapshot, keepAfter manager.Index) error {
+	if l.file == nil {
+		return os.ErrClosed
 	}
 	meta, err := json.Marshal(s.Meta)
 	if err != nil {
@@ -239,38 +268,40 @@
 		data = appendFrame(data, piece)
 	}
 	if err := l.disk().Replace(filepath.Join(l.Folder, snapshotName), data); err != nil {
-		if isFull(err) {
-			return errors.Join(ErrFull, err)
-		}
-		l.failed = err
-		return err
+		return unwritten(err)
 	}
-	return l.deleteSegments(keepAfter)
+	l.deleteSegments(keepAfter)
+	return nil
 }
 
 // Install stores a snapshot from the leader and discards the log that it replaces.
 func (l *Log) Install(s replicator.Snapshot) error {
-	if err := l.SaveSnapshot(s, 0); err != nil {
-		return err
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	data, err := encode(record{Reset: true})
-	if err != nil {
+	if err := l.saveSnapshot(s, 0); err != nil {
+		return err
+	}
+	if err := l.write(record{Reset: true}); err != nil {
 		return err
 	}
-	return l.write(data)
+	l.last = s.Meta.Index
+	return nil
 }
 
-// deleteSegments deletes the oldest segments that hold no entry after keepFrom.
-func (l *Log) deleteSegments(keepAfter manager.Index) error {
+// deleteSegments deletes the oldest segments that hold no entry after keepAfter. A failure only leaves
+// segments that the snapshot covers; they are deleted with a later snapshot.
+func (l *Log) deleteSegments(keepAfter manager.Index) {
+	before := len(l.segments)
 	for len(l.segments) > 1 && l.segments[0].last <= keepAfter {
-		if err := os.Remove(segmentName(l.Folder, l.segments[0].number)); err != nil {
-			return fmt.Errorf("delete segment: %w", err)
+		err := l.disk().Remove(segmentName(l.Folder, l.segments[0].number))
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			break
 		}
 		l.segments = l.segments[1:]
 	}
-	return nil
+	if len(l.segments) < before {
+		_ = l.disk().SyncFolder(l.Folder)
+	}
 }
 
 // HasFreeSpace reports whether the disk has enough free space to accept changes.
@@ -292,9 +323,6 @@
 	}
 	err := l.file.Close()
 	l.file = nil
-	if l.failed == nil {
-		l.failed = os.ErrClosed
-	}
 	if err != nil {
 		return fmt.Errorf("close log: %w", err)
 	}
