Keep a replica in its group while its disk fails writes for a moment

Cause: a replica that met one failed write or sync ended its driver for good, while its process served on and the replica stayed a voter. A disk that failed for a moment, and counts as back some seconds later, so used up the one loss that the group bears; the next one left no quorum. Class: a part that ends inside a process that runs on, so that nothing brings it back.

Ready tells that the disk takes no write. Logged as 'Write not stored' with the cause, at most once a second, and 'Writes stored again'; counted by mulberryhaven_disk_writes_failed_total.

Why it works: messages that acknowledge a write leave after its sync, so a replica whose disk fails is as silent as one that is cut off, and one whose disk is back goes on where it stood.

--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -261,7 +261,10 @@
 	if err != nil {
 		return fmt.Errorf("encode identity: %w", err)
 	}
-	return RealDisk{}.Replace(filepath.Join(folder, identityName), append(data, '\n'))
+	if err := (RealDisk{}).Replace(filepath.Join(folder, identityName), append(data, '\n')); err != nil {
+		return unwritten(err)
+	}
+	return nil
 }
 
 // ReadSnapshot returns the latest snapshot.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -45,6 +45,11 @@
 	return metrics.GetOrCreateCounter(`mulberryhaven_replica_running`)
 }
 
+// DiskWritesFailed counts the writes of a replica that its disk did not take; they are repeated.
+func DiskWritesFailed() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_disk_writes_failed_total`)
+}
+
 // ReplicaVoters is the number of voters that this node's replica knows.
 func ReplicaVoters() *metrics.Counter {
 	return metrics.GetOrCreateCounter(`mulberryhaven_replica_voters`)
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -85,7 +85,7 @@
 func (r *Replicated) publish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.view.diskLost = r.bootstrapper.DiskLost()
+	r.view.diskLost, r.view.diskFailure = r.bootstrapper.DiskLost(), r.disk.failure
 	if r.replica == nil {
 		return
 	}
@@ -106,7 +106,8 @@
 
 // snapshotIfDue stores a snapshot once SnapshotEvery entries were applied since the last one.
 func (r *Replicated) snapshotIfDue() error {
-	if r.applied < r.snapshot.Index+manager.Index(r.SnapshotEvery) || len(r.unsaved) > 0 {
+	now := r.Clock.Now()
+	if r.applied < r.snapshot.Index+manager.Index(r.SnapshotEvery) || len(r.unsaved) > 0 || now < r.disk.snapshotAt {
 		return nil
 	}
 	meta := r.replica.SnapshotMeta(r.applied)
@@ -117,8 +118,9 @@
 	meta.Bytes = int64(len(data))
 	keepFrom := max(meta.Index, keptEntries) - keptEntries
 	err = r.log.SaveSnapshot(replicator.Snapshot{Meta: meta, Data: data}, keepFrom)
-	if errors.Is(err, journaler.ErrFull) {
-		klog.ErrorS(err, manager.LogSnapshotNotStored)
+	if errors.Is(err, journaler.ErrUnwritten) {
+		r.disk.snapshotAt = now.Add(snapshotRetryPause)
+		klog.ErrorS(err, manager.LogSnapshotNotStored, "Cause", errorCause(err), "Replica", r.Replica)
 		return nil
 	}
 	if err != nil {
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -140,6 +141,8 @@
 	switch {
 	case r.view.failure != nil:
 		return r.view.failure
+	case r.view.diskFailure != nil:
+		return errors.Join(manager.ErrUnavailable{Component: manager.ComponentDisk, Reason: "it takes no write at present"}, r.view.diskFailure)
 	case r.view.diskLost:
 		return manager.ErrUnavailable{Component: "replica", Reason: "its disk was lost: add it to the group again under a new ID"}
 	case !r.view.hasGroup:
--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -93,6 +93,7 @@
 func (r *Replicated) join(g manager.GroupID, stored replicator.PersistentState) error {
 	r.identity.Group = g
 	if err := r.writeIdentity(); err != nil {
+		r.identity.Group = ""
 		return err
 	}
 	r.startReplica(stored)
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -68,7 +68,7 @@
 	unsaved      []replicator.Ready
 	snapshot     manager.SnapshotMeta
 	probeAt      manager.Time
-	diskSpace    diskSpaceWatch
+	disk         diskWatch
 	reporter     reporter
 	peers        *peerSet
 
@@ -92,7 +92,9 @@
 	confirmed manager.Time
 	hasGroup  bool
 	diskLost  bool
-	failure   error
+	// diskFailure is why the disk takes no write at present, failure why the driver has ended.
+	diskFailure error
+	failure     error
 }
 
 var (
@@ -160,7 +162,7 @@
 		}
 		if err := r.runCycle(); err != nil {
 			r.reportStopped(err)
-			r.terminate(errors.Join(manager.ErrUnavailable{Component: manager.ComponentDisk, Reason: "a write failed"}, err))
+			r.terminate(errors.Join(manager.ErrUnavailable{Component: "replica", Reason: "it stopped after an error"}, err))
 			return
 		}
 	}
@@ -171,8 +173,10 @@
 	batch := r.inbox.take()
 	defer batch.answerAll()
 	now := r.Clock.Now()
-	if r.replica == nil {
-		if err := r.joinOrBootstrap(now, batch); err != nil {
+	if r.replica == nil && !r.disk.waits(now) {
+		if err := r.joinOrBootstrap(now, batch); errors.Is(err, journaler.ErrUnwritten) {
+			r.disk.noteFailure(now, r.Replica, err)
+		} else if err != nil {
 			return err
 		}
 	}
@@ -185,7 +189,7 @@
 		return err
 	}
 	r.stepReplica(now, batch)
-	r.transferIfDiskFull(now)
+	r.transferIfDiskFails(now)
 	for {
 		ready := r.replica.Ready(r.Clock.Now())
 		if ready.Empty() {
@@ -250,8 +254,8 @@
 	}
 }
 
-// handle saves, sends and applies one Ready of the replica. On a full disk it holds back the messages
-// that acknowledge a write, and retries in the next cycle.
+// handle saves, sends and applies one Ready of the replica. While the disk takes no write it holds back the
+// messages that acknowledge one, and retries in the next cycle.
 func (r *Replicated) handle(ready replicator.Ready, b *batch) error {
 	r.peers.send(ready.BeforeSync, nil)
 	r.unsaved = append(r.unsaved, ready)
@@ -263,16 +267,19 @@
 
 // flush writes the unsaved output in order and sends the messages that depend on each write.
 func (r *Replicated) flush(b *batch) error {
-	for len(r.unsaved) > 0 {
+	for len(r.unsaved) > 0 && !r.disk.waits(r.Clock.Now()) {
 		next := r.unsaved[0]
 		err := r.save(next)
-		if errors.Is(err, journaler.ErrFull) {
-			klog.V(2).InfoS("Disk is full: no change is accepted", "Error", err.Error())
+		if errors.Is(err, journaler.ErrUnwritten) {
+			r.disk.noteFailure(r.Clock.Now(), r.Replica, err)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		if next.MustSync() {
+			r.disk.noteSuccess(r.Clock.Now(), r.Replica)
+		}
 		r.unsaved = r.unsaved[1:]
 		r.peers.send(next.AfterSync, b)
 		r.replica.Persisted(r.Clock.Now(), next)
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -55,7 +55,7 @@
 	LogReplicaMembersChanged         = "Replica members changed"
 	LogReplicaRoleChanged            = "Replica role changed"
 	LogReplicaStarted                = "Replica started"
-	LogReplicaStopped                = "Replica stopped after a disk error"
+	LogReplicaStopped                = "Replica stopped after an error"
 	LogRunEnded                      = "Run ended"
 	LogRunLost                       = "Run lost"
 	LogRunEvicted                    = "Run recalled"
@@ -67,7 +67,7 @@
 	LogUnreachableReplicaNotRemoved  = "Unreachable replica not removed"
 	LogUnreachableReplicaRemoved     = "Unreachable replica removed"
 	LogSlowSync                      = "Slow sync"
-	LogTransferringLeadership        = "Transferring leadership because the disk is full"
+	LogTransferringLeadership        = "Transferring leadership because the disk takes no changes"
 	LogSnapshotNotStored             = "Snapshot not stored"
 	LogTaskPlaced                    = "Task placed"
 	LogTaskUnplaceable               = "Task stranded"
@@ -76,6 +76,8 @@
 	LogMaintenanceOrdered            = "Upkeep ordered"
 	LogVMMoveOrdered                 = "VM moves"
 	LogWaveAccepted                  = "Wave taken"
+	LogWriteNotStored                = "Write not stored"
+	LogWritesStoredAgain             = "Writes stored again"
 	LogWorkerDraining                = "Worker drains"
 	LogWorkerLost                    = "Worker gone"
 	LogWorkerRegistered              = "Worker known"
@@ -129,7 +131,7 @@
 		{LogReplicaMembersChanged, "Replica", "The members that this replica knows have changed; a learner has no vote."},
 		{LogReplicaRoleChanged, "Replica", "The replica became the leader, follows another leader, or has lost its leader; Leader 0 means none."},
 		{LogReplicaStarted, "Replica", "The replica started with the state on its disk."},
-		{LogReplicaStopped, "Replica", "A write or sync failed, so the disk cannot be trusted; the replica does not take part again until it is restarted. Cause is the operating system's error."},
+		{LogReplicaStopped, "Replica", "The replica cannot go on, as its state could not be read or applied; it does not take part again until the process is restarted. Cause is the operating system's error, if there is one."},
 		{LogRunEnded, "Leader", "A worker reported the end of a run."},
 		{LogRunLost, "Leader", "A worker instance ended or its lease expired without a report of the run."},
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
@@ -140,7 +142,9 @@
 		{LogSettingsRejected, "Any", "The changed settings are invalid."},
 		{LogUnreachableReplicaNotRemoved, "Leader", "Another change of the membership is in progress."},
 		{LogUnreachableReplicaRemoved, "Leader", "A replica that does not respond is removed because another voter replaces it or it has no vote."},
-		{LogTransferringLeadership, "Replica", "The leader's disk is full; another replica is asked to become the leader."},
+		{LogTransferringLeadership, "Replica", "The leader's disk is full or takes no write; another replica is asked to become the leader."},
+		{LogWriteNotStored, "Replica", "The disk has not taken a write for ForMs; it is repeated and nothing is acknowledged meanwhile. Cause is the operating system's error."},
+		{LogWritesStoredAgain, "Replica", "The disk takes writes again after ForMs."},
 		{LogSlowSync, "Replica", "A write to the disk was so slow that elections and commits are delayed."},
 		{LogSnapshotNotStored, "Replica", "The disk has no space for a snapshot; the log keeps growing."},
 		{LogTaskPlaced, "Leader", "A run of a task was assigned to a worker; its order is sent with the answer to a report."},
