--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,6 +40,8 @@
 	// lastRecord is the last complete record of the newest segment, at lastOffset.
 	lastRecord []byte
 	lastOffset int64
+	// replaced means that the snapshot has replaced the log in the segments.
+	replaced bool
 }
 
 func (c *Content) nextSegment() uint64 {
@@ -196,12 +199,10 @@
 
 // replaceTail drops the entries from the first new entry's index on and appends the new ones.
 func replaceTail(list, add []manager.Entry) []manager.Entry {
-	first := add[0].Index
-	if n := len(list); n > 0 && list[n-1].Index >= first {
-		keep := max(int(first)-int(list[0].Index), 0)
-		list = list[:keep]
-	}
-	return append(list, add...)
+	keep, _ := slices.BinarySearchFunc(list, add[0].Index, func(e manager.Entry, i manager.Index) int {
+		return cmp.Compare(e.Index, i)
+	})
+	return append(list[:keep], add...)
 }
 
 // checkContinuity returns ErrDamaged if entries are missing between the snapshot and the log. It drops
@@ -217,7 +218,7 @@
 		}
 	}
 	if len(list) > 0 && (list[len(list)-1].Index < s.Index || conflicts(list, s)) {
-		list = nil
+		c.replaced, list = true, nil
 	}
 	if len(list) > 0 && list[0].Index > s.Index+1 {
 		return fmt.Errorf("%s: entries %d to %d are missing: %w", folder, s.Index+1, list[0].Index-1, ErrDamaged)
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -99,7 +99,7 @@
 	if err := l.completeNewest(c); err != nil {
 		return c.Stored, nil, err
 	}
-	if err := l.openSegment(c.nextSegment()); err != nil {
+	if err := l.openSegment(c.nextSegment(), c.replaced); err != nil {
 		return c.Stored, nil, err
 	}
 	return c.Stored, c.SnapshotData, nil
@@ -133,10 +133,10 @@
 }
 
 // openSegment creates a new segment; its first record repeats the hard state, so that older segments
-// can be deleted.
-func (l *Log) openSegment(number uint64) error {
+// can be deleted. With reset it discards the entries in older segments.
+func (l *Log) openSegment(number uint64, reset bool) error {
 	h := l.hardState
-	data, err := encode(record{HardState: &h, Last: l.last})
+	data, err := encode(record{HardState: &h, Last: l.last, Reset: reset})
 	if err != nil {
 		return err
 	}
@@ -244,7 +244,7 @@
 		limit = segmentBytes
 	}
 	if l.size >= limit {
-		_ = l.openSegment(l.segments[len(l.segments)-1].number + 1)
+		_ = l.openSegment(l.segments[len(l.segments)-1].number+1, false)
 	}
 }
 
--- a/internal/journaler/segments_test.go
+++ b/internal/journaler/segments_test.go
@@ -112,3 +112,33 @@
 	got := indexes(open(t, &journaler.Log{Folder: folder}))
 	require.Equal(t, []manager.Index{3, 4, 5, 6}, got)
 }
+
+// A process that is killed while it installs a snapshot starts with the snapshot and without the log that it replaced;
+// that log must not count against the entries that follow.
+func TestReplacedLogStaysReplacedAfterAKilledInstall(t *testing.T) {
+	for _, s := range []struct {
+		name     string
+		snapshot manager.Index
+	}{{"the log conflicts with the snapshot", 4}, {"the log ends before the snapshot", 9}} {
+		t.Run(s.name, func(t *testing.T) {
+			folder := t.TempDir()
+			d := &refusingDisk{}
+			killed := &journaler.Log{Folder: folder, Disk: d}
+			open(t, killed)
+			require.NoError(t, killed.Save(nil, []manager.Entry{entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1), entry(5, 1)}))
+			d.refuse = refuseOnly("write", firstSegment, errDisk)
+			snapshot := snapshotAt(s.snapshot)
+			snapshot.Meta.Term = 2
+			require.ErrorIs(t, killed.Install(snapshot), journaler.ErrUnwritten)
+			require.NoError(t, killed.Close())
+
+			second := &journaler.Log{Folder: folder}
+			require.Empty(t, open(t, second).Entries)
+			next := s.snapshot + 1
+			require.NoError(t, second.Save(nil, []manager.Entry{entry(next, 2), entry(next+1, 2)}))
+			require.NoError(t, second.Save(nil, []manager.Entry{entry(next+1, 3)}))
+			require.NoError(t, second.Close())
+			require.Equal(t, []manager.Index{next, next + 1}, indexes(open(t, &journaler.Log{Folder: folder})))
+		})
+	}
+}
