Write a record of the single replica again after a failed write or sync

Callers saw: after one failed write or sync the single replica refused every later command until the process was restarted; a record that a failed sync had dropped was served after a restart, and lost with the next loss of power.

Append returns ErrUnwritten and may be repeated: the file is cut to its synced size and the whole record written again. Open writes the last record again and syncs.

Why it works: nothing is acknowledged before a sync that covers a whole write from the last synced size on.

--- a/internal/journaler/single.go
+++ b/internal/journaler/single.go
@@ -33,11 +33,22 @@
 type Journal struct {
 	// Folder holds the file.
 	Folder string
+	// Disk is RealDisk unless a test replaces it.
+	Disk Disk
 
 	mu   sync.Mutex
 	file *os.File
-	// failed is the first write or sync error; nothing is appended after it.
-	failed error
+	// size is the number of synced bytes in the file.
+	size int64
+	// tornTail means that the file may hold bytes of a failed write after size.
+	tornTail bool
+}
+
+func (j *Journal) disk() Disk {
+	if j.Disk == nil {
+		return RealDisk{}
+	}
+	return j.Disk
 }
 
 // Open calls each with every record, truncates a torn last one and opens the file for appending.
@@ -50,20 +61,40 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	end, err := replay(f, each)
+	var last []byte
+	end, err := replay(f, func(record []byte) error {
+		last = record
+		return each(record)
+	})
 	if err != nil {
 		return errors.Join(fmt.Errorf("replay %s: %w", name, err), f.Close())
 	}
-	if err := f.Truncate(end); err != nil {
-		return errors.Join(fmt.Errorf("truncate torn record: %w", err), f.Close())
-	}
-	if _, err := f.Seek(end, io.SeekStart); err != nil {
-		return errors.Join(fmt.Errorf("seek to end of log: %w", err), f.Close())
+	if err := j.completeLast(f, end, last); err != nil {
+		return errors.Join(err, f.Close())
 	}
-	j.file = f
+	j.file, j.size, j.tornTail = f, end, false
 	return nil
 }
 
+// completeLast truncates a torn record and makes the last complete one durable: it is written again, as a
+// sync alone does not store what a failed sync of a killed process has dropped.
+func (j *Journal) completeLast(f *os.File, end int64, last []byte) error {
+	if err := j.disk().Truncate(f, end); err != nil {
+		return err
+	}
+	if last == nil {
+		return nil
+	}
+	data := encodeRecord(last)
+	if _, err := f.Seek(end-int64(len(data)), io.SeekStart); err != nil {
+		return fmt.Errorf("seek to last record: %w", err)
+	}
+	if err := j.disk().Write(f, data); err != nil {
+		return err
+	}
+	return j.disk().Sync(f)
+}
+
 // replay calls each with every complete record and returns the offset after the last one.
 func replay(f io.ReadSeeker, each func([]byte) error) (int64, error) {
 	r := bufio.NewReader(f)
@@ -107,38 +138,49 @@
 	return fmt.Errorf("offset %d: checksum mismatch: %w", offset, ErrDamaged)
 }
 
-// Append writes and syncs a record; after an error all further calls return that error.
+func encodeRecord(record []byte) []byte {
+	data := make([]byte, headerBytes, headerBytes+len(record))
+	binary.LittleEndian.PutUint32(data, uint32(len(record)))
+	binary.LittleEndian.PutUint32(data[4:], crc32.Checksum(record, crcTable))
+	return append(data, record...)
+}
+
+// Append writes and syncs a record; after ErrUnwritten it may be repeated.
 func (j *Journal) Append(record []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.failed != nil {
-		return j.failed
+	if j.file == nil {
+		return os.ErrClosed
 	}
-	data := make([]byte, headerBytes, headerBytes+len(record))
-	binary.LittleEndian.PutUint32(data, uint32(len(record)))
-	binary.LittleEndian.PutUint32(data[4:], crc32.Checksum(record, crcTable))
-	data = append(data, record...)
-	if _, err := j.file.Write(data); err != nil {
-		j.failed = fmt.Errorf("write record: %w", err)
-		return j.failed
+	if j.tornTail {
+		if err := j.disk().Truncate(j.file, j.size); err != nil {
+			return unwritten(err)
+		}
+	}
+	data := encodeRecord(record)
+	j.tornTail = true
+	if err := j.disk().Write(j.file, data); err != nil {
+		return unwritten(err)
 	}
-	if err := j.file.Sync(); err != nil {
-		j.failed = fmt.Errorf("sync record: %w", err)
-		return j.failed
+	if err := j.disk().Sync(j.file); err != nil {
+		return unwritten(err)
 	}
+	j.tornTail = false
+	j.size += int64(len(data))
 	return nil
 }
 
-// Close closes the file.
+// Close closes the file; later calls of Append return os.ErrClosed.
 func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.file == nil {
 		return nil
 	}
-	if err := j.file.Close(); err != nil {
+	err := j.file.Close()
+	j.file = nil
+	if err != nil {
 		return fmt.Errorf("close log: %w", err)
 	}
-	j.file = nil
 	return nil
 }
