Tell a node that its replica was removed only once the removal is committed

Callers would lose accepted work: a leader that has just removed a silent replica answers its request to join with 'removed', the node empties its disk, and the leader loses its term before the removal is committed. The next leader still counts that replica as a voter, but its log is gone, so that one more lost disk leaves no quorum or takes what was acknowledged.

Cause: the answer looked at the latest members in the leader's log, committed or not.

Why it works: a committed removal is in the log of each later leader.

--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -16,6 +16,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
 // PathJoin is the endpoint where a node with a disk requests to become a replica.
@@ -49,8 +50,8 @@
 			return nil
 		}
 	}
-	if q.Replica != 0 && q.Replica <= s.Members.LastReplica {
-		return manager.ErrConflict{Kind: KindRemoved, Name: strconv.FormatUint(uint64(q.Replica), 10), Reason: "it needs an empty disk"}
+	if err := checkRemoved(s, q); err != nil {
+		return err
 	}
 	for _, m := range s.Members.List {
 		if m.Address == q.Address {
@@ -69,6 +70,18 @@
 	return nil
 }
 
+// checkRemoved returns a conflict if the disk belongs to a replica that was removed: its node then empties the disk. A
+// removal that is not committed may be undone by the next leader, which needs the disk.
+func checkRemoved(s replicator.Status, q JoinRequest) error {
+	if q.Replica == 0 || q.Replica > s.Members.LastReplica {
+		return nil
+	}
+	if s.MembersPending {
+		return manager.ErrUnavailable{Component: "replicas", Reason: "a membership change is not committed yet"}
+	}
+	return manager.ErrConflict{Kind: KindRemoved, Name: strconv.FormatUint(uint64(q.Replica), 10), Reason: "it needs an empty disk"}
+}
+
 // removeReplaced removes a silent replica if another voter has replaced it, so that it no longer counts for a quorum, or if
 // it is a learner.
 func (l *Leader) removeReplaced(ctx context.Context, founded int) {
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -366,6 +366,8 @@
 	// First is the oldest entry that the log still holds.
 	First   manager.Index
 	Members manager.Members
+	// MembersPending means that the latest change of the members is not committed, so that it may be undone.
+	MembersPending bool
 	// Silent are the members that a leader has not heard for silentAfter.
 	Silent []manager.ReplicaID
 	// Granted and Refused are the voters that have answered a candidate's latest request.
@@ -395,6 +397,7 @@
 	s := Status{
 		Replica: r.ID, Role: r.role, Term: r.hardState.Term, Leader: r.leader, Commit: r.commit,
 		Last: r.log.last(), First: r.log.base + 1, Members: r.members,
+		MembersPending: r.memberChangePending(),
 	}
 	if r.role != RolePreCandidate && r.role != RoleCandidate {
 		return s
--- a/pkg/manager/replicator/voters_test.go
+++ b/pkg/manager/replicator/voters_test.go
@@ -102,3 +102,14 @@
 	require.Zero(t, learner.replica.Status().Leader)
 	require.NoError(t, s.failure)
 }
+
+func TestMembersArePendingUntilCommitted(t *testing.T) {
+	s := newOddVotersSim(4)
+	learner, leader := s.addLearner(t), s.leader()
+	require.False(t, leader.replica.Status().MembersPending)
+	require.NoError(t, leader.replica.RemoveMember(s.clock(leader), learner.id))
+	require.True(t, leader.replica.Status().MembersPending)
+	s.run(manager.Second)
+	require.False(t, leader.replica.Status().MembersPending)
+	require.NoError(t, s.failure)
+}
