End a node whose replica or listener has ended for good

Change: the store closes Failed, a listener reports its error, and the node logs 'Node failed', stops in order and exits with an error, so that the platform restarts it.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -76,12 +76,15 @@
 	// Removed is closed when the group has removed this node's disk.
 	Removed     chan struct{}
 	removedOnce sync.Once
+	// Failed receives an error when a part has ended without which the node is of no use; the process should then be
+	// restarted.
+	Failed chan error
 }
 
 // Start starts everything that the settings name.
 func (f *FleetNode) Start(s configurer.FleetNode) error {
 	f.settings.Store(&s)
-	f.Removed = make(chan struct{})
+	f.Removed, f.Failed = make(chan struct{}), make(chan error, 1)
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	if s.MemoryMegaBytes > 0 {
 		debug.SetMemoryLimit(s.MemoryMegaBytes << 20 * memorySharePercent / 100)
@@ -141,10 +144,25 @@
 		Removed: func() { f.removedOnce.Do(func() { close(f.Removed) }) },
 	}
 	f.work.Go(func() { joiner.Run(f.ctx) })
+	f.work.Go(func() {
+		select {
+		case <-f.ctx.Done():
+		case <-f.store.Failed():
+			f.fail(f.store.Ready())
+		}
+	})
 	go f.leader.Run()
 	return nil
 }
 
+// fail reports the end of a part; the first report is enough.
+func (f *FleetNode) fail(err error) {
+	select {
+	case f.Failed <- err:
+	default:
+	}
+}
+
 // seedMembers numbers the seeds in the order of their addresses; a node that is no seed joins later.
 func seedMembers(s configurer.FleetNode) (manager.ReplicaID, []manager.ReplicaMember) {
 	seeds := s.SeedPeers()
--- a/internal/assembler/fleetlisten.go
+++ b/internal/assembler/fleetlisten.go
@@ -81,6 +81,7 @@
 	go func() {
 		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, manager.LogListenerFailed, "Address", a)
+			f.fail(fmt.Errorf("serve %s: %w", a, err))
 		}
 	}()
 	return nil
--- a/internal/commander/fleetnode.go
+++ b/internal/commander/fleetnode.go
@@ -61,10 +61,13 @@
 		if err := f.Start(settings); err != nil {
 			return fmt.Errorf("start node: %w", err)
 		}
-		removed := serveFleetNode(file, f, signals)
+		removed, failure := serveFleetNode(file, f, signals)
 		if err := f.Stop(); err != nil {
 			klog.InfoS(manager.LogNodeDidNotStopCleanly, "Error", err.Error())
 		}
+		if failure != nil {
+			return fmt.Errorf("run node: %w", failure)
+		}
 		if !removed {
 			klog.InfoS(manager.LogNodeStopped)
 			return nil
@@ -76,19 +79,23 @@
 	}
 }
 
-// serveFleetNode waits until the node is to stop; it returns true where the node's replica was removed.
-func serveFleetNode(file string, f *assembler.FleetNode, signals <-chan os.Signal) bool {
+// serveFleetNode waits until the node is to stop; it returns true where the node's replica was removed, and an error
+// where a part has failed for good.
+func serveFleetNode(file string, f *assembler.FleetNode, signals <-chan os.Signal) (bool, error) {
 	t := time.NewTicker(settingsPeriod)
 	defer t.Stop()
 	changed := modified(file)
 	for {
 		select {
 		case <-f.Removed:
-			return true
+			return true, nil
+		case err := <-f.Failed:
+			klog.ErrorS(err, manager.LogNodeFailed)
+			return false, err
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				klog.InfoS(manager.LogShutdownStarted, "Signal", s.String())
-				return false
+				return false, nil
 			}
 			klog.InfoS(manager.LogReloadingSettings, "Signal", s.String())
 			reloadFleetNode(file, f)
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -75,6 +75,8 @@
 	inbox inbox
 	stop  chan struct{}
 	done  chan struct{}
+	// failed is closed when the driver ends because of an error.
+	failed chan struct{}
 
 	mu      sync.Mutex
 	state   *applier.State
@@ -109,6 +111,7 @@
 		r.Machine = commandStateMachine{state: r.state}
 	}
 	r.proposals, r.reads = map[manager.Index]*proposal{}, map[replicator.ReadID]*readCall{}
+	r.failed = make(chan struct{})
 	r.stop, r.done, r.inbox.wake = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	if r.SnapshotEvery == 0 {
 		r.SnapshotEvery = DefaultSnapshotEvery
@@ -163,11 +166,15 @@
 		if err := r.runCycle(); err != nil {
 			r.reportStopped(err)
 			r.terminate(errors.Join(manager.ErrUnavailable{Component: "replica", Reason: "it stopped after an error"}, err))
+			close(r.failed)
 			return
 		}
 	}
 }
 
+// Failed is closed once the replica has ended because of an error that repeating can't mend.
+func (r *Replicated) Failed() <-chan struct{} { return r.failed }
+
 // runCycle passes the queued input to the replica and then saves, sends and applies its output.
 func (r *Replicated) runCycle() error {
 	batch := r.inbox.take()
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -34,6 +34,7 @@
 	LogLeaderFound                   = "Leader found"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
+	LogNodeFailed                    = "Node failed"
 	LogNodeStarted                   = "Node started"
 	LogNodeStopped                   = "Node stopped"
 	LogNotJoinedYet                  = "Not joined yet"
@@ -110,6 +111,7 @@
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
 		{LogListenerFailed, "Any", "A listener stopped unexpectedly."},
 		{LogNodeDidNotStopCleanly, "Any", "Work was still running when the grace period ended."},
+		{LogNodeFailed, "Any", "A part of the node has ended for good. The process stops what is in flight and exits with an error, to be restarted."},
 		{LogNodeStarted, "Any", "The process is serving."},
 		{LogNodeStopped, "Any", "The process exits."},
 		{LogNotJoinedYet, "Replica", "The group has not added this disk yet."},
