--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -54,8 +55,10 @@
 		return fmt.Errorf("open log: %w", err)
 	}
 	p.command = exec.CommandContext(context.Background(), p.Binary, p.Command, "--config", file)
-	p.command.Stdout = p.log
-	p.command.Stderr = p.log
+	// A limit on the size of the process's files must not befall its log: it writes to a pipe.
+	output := struct{ io.Writer }{p.log}
+	p.command.Stdout = output
+	p.command.Stderr = output
 	if err := p.command.Start(); err != nil {
 		return errors.Join(fmt.Errorf("start %s: %w", p.Node, err), p.log.Close())
 	}
