--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -81,6 +81,8 @@
 	t     *testing.T
 	fleet *Fleet
 	rng   *rand.Rand
+	// extra draws the faults that were added later, so that a seed's first faults stay what they were.
+	extra *rand.Rand
 	watch *watch
 	work  sync.WaitGroup
 	// busy are the nodes whose process is down, paused or stopping.
@@ -90,13 +92,8 @@
 
 func (s *soak) play(seed uint64) {
 	t := s.t
-	s.rng, s.busy = rand.New(rand.NewPCG(seed, 3)), map[*Node]bool{}
-	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: 3 + int(seed%2), Plain: *big, WorkerCount: 5, Seed: seed}
 	defer s.close()
-	require.NoError(t, s.fleet.Start())
-	s.watch = newWatch(s.fleet, seed)
-	s.watch.start()
-	require.True(t, s.watch.await(patience, func() bool { return s.watch.completed() > 5 }), "nothing is served")
+	s.start(seed, 3+int(seed%2))
 	s.plannedStops()
 	s.faults()
 	s.work.Wait()
@@ -108,6 +105,17 @@
 	t.Log(s.watch.summary())
 }
 
+// start starts the fleet and waits until it serves.
+func (s *soak) start(seed uint64, core int) {
+	t := s.t
+	s.rng, s.extra, s.busy = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 7)), map[*Node]bool{}
+	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: *big, WorkerCount: 5, Seed: seed}
+	require.NoError(t, s.fleet.Start())
+	s.watch = newWatch(s.fleet, seed)
+	s.watch.start()
+	require.True(t, s.watch.await(patience, func() bool { return s.watch.completed() > 5 }), "nothing is served")
+}
+
 // settle waits until everything that was accepted is complete.
 func (s *soak) settle(when string) {
 	s.watch.pause(true)
--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -101,6 +101,19 @@
 	return w.done
 }
 
+// accepted counts the jobs that were accepted.
+func (w *watch) accepted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var n int
+	for _, j := range w.jobs {
+		if j.accepted {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *watch) summary() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
