Play refused writes and the users' final fault in the soak

The disk of a core node refuses writes for 0.3 to 3 s, once in a dozen faults, drawn from a source of its own so that the faults of earlier seeds stay what they were. Each seed ends with all processes killed right after a job was accepted and one voter's disk wiped; where there is a learner, it was cut off and removed before and has had 6 s to come back, and a voter was lost for good.

--- a/internal/soaker/disk_test.go
+++ b/internal/soaker/disk_test.go
@@ -143,6 +143,40 @@
 	launches.Wait()
 }
 
+// addedFault makes the disk of some node refuse writes for a moment, once in a dozen calls.
+func (s *soak) addedFault(d time.Duration) {
+	n := s.fleet.Nodes[s.extra.IntN(s.fleet.Core)]
+	if s.extra.IntN(12) > 0 {
+		return
+	}
+	s.refused = true
+	s.t.Logf("%s refuses writes for %v", n.Name, d)
+	s.must(s.fleet.RefuseWrites(n, true))
+	s.later(d, func() { s.must(s.fleet.RefuseWrites(n, false)) })
+}
+
+// playFinalFault plays the final fault of a seed, where there is a learner after the learner and a voter had their losses.
+func (s *soak) playFinalFault(t *testing.T) {
+	whole := s.t
+	s.t = t
+	defer func() { s.t = whole }()
+	time.Sleep(timeBack)
+	var g Group
+	complete := func() bool {
+		g = s.fleet.Group()
+		return g.Leader != nil && len(g.Voters)+len(g.Learners) == s.fleet.Core
+	}
+	require.True(t, s.watch.await(patience, complete), "%d of %d core nodes are members", len(g.Voters)+len(g.Learners), s.fleet.Core)
+	var gone *Node
+	if len(g.Learners) > 0 {
+		gone = s.loseLearnerAndVoter()
+		time.Sleep(timeToReplace)
+	}
+	s.finalFault(gone)
+	s.settle("after the final fault")
+	s.serves("after the final fault")
+}
+
 // others returns the nodes but one.
 func others(list []*Node, but *Node) []*Node {
 	var rest []*Node
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -53,7 +53,7 @@
 	return m.Run()
 }
 
-// TestSoak plays planned stops alone, then faults that overlap, then the loss of a disk, and checks the
+// TestSoak plays planned stops alone, then faults that overlap, the loss of a disk and a final fault, and checks the
 // promises of the system all the while.
 func TestSoak(t *testing.T) {
 	var list []uint64
@@ -83,8 +83,10 @@
 	rng   *rand.Rand
 	// extra draws the faults that were added later, so that a seed's first faults stay what they were.
 	extra *rand.Rand
-	watch *watch
-	work  sync.WaitGroup
+	// refused tells that some disk refused writes.
+	refused bool
+	watch   *watch
+	work    sync.WaitGroup
 	// busy are the nodes whose process is down, paused or stopping.
 	busyMu sync.Mutex
 	busy   map[*Node]bool
@@ -98,8 +100,12 @@
 	s.faults()
 	s.work.Wait()
 	s.settle("after the faults")
+	if s.refused {
+		time.Sleep(timeBack)
+	}
 	s.loseDisk()
 	s.settle("after the loss of a disk")
+	t.Run("final-fault", s.playFinalFault)
 	s.watch.stop()
 	require.Empty(t, s.watch.failures())
 	t.Log(s.watch.summary())
@@ -142,6 +148,7 @@
 func (s *soak) faults() {
 	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 		s.fault(time.Duration(300+s.rng.IntN(2500)) * time.Millisecond)
+		s.addedFault(time.Duration(300+s.extra.IntN(2700)) * time.Millisecond)
 		time.Sleep(time.Duration(100+s.rng.IntN(600)) * time.Millisecond)
 	}
 }
