--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -53,7 +53,7 @@
 	return m.Run()
 }
 
-// TestSoak plays planned stops alone, then faults that overlap, then the loss of a disk, and checks the
+// TestSoak plays planned stops alone, then faults that overlap, the loss of a disk and a final fault, and checks the
 // promises of the system all the while.
 func TestSoak(t *testing.T) {
 	var list []uint64
@@ -81,8 +81,12 @@
 	t     *testing.T
 	fleet *Fleet
 	rng   *rand.Rand
-	watch *watch
-	work  sync.WaitGroup
+	// extra draws the faults that were added later, so that a seed's first faults stay what they were.
+	extra *rand.Rand
+	// refused tells that some disk refused writes.
+	refused bool
+	watch   *watch
+	work    sync.WaitGroup
 	// busy are the nodes whose process is down, paused or stopping.
 	busyMu sync.Mutex
 	busy   map[*Node]bool
@@ -90,24 +94,34 @@
 
 func (s *soak) play(seed uint64) {
 	t := s.t
-	s.rng, s.busy = rand.New(rand.NewPCG(seed, 3)), map[*Node]bool{}
-	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: 3 + int(seed%2), Plain: *big, WorkerCount: 5, Seed: seed}
 	defer s.close()
-	require.NoError(t, s.fleet.Start())
-	s.watch = newWatch(s.fleet, seed)
-	s.watch.start()
-	require.True(t, s.watch.await(patience, func() bool { return s.watch.completed() > 5 }), "nothing is served")
+	s.start(seed, 3+int(seed%2))
 	s.plannedStops()
 	s.faults()
 	s.work.Wait()
 	s.settle("after the faults")
+	if s.refused {
+		time.Sleep(timeBack)
+	}
 	s.loseDisk()
 	s.settle("after the loss of a disk")
+	t.Run("final-fault", s.playFinalFault)
 	s.watch.stop()
 	require.Empty(t, s.watch.failures())
 	t.Log(s.watch.summary())
 }
 
+// start starts the fleet and waits until it serves.
+func (s *soak) start(seed uint64, core int) {
+	t := s.t
+	s.rng, s.extra, s.busy = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 7)), map[*Node]bool{}
+	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: *big, WorkerCount: 5, Seed: seed}
+	require.NoError(t, s.fleet.Start())
+	s.watch = newWatch(s.fleet, seed)
+	s.watch.start()
+	require.True(t, s.watch.await(patience, func() bool { return s.watch.completed() > 5 }), "nothing is served")
+}
+
 // settle waits until everything that was accepted is complete.
 func (s *soak) settle(when string) {
 	s.watch.pause(true)
@@ -134,6 +148,7 @@
 func (s *soak) faults() {
 	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 		s.fault(time.Duration(300+s.rng.IntN(2500)) * time.Millisecond)
+		s.addedFault(time.Duration(300+s.extra.IntN(2700)) * time.Millisecond)
 		time.Sleep(time.Duration(100+s.rng.IntN(600)) * time.Millisecond)
 	}
 }
