Play the incident of a group of four disks with real processes

The learner is cut off until it is removed, a voter's disk refuses writes for 3 s, and another voter is lost.

--- a/internal/soaker/disk_test.go
+++ b/internal/soaker/disk_test.go
@@ -78,9 +78,40 @@
 	s.settle("at the end")
 }
 
+// TestGroupSurvivesLostDiskAfterFailedWriteWithoutLearner plays the incident of a group of four disks: the learner is cut
+// off until it is removed, a voter's disk refuses writes for a moment, and another voter is lost with its disk.
+func TestGroupSurvivesLostDiskAfterFailedWriteWithoutLearner(t *testing.T) {
+	t.Parallel()
+	s := &soak{t: t}
+	defer s.close()
+	s.start(5, 4)
+	g := s.removeLearner()
+	refused := others(g.Voters, g.Leader)[0]
+	require.NoError(t, s.fleet.RefuseWrites(refused, true))
+	const refusal = 3 * time.Second
+	time.Sleep(refusal)
+	require.NoError(t, s.fleet.RefuseWrites(refused, false))
+	time.Sleep(timeBack)
+	lost := others(g.Voters, refused)[0]
+	require.NoError(t, s.fleet.Kill(lost))
+	require.NoError(t, s.fleet.Wipe(lost))
+	s.serves("with " + lost.Name + " lost after a failed write of " + refused.Name)
+	s.settle("at the end")
+}
+
 // loseLearnerAndVoter cuts the learner off until it is removed and, once it has had time to come back, kills a voter for
 // good, which is returned.
 func (s *soak) loseLearnerAndVoter() *Node {
+	g := s.removeLearner()
+	gone := g.Voters[s.extra.IntN(len(g.Voters))]
+	require.NoError(s.t, s.fleet.Kill(gone))
+	require.NoError(s.t, s.fleet.Wipe(gone))
+	return gone
+}
+
+// removeLearner cuts the learner off until it is removed, gives it time to come back, and returns the group as it was
+// without the learner.
+func (s *soak) removeLearner() Group {
 	var g Group
 	require.True(s.t, s.watch.await(patience, func() bool {
 		g = s.fleet.Group()
@@ -97,10 +128,7 @@
 	s.isolate(learner, false)
 	require.True(s.t, removed, "%s is still a member", learner.Name)
 	time.Sleep(timeBack)
-	gone := g.Voters[s.extra.IntN(len(g.Voters))]
-	require.NoError(s.t, s.fleet.Kill(gone))
-	require.NoError(s.t, s.fleet.Wipe(gone))
-	return gone
+	return g
 }
 
 // isolate cuts a node off from all others both ways, or ends that.
