--- a/internal/soaker/disk_test.go
+++ b/internal/soaker/disk_test.go
@@ -35,6 +35,7 @@
 
 // TestGroupSurvivesLostDiskAfterFailedWrite refuses the writes of one replica for a moment and then loses another one.
 func TestGroupSurvivesLostDiskAfterFailedWrite(t *testing.T) {
+	t.Parallel()
 	for i, place := range []string{"follower", "leader"} {
 		t.Run(place, func(t *testing.T) {
 			t.Parallel()
