Remove temporary files of a killed replacement when a log is opened

TestStartRemovesWhatAKilledReplaceLeft fails on the old code. Only the log's own process writes in the folder, so that nothing with such a name is in use at the start.

--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -121,3 +121,17 @@
 	}
 	return fmt.Errorf("%w: %w", ErrUnwritten, err)
 }
+
+// removeTemporaryFiles removes what a process that was killed inside Replace has left; a file that can't be removed
+// stays until the next start.
+func removeTemporaryFiles(d Disk, folder string) {
+	for _, name := range []string{snapshotName, identityName} {
+		left, err := filepath.Glob(filepath.Join(folder, "."+name+"*"))
+		if err != nil {
+			continue
+		}
+		for _, file := range left {
+			_ = d.Remove(file)
+		}
+	}
+}
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return c.Stored, nil, err
 	}
+	removeTemporaryFiles(l.disk(), l.Folder)
 	l.tornTail, l.unstarted = false, 0
 	l.hardState, l.last, l.segments = c.Stored.HardState, c.lastIndex(), c.segments
 	if err := l.completeNewest(c); err != nil {
--- a/internal/journaler/segments_test.go
+++ b/internal/journaler/segments_test.go
@@ -142,3 +142,14 @@
 		})
 	}
 }
+
+// A process that is killed while it replaces the snapshot left a temporary file of the snapshot's size at each time.
+func TestStartRemovesWhatAKilledReplaceLeft(t *testing.T) {
+	folder := t.TempDir()
+	left := filepath.Join(folder, ".snapshot4711")
+	require.NoError(t, os.WriteFile(left, []byte("half"), 0o600))
+	l := &journaler.Log{Folder: folder}
+	open(t, l)
+	require.NoFileExists(t, left)
+	require.NoError(t, l.Close())
+}
