Keep no output without a write while a replica's disk fails

Operators would see the memory of a node grow by some messages a second for as long as its disk takes no write: each answer to a heartbeat waited behind the write that fails, and all of them were sent at once when it succeeded.

Cause: output that needs no write was queued behind output that does, also where the write is repeated for minutes.

Evidence: TestOutputDoesNotGrowWhileTheDiskFails counts what waits after 26 repeated writes: 25 before ('25 is not less than 10'), under 10 with the change; the replica catches up in both.

Why it works: such output only carries messages, which the protocol may lose; entries, terms and votes are kept in their order.

--- a/internal/storer/disk_test.go
+++ b/internal/storer/disk_test.go
@@ -63,3 +63,19 @@
 		})
 	}
 }
+
+// The answers to heartbeats waited for the disk too, so that a disk that fails for hours filled the memory.
+func TestOutputDoesNotGrowWhileTheDiskFails(t *testing.T) {
+	t.Parallel()
+	disk := failingDisk{folder: &atomic.Value{}, failed: &atomic.Int64{}}
+	g := newGroup(t, 3, func(g *group) { g.disk = disk })
+	first, _ := g.leader()
+	failing := (first + 1) % 3
+	disk.folder.Store(g.path(failing))
+	g.propose("while the disk fails", 0)
+	const retries, limit = 25, 10
+	require.Eventually(t, func() bool { return disk.failed.Load() > retries }, wait, tick)
+	require.Less(t, g.store(failing).Unsaved(), limit)
+	disk.folder.Store("")
+	require.Eventually(t, func() bool { return g.holds(failing, "while the disk fails") }, wait, tick)
+}
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -265,7 +265,10 @@
 // messages that acknowledge one, and retries in the next cycle.
 func (r *Replicated) handle(ready replicator.Ready, b *batch) error {
 	r.peers.send(ready.BeforeSync, nil)
-	r.unsaved = append(r.unsaved, ready)
+	// Messages that wait for an earlier write and need none themselves are dropped, as a network may do.
+	if len(r.unsaved) == 0 || ready.MustSync() {
+		r.unsaved = append(r.unsaved, ready)
+	}
 	if err := r.flush(b); err != nil {
 		return err
 	}
