Let a leader act no more once it has told another replica to take over

Workers and operators could be ordered by two leaders for up to an election timeout: the voters elect the target of a transfer although they have just heard the leader, but a leader that missed that election went on acting on their earlier answers.

TestLeaderIsConfirmedAgainAfterAFailedTransfer holds that a lost target leaves the leader confirmed by its next round.

Not closed: a target that reads the request later than an election timeout, as it stood still, may still campaign.

--- a/pkg/manager/replicator/leadership.go
+++ b/pkg/manager/replicator/leadership.go
@@ -81,6 +81,9 @@
 	}
 	if r.transfer.target != 0 && now >= r.transfer.until {
 		r.transfer = transferState{}
+		// Only a round from now on shows that the target has not taken over.
+		r.lead.confirmedAt = 0
+		r.startRound(now)
 	}
 	if r.stopping {
 		r.TransferLeadership(now)
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -414,9 +414,10 @@
 }
 
 // ConfirmedAt returns the start of the latest heartbeat round that a quorum has answered, a time at which the
-// leadership still held. It returns false if the replica does not lead or was not confirmed yet.
+// leadership still held. It returns false if the replica does not lead, was not confirmed yet, or has told another one to
+// take over: the voters grant that election at once.
 func (r *Replica) ConfirmedAt() (manager.Time, bool) {
-	if !r.LeaderReady() || r.lead.confirmedAt == 0 {
+	if !r.LeaderReady() || r.lead.confirmedAt == 0 || r.transfer.sent {
 		return 0, false
 	}
 	return r.lead.confirmedAt, true
--- a/pkg/manager/replicator/stepdown_test.go
+++ b/pkg/manager/replicator/stepdown_test.go
@@ -82,3 +82,48 @@
 func (s *sim) block(a, b manager.ReplicaID) {
 	s.blocked[[2]manager.ReplicaID{a, b}], s.blocked[[2]manager.ReplicaID{b, a}] = true, true
 }
+
+// The voters elect the target of a transfer although they have just heard the leader, so that a leader which misses that
+// election must not act on their earlier answers.
+func TestLeaderIsNotConfirmedAfterItsTransfer(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3)
+		s.run(4_000)
+		old := s.leader()
+		require.NotNil(t, old)
+		old.replica.TransferLeadership(s.clock(old))
+		for _, id := range s.order {
+			s.blocked[[2]manager.ReplicaID{id, old.id}] = true
+		}
+		for range 60 {
+			s.run(10)
+			if next := s.leader(); next == nil || next == old {
+				continue
+			}
+			at, confirmed := old.replica.ConfirmedAt()
+			require.False(t, confirmed && s.clock(old).Sub(at) < old.replica.Options.ElectionTimeout, "seed %d", seed)
+		}
+		require.NotEqual(t, old, s.leader(), "seed %d", seed)
+		require.NoError(t, s.failure)
+	}
+}
+
+// A transfer whose target is lost must not leave the leader unconfirmed.
+func TestLeaderIsConfirmedAgainAfterAFailedTransfer(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, 3)
+		s.run(4_000)
+		leader := s.leader()
+		require.NotNil(t, leader)
+		leader.replica.TransferLeadership(s.clock(leader))
+		first, _ := s.others(leader)
+		s.block(first.id, leader.id)
+		s.run(200)
+		s.blocked = map[[2]manager.ReplicaID]bool{}
+		s.run(electionBound)
+		require.NotNil(t, s.leader(), "seed %d", seed)
+		_, confirmed := s.leader().replica.ConfirmedAt()
+		require.True(t, confirmed, "seed %d", seed)
+		require.NoError(t, s.failure)
+	}
+}
