Keep leadership on a failing disk where no other replica can be elected

Callers were refused for as long as the leader's disk failed while another of three replicas was down: the leader began a transfer, whose target needs a vote that the failing disk can't store, and then no one led.

TestLeaderWithAFailingDiskLeadsWhereNoOtherCan fails without the condition (no read in 20 s) and passes with it.

Why it works: a leader without its disk can't commit either, but its reads need only the others' answers.

--- a/internal/storer/disk.go
+++ b/internal/storer/disk.go
@@ -67,6 +67,10 @@
 	if r.replica.Status().Role != replicator.RoleLeader || now < r.disk.transferAt {
 		return
 	}
+	// A disk that takes no write can't store this replica's vote for the next leader either.
+	if r.disk.failure != nil && !r.replica.OthersFormQuorum(now) {
+		return
+	}
 	if r.disk.failure == nil {
 		if now < r.disk.spaceCheckAt {
 			return
--- a/internal/storer/disk_test.go
+++ b/internal/storer/disk_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -79,3 +81,27 @@
 	disk.folder.Store("")
 	require.Eventually(t, func() bool { return g.holds(failing, "while the disk fails") }, wait, tick)
 }
+
+// With one of three replicas down, a leader whose disk failed gave its leadership away although no other could be
+// elected without the vote that it could not store.
+func TestLeaderWithAFailingDiskLeadsWhereNoOtherCan(t *testing.T) {
+	t.Parallel()
+	disk := failingDisk{folder: &atomic.Value{}, failed: &atomic.Int64{}}
+	g := newGroup(t, 3, func(g *group) { g.disk = disk })
+	first, s := g.leader()
+	g.stop((first + 1) % 3)
+	const electionTimeouts = 2
+	time.Sleep(electionTimeouts * s.ElectionTimeout().Std())
+	disk.folder.Store(g.path(first))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := s.Propose(ctx, change("while the disk fails", 0))
+	require.Error(t, err)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return s.Read(ctx, func(manager.Applier) {}) == nil
+	}, wait, tick)
+	disk.folder.Store("")
+	g.propose("after it", 1)
+}
--- a/pkg/manager/replicator/leadership.go
+++ b/pkg/manager/replicator/leadership.go
@@ -102,6 +102,13 @@
 	})
 }
 
+// OthersFormQuorum reports whether a leader hears enough other voters to elect one of them without its own vote.
+func (r *Replica) OthersFormQuorum(now manager.Time) bool {
+	return r.role == RoleLeader && r.hasQuorum(func(id manager.ReplicaID) bool {
+		return id != r.ID && now.Sub(r.lead.progressOf(id).heardAt) < r.Options.ElectionTimeout
+	})
+}
+
 // startRound begins a heartbeat round: every follower gets a message that it must answer, which confirms
 // the leadership.
 func (r *Replica) startRound(now manager.Time) {
