--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -262,14 +261,8 @@
 
 // Discard empties the data folder of a replica that the group has removed.
 func (f *FleetNode) Discard() error {
-	names, err := filepath.Glob(filepath.Join(f.settings.Load().DataFolder, "*"))
-	if err != nil {
-		return fmt.Errorf("list data folder: %w", err)
-	}
-	for _, name := range names {
-		if err := os.RemoveAll(name); err != nil {
-			return fmt.Errorf("empty data folder: %w", err)
-		}
+	if err := storer.Discard(f.settings.Load().DataFolder); err != nil {
+		return fmt.Errorf("discard data folder: %w", err)
 	}
 	klog.InfoS(manager.LogDataFolderCleared)
 	return nil
--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -268,6 +268,25 @@
 	return nil
 }
 
+// Clear durably removes the log and the snapshot from a data folder; the identity stays.
+func Clear(folder string) error {
+	for _, pattern := range []string{snapshotName, segmentPrefix + "*"} {
+		names, err := filepath.Glob(filepath.Join(folder, pattern))
+		if err != nil {
+			return fmt.Errorf("list data folder: %w", err)
+		}
+		for _, name := range names {
+			if err := (RealDisk{}).Remove(name); err != nil {
+				return unwritten(err)
+			}
+		}
+	}
+	if err := (RealDisk{}).SyncFolder(folder); err != nil {
+		return unwritten(err)
+	}
+	return nil
+}
+
 // ReadSnapshot returns the latest snapshot.
 func (l *Log) ReadSnapshot() (manager.SnapshotMeta, []byte, error) {
 	var c Content
--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -37,12 +37,26 @@
 		r.identity = id
 		return nil
 	}
-	r.identity = manager.ReplicaIdentity{
-		Format: replicator.IdentityFormat, Replica: r.Replica, Disk: manager.DiskID(uuid.NewString()),
-	}
+	r.identity = newIdentity(r.Replica)
 	return r.writeIdentity()
 }
 
+func newIdentity(id manager.ReplicaID) manager.ReplicaIdentity {
+	return manager.ReplicaIdentity{Format: replicator.IdentityFormat, Replica: id, Disk: manager.DiskID(uuid.NewString())}
+}
+
+// Discard makes the folder of a removed replica that of an empty disk. The identity is replaced first: what a crash or a
+// loss of power leaves of the rest belongs to no group, and the next Open removes it.
+func Discard(folder string) error {
+	if err := journaler.WriteIdentity(folder, newIdentity(0)); err != nil {
+		return fmt.Errorf("replace identity: %w", err)
+	}
+	if err := journaler.Clear(folder); err != nil {
+		return fmt.Errorf("clear folder: %w", err)
+	}
+	return nil
+}
+
 func (r *Replicated) writeIdentity() error {
 	if err := journaler.WriteIdentity(r.Folder, r.identity); err != nil {
 		return fmt.Errorf("write identity: %w", err)
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -119,6 +119,11 @@
 	if err := r.openIdentity(); err != nil {
 		return err
 	}
+	if r.identity.Group == "" {
+		if err := journaler.Clear(r.Folder); err != nil {
+			return fmt.Errorf("clear folder: %w", err)
+		}
+	}
 	r.diskID = r.identity.Disk
 	r.log = &journaler.Log{Folder: r.Folder, Disk: r.Disk, MinFree: r.MinFreeBytes}
 	stored, data, err := r.log.Open()
