Answer a change of the membership at once while a joining replica's disk fails

The caller of a change waited until its own deadline, as the driver dropped what came while it waited to store an identity again.

--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -75,10 +75,7 @@
 			}
 		}
 	}
-	for _, c := range b.controls {
-		c.run(now)
-	}
-	b.controls = nil
+	b.runControls(now)
 	if len(r.Initial) == 0 {
 		return nil
 	}
--- a/internal/storer/inbox.go
+++ b/internal/storer/inbox.go
@@ -68,6 +68,14 @@
 	b.proposals, b.reads = nil, nil
 }
 
+// runControls runs the controls of this cycle.
+func (b *batch) runControls(now manager.Time) {
+	for _, c := range b.controls {
+		c.run(now)
+	}
+	b.controls = nil
+}
+
 // answerAll returns the answers of this cycle to the waiting calls of the peers.
 func (b *batch) answerAll() {
 	for _, in := range b.inbound {
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -185,7 +185,9 @@
 	batch := r.inbox.take()
 	defer batch.answerAll()
 	now := r.Clock.Now()
-	if r.replica == nil && !r.disk.waits(now) {
+	if r.replica == nil && r.disk.waits(now) {
+		batch.runControls(now)
+	} else if r.replica == nil {
 		if err := r.joinOrBootstrap(now, batch); errors.Is(err, journaler.ErrUnwritten) {
 			r.disk.noteFailure(now, r.Replica, err)
 		} else if err != nil {
@@ -229,9 +231,7 @@
 			r.replica.Step(now, m)
 		}
 	}
-	for _, c := range b.controls {
-		c.run(now)
-	}
+	b.runControls(now)
 	r.propose(b.proposals)
 	for _, read := range b.reads {
 		r.nextRead++
