Send nothing of a term that a single voter has not stored

A group of one voter and learners could diverge: the voter leads at once, and while its disk refused the write of its own vote, its heartbeats and entries of that term went out. After a crash it used the term again with other entries.

TestSingleVoterSendsNothingOfATermThatIsNotStored fails without the condition.

Why it works: while a term or vote waits for the disk, messages that need no write are dropped.

--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -269,7 +270,10 @@
 // handle saves, sends and applies one Ready of the replica. While the disk takes no write it holds back the
 // messages that acknowledge one, and retries in the next cycle.
 func (r *Replicated) handle(ready replicator.Ready, b *batch) error {
-	r.peers.send(ready.BeforeSync, nil)
+	// A single voter leads before its own vote is stored; nothing of that term may leave until then.
+	if !r.hardStateUnsaved() {
+		r.peers.send(ready.BeforeSync, nil)
+	}
 	// Messages that wait for an earlier write and need none themselves are dropped, as a network may do.
 	if len(r.unsaved) == 0 || ready.MustSync() {
 		r.unsaved = append(r.unsaved, ready)
@@ -280,6 +284,10 @@
 	return r.apply(ready)
 }
 
+func (r *Replicated) hardStateUnsaved() bool {
+	return slices.ContainsFunc(r.unsaved, func(ready replicator.Ready) bool { return ready.HardState != nil })
+}
+
 // flush writes the unsaved output in order and sends the messages that depend on each write.
 func (r *Replicated) flush(b *batch) error {
 	for len(r.unsaved) > 0 && !r.disk.waits(r.Clock.Now()) {
