Load the fleet of the settings at each controller that comes to lead

Operators could find no fleet at all: a controller that saw another one lead stopped trying to load the settings' fleet, and when that one was lost before it had committed its own, no later leader loaded it.

What the state holds already stays, as before.

--- a/internal/controller/conductor.go
+++ b/internal/controller/conductor.go
@@ -69,17 +69,22 @@
 	return nil
 }
 
-// loadFleet proposes the settings' fleet until it is committed; what the state knows already stays.
+// loadFleet proposes the settings' fleet until it is committed; what the state knows already stays. While another
+// controller leads, it waits: that one may be lost before it has committed its own settings' fleet.
 func (c *Conductor) loadFleet(ctx context.Context) {
 	if len(c.Fleet.Pools) == 0 {
 		return
 	}
 	for ctx.Err() == nil {
+		if c.otherLeads() {
+			sleep(ctx, manager.Second)
+			continue
+		}
 		result, err := c.store.Propose(ctx, manager.Command{At: c.Clock.Now(), LoadFleet: &c.Fleet})
 		if err == nil && result.Failure != nil {
 			klog.ErrorS(result.Failure.Err(), "Fleet of the settings was refused")
 		}
-		if err == nil || c.otherLeads() {
+		if err == nil {
 			return
 		}
 		sleep(ctx, manager.Second)
