--- a/internal/storer/disk.go
+++ b/internal/storer/disk.go
@@ -28,7 +28,7 @@
 	// transfer leadership.
 	spaceCheckAt manager.Time
 	transferAt   manager.Time
-	// failure is the error of the latest write, or nil; failingSince is when the first of a row failed.
+	// failure is the error of the latest write, or nil; failingSince is when writes began to fail.
 	failure      error
 	failingSince manager.Time
 	retryAt      manager.Time
