--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -56,6 +56,7 @@
 	reachedAt manager.Time
 	next      int
 	wake      chan struct{}
+	search    search
 }
 
 // Run refreshes the view until ctx ends.
@@ -111,13 +112,16 @@
 			// A replica names a leader only while it hears from it.
 			f.merge(v)
 			f.recordReached()
+			f.search.end()
 			return
 		}
 	}
+	var unreached, unaware []manager.Address
 	for _, a := range f.candidates() {
 		v, err := f.query(ctx, a)
 		if err != nil {
 			klog.V(2).InfoS("Node not reached", "Address", a, "Error", err.Error())
+			unreached = append(unreached, a)
 			continue
 		}
 		f.merge(v)
@@ -125,9 +129,12 @@
 			f.recordReached()
 		}
 		if v.Leader != "" {
+			f.search.end()
 			return
 		}
+		unaware = append(unaware, a)
 	}
+	f.search.fail(f.Clock.Now(), unreached, unaware)
 }
 
 func (f *Finder) recordReached() {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -60,6 +60,11 @@
 	return metrics.GetOrCreateCounter(`mulberryhaven_replica_silent_voters`)
 }
 
+// LeaderKnown is 1 while a node that this one asked, or its own replica, names a leader.
+func LeaderKnown() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_leader_known`)
+}
+
 // PlacementSeconds is the time of one step of placement, from reading usage to the last order.
 func PlacementSeconds() *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(`mulberryhaven_placement_seconds`)
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -32,6 +32,7 @@
 	LogLinesDropped                  = "Log lines dropped"
 	LogCallRefused                   = "Call refused"
 	LogLeaderFound                   = "Leader found"
+	LogLeaderNotFound                = "Leader not found"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
 	LogNodeFailed                    = "Node failed"
@@ -109,6 +110,7 @@
 		{LogLinesDropped, "Any", "Log lines were written faster than they are read; Minor and Essential count the missing lines."},
 		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code."},
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
+		{LogLeaderNotFound, "Any", "No node has named a leader for ForMs; the search goes on. Unreached nodes did not answer, Unaware ones know no leader."},
 		{LogListenerFailed, "Any", "A listener stopped unexpectedly."},
 		{LogNodeDidNotStopCleanly, "Any", "Work was still running when the grace period ended."},
 		{LogNodeFailed, "Any", "A part of the node has ended for good. The process stops what is in flight and exits with an error, to be restarted."},
