Reproduce the nodes that find no leader once seeds without a disk were exchanged and all restart

Nodes without a disk know only their seeds after a restart. Where these have no disk either, they ask only each other, and the replicas, which take the members from their logs, ask no seed.

--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -40,21 +40,31 @@
 	log     *os.File
 }
 
-// Start starts the process.
-func (p *Process) Start() error {
+// WriteSettings writes the settings file; a running process reads it again when it is told to.
+func (p *Process) WriteSettings() error {
 	data, err := json.MarshalIndent(p.Settings, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode settings: %w", err)
 	}
-	file := filepath.Join(p.Folder, p.Node+".json")
-	if err := os.WriteFile(file, data, fileMode); err != nil {
+	if err := os.WriteFile(p.settingsFile(), data, fileMode); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
+	return nil
+}
+
+func (p *Process) settingsFile() string { return filepath.Join(p.Folder, p.Node+".json") }
+
+// Start starts the process.
+func (p *Process) Start() error {
+	err := p.WriteSettings()
+	if err != nil {
+		return err
+	}
 	p.log, err = os.OpenFile(p.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	p.command = exec.CommandContext(context.Background(), p.Binary, p.Command, "--config", file)
+	p.command = exec.CommandContext(context.Background(), p.Binary, p.Command, "--config", p.settingsFile())
 	// A limit on the size of the process's files must not befall its log: it writes to a pipe.
 	output := struct{ io.Writer }{p.log}
 	p.command.Stdout = output
--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -61,6 +61,11 @@
 	WorkerCount int
 	Seed        uint64
 
+	// Seeds are the nodes that the settings name as seeds; nil stands for the first nodes with a disk.
+	Seeds []*Node
+
+	seedsMu sync.Mutex
+
 	Network Network
 	Nodes   []*Node
 	Ledger  emulator.Ledger
@@ -130,8 +135,11 @@
 	return nil
 }
 
-// Launch starts a node's process; found lets it found the group on an empty disk.
-func (f *Fleet) Launch(n *Node, found bool) error {
+// maxSeeds bounds the seeds that settings name.
+const maxSeeds = 3
+
+// settings returns a node's settings; found lets it found the group on an empty disk.
+func (f *Fleet) settings(n *Node, found bool) configurer.FleetNode {
 	s := configurer.FleetNode{
 		Node: n.Name, AvailabilityZone: "z", Address: n.Address, Listen: n.Listen, PeerPort: portPeer, MetricsPort: portMetrics,
 		Front: manager.Address(n.At(portFront)), Ready: manager.Address(n.At(portReady)), Control: manager.Address(n.At(portControl)),
@@ -139,15 +147,26 @@
 		Stop: configurer.Stop{GraceMs: 6 * manager.Second},
 		Work: configurer.FleetWork{MaxLeaseMs: 10 * manager.Second, StopMs: 900, DutyGapMs: manager.Second},
 	}
-	for _, seed := range f.Nodes[:min(3, f.Core)] {
+	f.seedsMu.Lock()
+	seeds := f.Seeds
+	f.seedsMu.Unlock()
+	if seeds == nil {
+		seeds = f.Nodes[:min(maxSeeds, f.Core)]
+	}
+	for _, seed := range seeds {
 		s.Seeds = append(s.Seeds, manager.Address(seed.At(portControl)))
 	}
 	if n.Core {
 		s.DataFolder = f.disk(n)
 	}
+	return s
+}
+
+// Launch starts a node's process; found lets it found the group on an empty disk.
+func (f *Fleet) Launch(n *Node, found bool) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.process = &launcher.Process{Binary: f.Binary, Folder: f.Folder, Node: n.Name, Command: "fleet", Settings: s}
+	n.process = &launcher.Process{Binary: f.Binary, Folder: f.Folder, Node: n.Name, Command: "fleet", Settings: f.settings(n, found)}
 	n.life++
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("launch: %w", err)
--- /dev/null
+++ b/internal/soaker/seeds.go
@@ -0,0 +1,32 @@
+package soaker
+
+import (
+	"fmt"
+	"syscall"
+)
+
+// ExchangeSeeds makes other nodes the seeds of every node; those that run read their settings again.
+func (f *Fleet) ExchangeSeeds(seeds []*Node) error {
+	f.seedsMu.Lock()
+	f.Seeds = seeds
+	f.seedsMu.Unlock()
+	for _, n := range f.Nodes {
+		if err := f.reload(n); err != nil {
+			return fmt.Errorf("exchange seeds of %s: %w", n.Name, err)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) reload(n *Node) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil || !n.process.Running() {
+		return nil
+	}
+	n.process.Settings = f.settings(n, false)
+	if err := n.process.WriteSettings(); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return n.process.Signal(syscall.SIGHUP)
+}
--- /dev/null
+++ b/internal/soaker/seeds_test.go
@@ -0,0 +1,46 @@
+package soaker
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestNodesFindLeaderAfterRestartWithSeedsWithoutDisk makes nodes without a disk the seeds and kills every process.
+func TestNodesFindLeaderAfterRestartWithSeedsWithoutDisk(t *testing.T) {
+	t.Parallel()
+	const core, plain = 3, 5
+	s := &soak{t: t, plain: plain}
+	defer s.close()
+	s.start(7, core)
+	require.NoError(t, s.fleet.ExchangeSeeds(s.fleet.Nodes[core:core+maxSeeds]))
+	s.serves("after the seeds were exchanged")
+	s.restartAll()
+	for _, n := range s.fleet.Nodes {
+		ready := func() bool { return s.watch.caller.Ready(s.watch.ctx, n.At(portReady)) }
+		require.True(t, s.watch.await(timeToRecover, ready), "%s finds no leader", n.Name)
+	}
+	s.settle("at the end")
+}
+
+// timeToRecover is the time in which every node has to serve once all are back.
+const timeToRecover = 12 * time.Second
+
+// restartAll kills every process and launches each at its own time.
+func (s *soak) restartAll() {
+	var kills, launches sync.WaitGroup
+	for _, n := range s.fleet.Nodes {
+		kills.Go(func() { s.must(s.fleet.Kill(n)) })
+	}
+	kills.Wait()
+	for _, n := range s.fleet.Nodes {
+		down := time.Duration(500+s.extra.IntN(500)) * time.Millisecond
+		launches.Go(func() {
+			time.Sleep(down)
+			s.must(s.fleet.Launch(n, false))
+		})
+	}
+	launches.Wait()
+}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -85,8 +86,10 @@
 	extra *rand.Rand
 	// refused tells that some disk refused writes.
 	refused bool
-	watch   *watch
-	work    sync.WaitGroup
+	// plain is the number of nodes without a disk; 0 stands for that of the flag.
+	plain int
+	watch *watch
+	work  sync.WaitGroup
 	// busy are the nodes whose process is down, paused or stopping.
 	busyMu sync.Mutex
 	busy   map[*Node]bool
@@ -115,7 +118,7 @@
 func (s *soak) start(seed uint64, core int) {
 	t := s.t
 	s.rng, s.extra, s.busy = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 7)), map[*Node]bool{}
-	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: *big, WorkerCount: 5, Seed: seed}
+	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: cmp.Or(s.plain, *big), WorkerCount: 5, Seed: seed}
 	require.NoError(t, s.fleet.Start())
 	s.watch = newWatch(s.fleet, seed)
 	s.watch.start()
