Forget a leader that only other nodes without it still name

Cause: a node took each view that names a leader as a fresh one, so that two nodes without contact to the leader could keep it alive for each other for ever.

Evidence: TestLostLeaderIsForgottenByNodesThatAskEachOther failed before: 'Should be empty, but was 127.0.0.1:33811', 8 s after the leader had named itself last. It passes now.

Change: a view says how long ago the leader, or a replica that hears from it, confirmed it, and whoever takes it over keeps that age. A search goes on past a view older than 1.5 s, so that a replica's newer one is found.

Why it works: the age only grows from node to node, so that a view that no replica confirms passes the limit of 3 s everywhere.

--- a/internal/coordinator/discovery_test.go
+++ b/internal/coordinator/discovery_test.go
@@ -90,3 +90,18 @@
 		require.Equal(t, leader.Own, f.View().Leader, "node %d finds no leader", i)
 	}
 }
+
+// Nodes that have lost the leader must not go on naming it to each other.
+func TestLostLeaderIsForgottenByNodesThatAskEachOther(t *testing.T) {
+	d := &discovery{clock: &manager.ManualClock{At: 100_000}}
+	one, two := d.add(t), d.add(t)
+	leader := d.add(t)
+	d.seeds = []manager.Address{one.Own, two.Own, leader.Own}
+	leader.Local = func() (finder.View, bool) { return finder.View{Term: 4, Leader: leader.Own}, true }
+	d.run(t, 6)
+	require.Equal(t, leader.Own, one.View().Leader)
+	leader.Local = func() (finder.View, bool) { return finder.View{Term: 4}, true }
+	d.run(t, 12)
+	require.Empty(t, one.View().Leader)
+	require.Empty(t, two.View().Leader)
+}
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -26,6 +26,8 @@
 	queryTimeout = 400 * time.Millisecond
 	// maxViewAge is the age up to which a view that names a leader is used.
 	maxViewAge = 3 * manager.Second
+	// freshAge is the age up to which a view ends a search; a leader that has answered is asked more often.
+	freshAge = 1500 * manager.Millisecond
 	// maxViewBytes limits the size of an answer.
 	maxViewBytes = 64 << 10
 )
@@ -36,6 +38,9 @@
 	// Leader is empty while none is known.
 	Leader  manager.Address `json:",omitempty"`
 	Members []manager.ReplicaMember
+	// AgeMs is the time since the leader, or a replica that hears from it, confirmed the view. Nodes that ask only each
+	// other would otherwise keep a lost leader for ever.
+	AgeMs manager.Duration `json:",omitempty"`
 }
 
 // Finder queries other nodes for the leader and keeps the latest view.
@@ -49,9 +54,10 @@
 	// Local returns the view of this node's own replica, or false on a node without one.
 	Local func() (View, bool)
 
-	mu     sync.Mutex
-	view   View
-	seenAt manager.Time
+	mu   sync.Mutex
+	view View
+	// confirmedAt is when the leader of the view, or a replica that hears from it, confirmed it.
+	confirmedAt manager.Time
 	// reachedAt is the time of the last answer from the leader itself.
 	reachedAt manager.Time
 	next      int
@@ -98,14 +104,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.view
-	if v.Leader == f.Own || f.Clock.Now().Sub(f.seenAt) > maxViewAge {
-		v.Leader = ""
+	v.AgeMs = f.Clock.Now().Sub(f.confirmedAt)
+	if v.Leader == f.Own || v.AgeMs > maxViewAge {
+		v.Leader, v.AgeMs = "", 0
 	}
 	return v
 }
 
 // Update takes the leader from the node's own replica, or else queries the last leader, the members and the
-// seeds until one of them names a leader.
+// seeds until one of them names a leader that was confirmed recently.
 func (f *Finder) Update(ctx context.Context) {
 	if f.Local != nil {
 		if v, ok := f.Local(); ok && v.Leader != "" {
@@ -117,6 +124,7 @@
 		}
 	}
 	var unreached, unaware []manager.Address
+	found := false
 	for _, a := range f.candidates() {
 		v, err := f.query(ctx, a)
 		if err != nil {
@@ -128,11 +136,18 @@
 		if v.Leader == a {
 			f.recordReached()
 		}
-		if v.Leader != "" {
-			f.search.end()
-			return
+		if v.Leader == "" {
+			unaware = append(unaware, a)
+			continue
 		}
-		unaware = append(unaware, a)
+		found = true
+		if v.AgeMs <= freshAge {
+			break
+		}
+	}
+	if found {
+		f.search.end()
+		return
 	}
 	f.search.fail(f.Clock.Now(), unreached, unaware)
 }
@@ -187,10 +202,14 @@
 	if v.Leader != f.view.Leader && v.Leader != "" {
 		klog.InfoS(manager.LogLeaderFound, "Leader", v.Leader, "Term", v.Term, "Before", f.view.Leader)
 	}
-	if v.Leader == "" && v.Term == f.view.Term {
+	confirmedAt := f.Clock.Now().Add(-max(0, v.AgeMs))
+	switch {
+	case v.Leader == "" && v.Term == f.view.Term:
 		v.Leader = f.view.Leader
-	} else if v.Leader != "" {
-		f.seenAt = f.Clock.Now()
+	case v.Leader != "" && v.Leader == f.view.Leader && v.Term == f.view.Term:
+		f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	case v.Leader != "":
+		f.confirmedAt = confirmedAt
 	}
 	if len(v.Members) == 0 {
 		v.Members = f.view.Members
