Tell the seeds who leads, so that nodes without a disk find the leader after a restart

Cause: a node without a disk knows only its seeds when it starts. Where the seeds had been exchanged for nodes without a disk, these asked each other, and the replicas, which take the members from their logs, asked and told no seed.

Change: each node that knows the leader tells it to seeds that are no members: a replica to all of them when the leader changes and to one in turn each 0.7 s, other nodes to one each 2.1 s. The soak exchanges seeds among all nodes.

Why it works: whoever can start a search knows the seeds, and whoever knows the leader now visits the same seeds, so that the two meet there whatever the seeds hold; seeds that differ are joined by the nodes that have more than one of them. Where all seeds are members nothing is sent.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -12,8 +12,12 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// maxPeerBytes bounds the body of another node's call.
-const maxPeerBytes = 32 << 20
+const (
+	// maxPeerBytes bounds the body of another node's call.
+	maxPeerBytes = 32 << 20
+	// maxViewBytes bounds the body of another node's view.
+	maxViewBytes = 64 << 10
+)
 
 func isRemoved(err error) bool {
 	e, ok := errors.AsType[manager.ErrConflict](err)
@@ -24,6 +28,7 @@
 func (n *Node) AddRoutes(e *echo.Echo) {
 	e.Use(middleware.Decompress())
 	e.GET(finder.PathView, func(c echo.Context) error { return n.packer.answer(c, n.Finder.View()) })
+	e.POST(finder.PathView, n.handleView)
 	e.POST(PathCall, n.handleCall)
 	if n.Leader == nil {
 		return
@@ -33,6 +38,16 @@
 	e.POST(storer.PathProbe, func(c echo.Context) error { return n.packer.answer(c, n.Leader.Store.Probe()) })
 }
 
+// handleView takes over the view of another node and answers with this node's.
+func (n *Node) handleView(c echo.Context) error {
+	var v finder.View
+	if err := listener.Decode(c, maxViewBytes, &v); err != nil {
+		return err
+	}
+	n.Finder.Learn(v)
+	return n.packer.answer(c, n.Finder.View())
+}
+
 // handleCall answers the call of another node. It never forwards it, so that calls do not loop.
 func (n *Node) handleCall(c echo.Context) error {
 	var call manager.FleetCall
--- /dev/null
+++ b/internal/finder/announce.go
@@ -0,0 +1,96 @@
+package finder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
+
+// announcePeriod is the interval between two announcements of a node without a replica, of which there may be hundreds.
+const announcePeriod = 2100 * manager.Millisecond
+
+// announcer remembers what a node has told its seeds.
+type announcer struct {
+	term   manager.Term
+	leader manager.Address
+	at     manager.Time
+	next   int
+}
+
+// Learn takes over the view of another node.
+func (f *Finder) Learn(v View) {
+	if v.Leader != "" && v.AgeMs <= maxViewAge {
+		f.merge(v)
+	}
+}
+
+// announce tells seeds who leads. A seed without a replica knows only what others tell it, and after a restart of all
+// nodes those that ask it know no more.
+func (f *Finder) announce(ctx context.Context) {
+	v := f.View()
+	if v.Leader == "" {
+		return
+	}
+	targets := f.announceTargets(v)
+	var work sync.WaitGroup
+	for _, a := range targets {
+		work.Go(func() {
+			theirs, err := f.post(ctx, a, v)
+			if err != nil {
+				klog.V(2).InfoS("View not announced", "Address", a, "Error", err.Error())
+				return
+			}
+			f.Learn(theirs)
+		})
+	}
+	work.Wait()
+}
+
+// announceTargets returns the seeds to tell: all of them when a replica has another leader, and one in turn otherwise, so
+// that a seed that restarts learns the leader too. Members know it from the leader.
+func (f *Finder) announceTargets(v View) []manager.Address {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var seeds []manager.Address
+	for _, a := range f.Seeds() {
+		isMember := slices.ContainsFunc(v.Members, func(m manager.ReplicaMember) bool { return m.Address == a })
+		if a != f.Own && a != v.Leader && !isMember {
+			seeds = append(seeds, a)
+		}
+	}
+	now, hasReplica := f.Clock.Now(), f.Local != nil
+	changed := v.Leader != f.announced.leader || v.Term != f.announced.term
+	if len(seeds) == 0 || !hasReplica && now.Sub(f.announced.at) < announcePeriod {
+		return nil
+	}
+	f.announced.term, f.announced.leader, f.announced.at = v.Term, v.Leader, now
+	if changed && hasReplica {
+		return seeds
+	}
+	f.announced.next++
+	return seeds[f.announced.next%len(seeds):][:1]
+}
+
+// post tells a node a view and returns that node's.
+func (f *Finder) post(ctx context.Context, a manager.Address, v View) (View, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return View{}, fmt.Errorf("encode view: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathView, bytes.NewReader(data))
+	if err != nil {
+		return View{}, fmt.Errorf("create announcement: %w", err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return f.exchange(r)
+}
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -63,6 +63,7 @@
 	next      int
 	wake      chan struct{}
 	search    search
+	announced announcer
 }
 
 // Run refreshes the view until ctx ends.
@@ -111,9 +112,15 @@
 	return v
 }
 
-// Update takes the leader from the node's own replica, or else queries the last leader, the members and the
-// seeds until one of them names a leader that was confirmed recently.
+// Update looks for the leader and tells seeds who leads.
 func (f *Finder) Update(ctx context.Context) {
+	f.look(ctx)
+	f.announce(ctx)
+}
+
+// look takes the leader from the node's own replica, or else queries the last leader, the members and the seeds until
+// one of them names a leader that was confirmed recently.
+func (f *Finder) look(ctx context.Context) {
 	if f.Local != nil {
 		if v, ok := f.Local(); ok && v.Leader != "" {
 			// A replica names a leader only while it hears from it.
@@ -224,17 +231,22 @@
 	if err != nil {
 		return View{}, fmt.Errorf("create view request: %w", err)
 	}
+	return f.exchange(r)
+}
+
+// exchange sends a request to a node and returns the view in its answer.
+func (f *Finder) exchange(r *http.Request) (View, error) {
 	response, err := f.HTTP.Do(r)
 	if err != nil {
-		return View{}, fmt.Errorf("query %s: %w", a, err)
+		return View{}, fmt.Errorf("call %s: %w", r.URL.Host, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return View{}, eris.Errorf("%s answered with status %d", a, response.StatusCode)
+		return View{}, eris.Errorf("%s answered with status %d", r.URL.Host, response.StatusCode)
 	}
 	var v View
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxViewBytes)).Decode(&v); err != nil {
-		return View{}, fmt.Errorf("decode view of %s: %w", a, err)
+		return View{}, fmt.Errorf("decode view of %s: %w", r.URL.Host, err)
 	}
 	return v, nil
 }
--- a/internal/soaker/seeds_test.go
+++ b/internal/soaker/seeds_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -44,3 +45,18 @@
 	}
 	launches.Wait()
 }
+
+// exchangeSeeds draws other seeds at some moments of the faults; nodes without a disk may be among them.
+func (s *soak) exchangeSeeds(seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	s.work.Go(func() {
+		for range 1 + rng.IntN(2) {
+			time.Sleep(time.Duration(rng.IntN(int(*faultTime))))
+			var seeds []*Node
+			for _, i := range rng.Perm(len(s.fleet.Nodes))[:maxSeeds] {
+				seeds = append(seeds, s.fleet.Nodes[i])
+			}
+			s.must(s.fleet.ExchangeSeeds(seeds))
+		}
+	})
+}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -100,6 +100,7 @@
 	defer s.close()
 	s.start(seed, 3+int(seed%2))
 	s.plannedStops()
+	s.exchangeSeeds(seed)
 	s.faults()
 	s.work.Wait()
 	s.settle("after the faults")
