Take signals before the settings are read

What operators would see: a node that is told of changed settings while it starts ends at once and has to be started again.

Cause: SIGHUP ends a process until it asks for the signal, which the node did only after its settings and its log.

Change: the signals are asked for first; one that comes meanwhile is handled once the node runs. The moments before the program's first line remain.

--- a/internal/commander/fleetnode.go
+++ b/internal/commander/fleetnode.go
@@ -32,6 +32,10 @@
 		Long:  "Run a node on the platform until SIGTERM. Without --config, " + platform.SettingsVariable + " names the settings file.",
 		Args:  exactly(0),
 		RunE: func(*cobra.Command, []string) error {
+			// The platform may signal changed settings at any time; a signal before this call ends the process.
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			defer signal.Stop(signals)
 			if file == "" {
 				file = os.Getenv(platform.SettingsVariable)
 			}
@@ -39,23 +43,20 @@
 			if err != nil {
 				return errUsage{err}
 			}
-			return runFleetNode(file, settings)
+			return runFleetNode(file, settings, signals)
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "settings file")
 	return cmd
 }
 
-func runFleetNode(file string, settings configurer.FleetNode) error {
+func runFleetNode(file string, settings configurer.FleetNode, signals <-chan os.Signal) error {
 	out := &logger.Bounded{To: os.Stdout, Node: settings.Node}
 	out.Start()
 	if err := logger.Setup(out, settings.Node, max(logger.Minor, settings.Log.Verbosity)); err != nil {
 		return fmt.Errorf("set up log: %w", err)
 	}
 	defer out.Stop(flushPatience)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		f := &assembler.FleetNode{Clock: timekeeper.NewBoot(), Seed: uint64(time.Now().UnixNano())}
 		if err := f.Start(settings); err != nil {
