--- a/internal/finder/search_test.go
+++ b/internal/finder/search_test.go
@@ -53,3 +53,21 @@
 	other.Local = func() (finder.View, bool) { return finder.View{Term: 1, Leader: other.Own}, true }
 	require.NotContains(t, captureLog(t, func() { node.Update(context.Background()) }), manager.LogLeaderNotFound)
 }
+
+// A search that only brings this node's own name, as after a restart of the leader, has found none.
+func TestSearchThatFindsOnlyThisNodeIsLogged(t *testing.T) {
+	clock := &manager.ManualClock{At: 100_000}
+	node := newFinder(clock)
+	other := newFinder(clock)
+	other.Own = serveView(t, other)
+	other.Local = func() (finder.View, bool) { return finder.View{Term: 3, Leader: node.Own}, true }
+	node.Seeds = func() []manager.Address { return []manager.Address{other.Own} }
+	lines := captureLog(t, func() {
+		for range 12 {
+			node.Update(context.Background())
+			clock.Advance(700 * manager.Millisecond)
+		}
+	})
+	require.Empty(t, node.View().Leader)
+	require.Contains(t, lines, manager.LogLeaderNotFound)
+}
