Tell members that lost their disk who leads

What callers would see: a machine whose disk came back empty answers every call with 503 and never joins again, as long as the other seeds it was told are down. It stays a silent voter meanwhile.

Cause: announceTargets left out all members, as a member hears from the leader. One with an empty disk drops the leader's messages (replicator.ProvesMembership) and knows only its seeds.

Evidence: TestSeedThatLostItsDiskFindsLeaderWhileOtherSeedsAreDown and TestMemberThatLostItsDiskFindsLeaderWhileSeedsAreDown failed before with an empty leader and pass now.

--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -54,29 +54,45 @@
 	work.Wait()
 }
 
-// announceTargets returns the seeds to tell: all of them when a replica has another leader, and one in turn otherwise, so
-// that a seed that restarts learns the leader too. Members know it from the leader.
+// announceTargets returns the nodes to tell: all seeds when a replica has another leader, and one in turn otherwise, so that
+// a seed that restarts learns the leader too. A replica also tells the members: one that has lost its disk does not hear
+// from the leader, and its seeds may be down. Other nodes tell only seeds that are no members.
 func (f *Finder) announceTargets(v View) []manager.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var seeds []manager.Address
+	var seeds, members []manager.Address
+	for _, m := range v.Members {
+		if m.Address != f.Own && m.Address != v.Leader {
+			members = append(members, m.Address)
+		}
+	}
 	for _, a := range f.Seeds() {
-		isMember := slices.ContainsFunc(v.Members, func(m manager.ReplicaMember) bool { return m.Address == a })
-		if a != f.Own && a != v.Leader && !isMember {
+		if a != f.Own && a != v.Leader && !slices.Contains(members, a) {
 			seeds = append(seeds, a)
 		}
 	}
 	now, hasReplica := f.Clock.Now(), f.Local != nil
 	changed := v.Leader != f.announced.leader || v.Term != f.announced.term
-	if len(seeds) == 0 || !hasReplica && now.Sub(f.announced.at) < announcePeriod {
+	if !hasReplica && (len(seeds) == 0 || now.Sub(f.announced.at) < announcePeriod) {
 		return nil
 	}
 	f.announced.term, f.announced.leader, f.announced.at = v.Term, v.Leader, now
-	if changed && hasReplica {
-		return seeds
-	}
 	f.announced.next++
-	return seeds[f.announced.next%len(seeds):][:1]
+	if !hasReplica {
+		return oneOf(seeds, f.announced.next)
+	}
+	if !changed {
+		seeds = oneOf(seeds, f.announced.next)
+	}
+	return append(seeds, oneOf(members, f.announced.next)...)
+}
+
+// oneOf returns the address whose turn it is, or none of an empty list.
+func oneOf(list []manager.Address, turn int) []manager.Address {
+	if len(list) == 0 {
+		return nil
+	}
+	return list[turn%len(list):][:1:1]
 }
 
 // post tells a node a view and returns that node's.
