Ask the members of the own log for the leader

What callers would see: a machine whose replica was removed while it was down finds no leader, so that it never empties its disk and joins again, as long as the seeds are down, although the members that its log names answer.

Cause: look asked the members of an earlier view, which a restart forgets, and the seeds; the members of the log were used only for replication, whose messages the others drop from a replica that is no member.

Evidence: TestRemovedReplicaAsksMembersOfItsLogWhileSeedsAreDown failed before with an empty leader and passes now.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -121,18 +121,21 @@
 // look takes the leader from the node's own replica, or else queries the last leader, the members and the seeds until
 // one of them names a leader that was confirmed recently.
 func (f *Finder) look(ctx context.Context) {
+	var logged []manager.ReplicaMember
 	if f.Local != nil {
-		if v, ok := f.Local(); ok && v.Leader != "" {
+		v, ok := f.Local()
+		if ok && v.Leader != "" {
 			// A replica names a leader only while it hears from it.
 			f.merge(v)
 			f.recordReached()
 			f.search.end()
 			return
 		}
+		logged = v.Members
 	}
 	var unreached, unaware []manager.Address
 	found := false
-	for _, a := range f.candidates() {
+	for _, a := range f.candidates(logged) {
 		v, err := f.query(ctx, a)
 		if err != nil {
 			klog.V(2).InfoS("Node not reached", "Address", a, "Error", err.Error())
@@ -173,8 +176,9 @@
 	return f.reachedAt
 }
 
-// candidates returns the leader first, then the members and seeds, rotated by one at each call.
-func (f *Finder) candidates() []manager.Address {
+// candidates returns the leader first, then the members, those of the own replica's log and the seeds, rotated by one at
+// each call.
+func (f *Finder) candidates(logged []manager.ReplicaMember) []manager.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var others []manager.Address
@@ -183,7 +187,7 @@
 			others = append(others, a)
 		}
 	}
-	for _, m := range f.view.Members {
+	for _, m := range slices.Concat(f.view.Members, logged) {
 		add(m.Address)
 	}
 	for _, a := range f.Seeds() {
