Let a term that no node confirms give way to a lower one

What callers would see: after one node has named a leader of a far too high term once, all nodes without a replica answer 503 for good, as they take each other's term and refuse that of the leader. A restart of one does not help: it takes the term again.

Cause: merge refused each lower term without an end. The age of a view limited only how long its leader is used.

Evidence: TestWrongViewOfOneNodeIsForgotten failed before for term, address and future with an empty leader 16 s after the view; it passes now. A view of a lower term is taken only while the own one names no leader that was confirmed within 3 s, and only if it was itself confirmed within 3 s.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -207,7 +207,7 @@
 func (f *Finder) merge(v View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.Term < f.view.Term {
+	if v.Term < f.view.Term && (v.Leader == "" || v.AgeMs > maxViewAge || f.current()) {
 		return
 	}
 	if v.Leader != f.view.Leader && v.Leader != "" {
@@ -228,6 +228,12 @@
 	f.view = v
 }
 
+// current tells whether the view names a leader that was confirmed within the limit; mu is held. A term that nobody confirms
+// gives way to a lower one, as one node with a wrong view would end the search of all others for good.
+func (f *Finder) current() bool {
+	return f.view.Leader != "" && f.Clock.Now().Sub(f.confirmedAt) <= maxViewAge
+}
+
 func (f *Finder) query(ctx context.Context, a manager.Address) (View, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
