Go on with a search that brought only this node's own name

What operators would see: mulberryhaven_leader_known is 1 and 'Leader not found' is not logged on a node that refuses every call, where others still name it after its restart or name a leader of an older term.

Cause: look took each view that names a leader as a find, whether merge took it over or not, and ended the round there.

Evidence: TestSearchThatFindsOnlyThisNodeIsLogged failed before ('does not contain "Leader not found"') and passes now.

--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -146,12 +146,14 @@
 		if v.Leader == a {
 			f.recordReached()
 		}
-		if v.Leader == "" {
+		// A view that names this node or was not taken over brings no leader.
+		known := f.View()
+		if v.Leader == "" || known.Leader == "" {
 			unaware = append(unaware, a)
 			continue
 		}
 		found = true
-		if v.AgeMs <= freshAge {
+		if max(v.AgeMs, known.AgeMs) <= freshAge {
 			break
 		}
 	}
