Read the settings again once a node has started

What callers would see: a node whose replica was removed while its process ran answers 503 for good where the seeds of the process's start are gone: it starts again with those, forgets the leader with the rest, and takes no newer seeds, as the file does not change any more. The same if the file changes between its first reading and the end of the start.

Cause: runFleetNode starts each time with the settings of the process's start, and serveFleetNode compares the file only with its state after the start.

Evidence: TestNodeAsksSeedsThatChangedBeforeItStarted failed before ('the new seed was not asked', 4 s; 'Leader not found' with the old seed) and passes now.

--- a/internal/commander/fleetnode.go
+++ b/internal/commander/fleetnode.go
@@ -85,6 +85,10 @@
 	t := time.NewTicker(settingsPeriod)
 	defer t.Stop()
 	changed := modified(file)
+	if !changed.IsZero() {
+		// The node may have started with settings that were read earlier.
+		reloadFleetNode(file, f)
+	}
 	for {
 		select {
 		case <-f.Removed:
