Exchange the seeds of the soak without a signal

Cause: SIGHUP that comes before signal.Notify ends a process, and the soak launches processes meanwhile. A process that starts could also read a part of the file that is being written.

--- a/internal/launcher/process.go
+++ b/internal/launcher/process.go
@@ -40,15 +40,19 @@
 	log     *os.File
 }
 
-// WriteSettings writes the settings file; a running process reads it again when it is told to.
+// WriteSettings replaces the settings file, so that no reader finds a part of it; a running process notices that.
 func (p *Process) WriteSettings() error {
 	data, err := json.MarshalIndent(p.Settings, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode settings: %w", err)
 	}
-	if err := os.WriteFile(p.settingsFile(), data, fileMode); err != nil {
+	next := p.settingsFile() + ".next"
+	if err := os.WriteFile(next, data, fileMode); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
+	if err := os.Rename(next, p.settingsFile()); err != nil {
+		return fmt.Errorf("replace settings: %w", err)
+	}
 	return nil
 }
 
--- a/internal/soaker/seeds.go
+++ b/internal/soaker/seeds.go
@@ -1,11 +1,9 @@
 package soaker
 
-import (
-	"fmt"
-	"syscall"
-)
+import "fmt"
 
-// ExchangeSeeds makes other nodes the seeds of every node; those that run read their settings again.
+// ExchangeSeeds makes other nodes the seeds of every node; those that run notice their changed settings. They get no signal, as
+// it would end a process that has only just started.
 func (f *Fleet) ExchangeSeeds(seeds []*Node) error {
 	f.seedsMu.Lock()
 	f.Seeds = seeds
@@ -28,5 +26,5 @@
 	if err := n.process.WriteSettings(); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
-	return n.process.Signal(syscall.SIGHUP)
+	return nil
 }
