--- a/internal/soaker/seeds_test.go
+++ b/internal/soaker/seeds_test.go
@@ -60,3 +60,24 @@
 		}
 	})
 }
+
+// TestMachineWithLostDiskFindsLeaderWhileOtherSeedsAreDown empties the disk of the only seed that is left.
+func TestMachineWithLostDiskFindsLeaderWhileOtherSeedsAreDown(t *testing.T) {
+	t.Parallel()
+	const core, plain = 3, 3
+	s := &soak{t: t, plain: plain}
+	defer s.close()
+	s.start(7, core)
+	lost := s.fleet.Nodes[0]
+	down := s.fleet.Nodes[core : core+2]
+	require.NoError(t, s.fleet.ExchangeSeeds([]*Node{lost, down[0], down[1]}))
+	s.serves("after the seeds were exchanged")
+	for _, n := range append([]*Node{lost}, down...) {
+		require.NoError(t, s.fleet.Kill(n))
+	}
+	require.NoError(t, s.fleet.Wipe(lost))
+	require.NoError(t, s.fleet.Launch(lost, false))
+	ready := func() bool { return s.watch.caller.Ready(s.watch.ctx, lost.At(portReady)) }
+	require.True(t, s.watch.await(timeToRecover, ready), "%s finds no leader", lost.Name)
+	s.settle("at the end")
+}
