--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -121,18 +121,21 @@
 // look takes the leader from the node's own replica, or else queries the last leader, the members and the seeds until
 // one of them names a leader that was confirmed recently.
 func (f *Finder) look(ctx context.Context) {
+	var logged []manager.ReplicaMember
 	if f.Local != nil {
-		if v, ok := f.Local(); ok && v.Leader != "" {
+		v, ok := f.Local()
+		if ok && v.Leader != "" {
 			// A replica names a leader only while it hears from it.
 			f.merge(v)
 			f.recordReached()
 			f.search.end()
 			return
 		}
+		logged = v.Members
 	}
 	var unreached, unaware []manager.Address
 	found := false
-	for _, a := range f.candidates() {
+	for _, a := range f.candidates(logged) {
 		v, err := f.query(ctx, a)
 		if err != nil {
 			klog.V(2).InfoS("Node not reached", "Address", a, "Error", err.Error())
@@ -143,12 +146,14 @@
 		if v.Leader == a {
 			f.recordReached()
 		}
-		if v.Leader == "" {
+		// A view that names this node or was not taken over brings no leader.
+		known := f.View()
+		if v.Leader == "" || known.Leader == "" {
 			unaware = append(unaware, a)
 			continue
 		}
 		found = true
-		if v.AgeMs <= freshAge {
+		if max(v.AgeMs, known.AgeMs) <= freshAge {
 			break
 		}
 	}
@@ -173,8 +178,9 @@
 	return f.reachedAt
 }
 
-// candidates returns the leader first, then the members and seeds, rotated by one at each call.
-func (f *Finder) candidates() []manager.Address {
+// candidates returns the leader first, then the members, those of the own replica's log and the seeds, rotated by one at
+// each call.
+func (f *Finder) candidates(logged []manager.ReplicaMember) []manager.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var others []manager.Address
@@ -183,7 +189,7 @@
 			others = append(others, a)
 		}
 	}
-	for _, m := range f.view.Members {
+	for _, m := range slices.Concat(f.view.Members, logged) {
 		add(m.Address)
 	}
 	for _, a := range f.Seeds() {
@@ -203,7 +209,7 @@
 func (f *Finder) merge(v View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.Term < f.view.Term {
+	if v.Term < f.view.Term && (v.Leader == "" || v.AgeMs > maxViewAge || f.current()) {
 		return
 	}
 	if v.Leader != f.view.Leader && v.Leader != "" {
@@ -224,6 +230,12 @@
 	f.view = v
 }
 
+// current tells whether the view names a leader that was confirmed within the limit; mu is held. A term that nobody confirms
+// gives way to a lower one, as one node with a wrong view would end the search of all others for good.
+func (f *Finder) current() bool {
+	return f.view.Leader != "" && f.Clock.Now().Sub(f.confirmedAt) <= maxViewAge
+}
+
 func (f *Finder) query(ctx context.Context, a manager.Address) (View, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
