Tell a node that has stopped asking who leads

What callers would see: a node without a disk that restarts while all of its seeds are down answers every call with 503 until a seed is back, although the leader and all other nodes run.

Cause: such a node can ask nobody, and only seeds and members are told who leads.

Change: a node names itself when it asks for the view.

A loss of all nodes still needs a seed.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -27,7 +27,10 @@
 // AddRoutes adds the endpoints for other nodes.
 func (n *Node) AddRoutes(e *echo.Echo) {
 	e.Use(middleware.Decompress())
-	e.GET(finder.PathView, func(c echo.Context) error { return n.packer.answer(c, n.Finder.View()) })
+	e.GET(finder.PathView, func(c echo.Context) error {
+		n.Finder.Heard(manager.Address(c.Request().Header.Get(finder.HeaderNode)))
+		return n.packer.answer(c, n.Finder.View())
+	})
 	e.POST(finder.PathView, n.handleView)
 	e.POST(PathCall, n.handleCall)
 	if n.Leader == nil {
--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -41,6 +41,9 @@
 		return
 	}
 	targets := f.announceTargets(v)
+	if v.Leader == f.Own {
+		targets = append(targets, f.silentCaller(f.Clock.Now())...)
+	}
 	var work sync.WaitGroup
 	for _, a := range targets {
 		work.Go(func() {
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -64,6 +64,7 @@
 	wake      chan struct{}
 	search    search
 	announced announcer
+	callers   map[manager.Address]callerRecord
 }
 
 // Run refreshes the view until ctx ends.
@@ -243,6 +244,7 @@
 	if err != nil {
 		return View{}, fmt.Errorf("create view request: %w", err)
 	}
+	r.Header.Set(HeaderNode, string(f.Own))
 	return f.exchange(r)
 }
 
