--- a/internal/commander/reload_test.go
+++ b/internal/commander/reload_test.go
@@ -28,7 +28,9 @@
 	const port = 9081
 	network, err := launcher.FreeNetwork()
 	require.NoError(t, err)
-	at := func(host, port int) manager.Address { return manager.Address(fmt.Sprintf("%s.%d:%d", network, host, port)) }
+	at := func(host, port int) manager.Address {
+		return manager.Address(fmt.Sprintf("%s.%d:%d", network, host, port))
+	}
 	var asked atomic.Bool
 	l, err := net.Listen("tcp", string(at(13, port)))
 	require.NoError(t, err)
