Bound the announcements of a replica

Cause: each failed call refreshes the view, and a replica announced at each update, so that an outage of the leader brought announcements at the rate of the failed calls.

Evidence: TestRefreshesDoNotMultiplyAnnouncements failed before (50 within half a second) and passes now.

--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -15,8 +15,12 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// announcePeriod is the interval between two announcements of a node without a replica, of which there may be hundreds.
-const announcePeriod = 2100 * manager.Millisecond
+const (
+	// announcePeriod is the interval between two announcements of a node without a replica, of which there may be hundreds.
+	announcePeriod = 2100 * manager.Millisecond
+	// replicaAnnouncePeriod is that of a replica, a little less than the time between two updates: failed calls bring more.
+	replicaAnnouncePeriod = 600 * manager.Millisecond
+)
 
 // announcer remembers what a node has told its seeds.
 type announcer struct {
@@ -80,7 +84,8 @@
 		_, _ = h.Write([]byte(f.Own))
 		f.announced.next = int(h.Sum32() >> 16)
 	}
-	if !hasReplica && (len(seeds) == 0 || now.Sub(f.announced.at) < announcePeriod) {
+	age := now.Sub(f.announced.at)
+	if hasReplica && !changed && age < replicaAnnouncePeriod || !hasReplica && (len(seeds) == 0 || age < announcePeriod) {
 		return nil
 	}
 	f.announced.term, f.announced.leader, f.announced.at = v.Term, v.Leader, now
