--- a/internal/commander/reload_test.go
+++ b/internal/commander/reload_test.go
@@ -64,8 +64,7 @@
 		done <- err
 	}()
 	const patience = 4 * time.Second
-	heard := func() bool { return asked.Load() }
-	ok := waitFor(patience, heard)
+	ok := waitFor(patience, asked.Load)
 	signals <- syscall.SIGTERM
 	require.NoError(t, <-done)
 	require.NoError(t, f.Stop())
