Log why a run is lost and how long it was open

'Run lost' was the same line for a later instance on the VM, an expired lease, a worker that left and a VM that was moved, so a crash could not be told from a worker that is cut off. It now has Reason and OpenMs.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -230,7 +230,7 @@
 	case OutcomeAccepted:
 		d.maintenance.retryAt[vm] = now.Add(moveRetry)
 		if w := d.byVM[vm]; w != nil && w.latest.Pool != r.Order.Pool {
-			d.endLostRuns(w.instance, c)
+			d.endLostRuns(now, w.instance, lossVMMoved, c)
 			d.removeWorker(w)
 		}
 		if d.isStandby(r.Order.Pool) {
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -142,11 +142,11 @@
 		return l.Worker == r.Instance.Worker && l.StartedAt < r.Instance.StartedAt
 	}
 	for _, l := range d.sortedInstances(older) {
-		d.endLostRuns(l, c)
+		d.endLostRuns(now, l, lossLaterInstance, c)
 	}
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
 		if o != nil && o.instance != r.Instance && o.instance.StartedAt < r.Instance.StartedAt {
-			d.endLostRuns(o.instance, c)
+			d.endLostRuns(now, o.instance, lossLaterInstance, c)
 			d.removeWorker(o)
 		}
 	}
@@ -181,15 +181,26 @@
 	return d.Options.LeaseMs + d.Options.LeaseMs*clockSlackPercent/100 + leaseSlack
 }
 
+// lossReason is why the runs of a worker instance are considered lost.
+type lossReason string
+
+const (
+	lossLaterInstance lossReason = "later instance"
+	lossLeaseExpired  lossReason = "lease expired"
+	lossWorkerLeft    lossReason = "worker left"
+	lossVMMoved       lossReason = "VM moved"
+)
+
 // endLostRuns ends the open runs of a worker instance that is gone.
-func (d *Dispatcher) endLostRuns(l manager.WorkerInstance, c *recorder.Changes) {
+func (d *Dispatcher) endLostRuns(now manager.Time, l manager.WorkerInstance, reason lossReason, c *recorder.Changes) {
 	for _, id := range sortedTasks(d.State.Runs(l)) {
 		r := d.State.Runs(l)[id]
 		if slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number }) {
 			continue
 		}
 		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost})
-		d.log(manager.LogRunLost, "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.StartedAt)
+		d.log(manager.LogRunLost, "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.StartedAt,
+			"Reason", reason, "OpenMs", now.Sub(r.At))
 	}
 }
 
@@ -245,12 +256,12 @@
 
 // handleLeave removes a worker that said it is leaving. The message may name no instance and may come late from an
 // earlier one, so it is accepted only for a worker that is draining.
-func (d *Dispatcher) handleLeave(l manager.WorkerInstance, c *recorder.Changes) {
+func (d *Dispatcher) handleLeave(now manager.Time, l manager.WorkerInstance, c *recorder.Changes) {
 	w := d.workers[l.Worker]
 	if w == nil || !w.latest.Draining || l.StartedAt != 0 && l.StartedAt < w.instance.StartedAt {
 		return
 	}
-	d.endLostRuns(w.instance, c)
+	d.endLostRuns(now, w.instance, lossWorkerLeft, c)
 	d.removeWorker(w)
 	d.log(manager.LogWorkerLeft, "Worker", l.Worker)
 }
@@ -276,7 +287,7 @@
 	}
 	d.leasesCheckedAt = now
 	for _, l := range d.sortedInstances(func(l manager.WorkerInstance) bool { return now > d.leaseExpiry(l) }) {
-		d.endLostRuns(l, c)
+		d.endLostRuns(now, l, lossLeaseExpired, c)
 	}
 	for _, w := range d.sortedWorkers() {
 		if now > w.leaseExpiresAt.Add(silentRetention) && !w.polling {
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -135,7 +135,7 @@
 		{LogReplicaStarted, "Replica", "The replica started with the state on its disk."},
 		{LogReplicaStopped, "Replica", "The replica cannot go on, as its state could not be read or applied; it does not take part again until the process is restarted. Cause is the operating system's error, if there is one."},
 		{LogRunEnded, "Leader", "A worker reported the end of a run."},
-		{LogRunLost, "Leader", "A worker instance ended or its lease expired without a report of the run."},
+		{LogRunLost, "Leader", "A worker instance ended or its lease expired without a report of the run, which was open for OpenMs. Reason tells how the loss was noticed."},
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
 		{LogRunStalled, "Leader", "A run makes no progress and is to be started on another worker."},
 		{LogRunStopped, "Leader", "A worker is told to stop a run."},
