--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -33,11 +33,14 @@
 	answers        map[dispatcher.CallID]dispatcher.Answer
 	platformOrders []dispatcher.PlatformOrder
 	acceptOrders   bool
+	// deadly tells which tasks crash a worker that starts them, and crashes counts the workers that crashed under each.
+	deadly  func(manager.TaskID) bool
+	crashes map[manager.TaskID]int
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, now: 1_000_000, state: recorder.New(), answers: map[dispatcher.CallID]dispatcher.Answer{}}
+	f := &fleet{t: t, now: 1_000_000, state: recorder.New(), answers: map[dispatcher.CallID]dispatcher.Answer{}, crashes: map[manager.TaskID]int{}}
 	f.startDispatcher(1)
 	f.send(dispatcher.Event{Configure: &manager.FleetConfiguration{
 		Version: 1,
@@ -141,6 +144,10 @@
 	slowPercent    manager.Duration
 	leaseExpiresAt manager.Time
 	loseAnswer     bool
+	// A worker that crashed is back at backAt, under another ID if renamed is set.
+	backAt   manager.Time
+	downTime manager.Duration
+	renamed  bool
 }
 
 // expireLease ends all runs if the lease has expired.
@@ -160,9 +167,18 @@
 	w.call, w.nextReportAt = 0, w.f.now
 }
 
+// crash ends the worker with everything that runs on it; it is back after downTime.
+func (w *fakeWorker) crash() {
+	for id := range w.runs {
+		w.f.crashes[id]++
+	}
+	clear(w.runs)
+	w.silent, w.backAt, w.call = true, w.f.now.Add(w.downTime), 0
+}
+
 func (f *fleet) worker(id manager.WorkerID, p manager.PoolID, cores manager.MilliCores) *fakeWorker {
 	w := &fakeWorker{
-		f: f, taskTime: 1000, runs: map[manager.TaskID]manager.Time{}, numbers: map[manager.TaskID]manager.RunNumber{},
+		f: f, taskTime: 1000, downTime: 3 * manager.Second, runs: map[manager.TaskID]manager.Time{}, numbers: map[manager.TaskID]manager.RunNumber{},
 		report: manager.WorkerReport{
 			Instance: manager.WorkerInstance{Worker: id, StartedAt: f.now}, VM: manager.VMID("vm-" + id), Pool: p,
 			Address:  manager.Address(fmt.Sprintf("10.0.0.%d:80", len(f.workers)+1)),
@@ -175,6 +191,13 @@
 
 // tick ends the runs that are over and reports, unless the latest report has no answer yet.
 func (w *fakeWorker) tick() {
+	if w.backAt != 0 && w.f.now >= w.backAt {
+		w.backAt, w.silent = 0, false
+		w.restart()
+		if w.renamed {
+			w.report.Instance.Worker += "'"
+		}
+	}
 	if w.silent {
 		return
 	}
@@ -237,6 +260,12 @@
 		w.runs[s.Task], w.numbers[s.Task] = w.f.now, s.Run
 		w.started = append(w.started, s)
 	}
+	for _, s := range a.Orders.Start {
+		if w.f.deadly != nil && w.f.deadly(s.Task) {
+			w.crash()
+			return
+		}
+	}
 	for _, s := range a.Orders.Stop {
 		if _, ok := w.runs[s.Task]; ok {
 			w.end(s.Task, manager.RunStopped)
