Give up a task that crashes the workers that start it

Cause: a lost run is no attempt, as the worker may be at fault, and nothing counted how many workers were lost under a task.

A worker crashed if a later instance reports on its VM or under its ID while its runs are open, it was not draining and no move or maintenance of the VM was ordered since the run began. The dispatcher decides and the log entry says so: the crash with its tasks and its suspects, and the jobs that are given up; the recorder counts. A suspect starts where no other task is starting and, from the second crash on, rather on another VM and without long-running tasks, so the next crash shows whether it is the cause. A job is given up after four crashes on three VMs if it was the only suspect, and after five in any case; a run of 15 s clears the count.

A worker that is back only after its lease has expired, when the task may run elsewhere, counts too: the task keeps its latest runs that ended so before the worker had reported them, and is a suspect until the worker reports again. Runs carry their VM, so that a new leader recognizes a VM that is back under another worker ID.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -299,8 +299,10 @@
 		logJob(e.Task.Graph)
 		logJob(parent)
 	}
-	for _, id := range d.inFlight.Cancel {
+	for _, id := range slices.Concat(d.inFlight.Cancel, d.inFlight.GiveUp) {
+		parent, _ := id.Split()
 		logJob(id)
+		logJob(parent)
 		for k := 1; d.State.Jobs[id] != nil && k < d.State.Jobs[id].Occurred; k++ {
 			logJob(id.Occurrence(k))
 		}
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -26,8 +26,8 @@
 		return
 	}
 	for i, w := range places {
-		w.assign(j.Steps[s], nil)
-		c.Start = append(c.Start, recorder.Start{Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: run, Instance: w.instance, Permit: d.permit(j, s, w.instance)})
+		w.assign(j.Steps[s], &j.Tasks[s][i], nil)
+		c.Start = append(c.Start, d.start(j, s, i, run, w))
 	}
 }
 
--- a/pkg/manager/dispatcher/holding.go
+++ b/pkg/manager/dispatcher/holding.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
@@ -13,7 +15,8 @@
 	// longRunning is the capacity that long-running tasks use.
 	longRunning manager.Resources
 	// finite reports whether a task that ends by itself may be running.
-	finite bool
+	finite   bool
+	exposure exposure
 	// unknownRuns reports whether the worker runs something for which the state has no open run.
 	unknownRuns bool
 }
@@ -29,9 +32,13 @@
 // computeUsage computes the usage of a worker.
 func (d *Dispatcher) computeUsage(w *worker) workerUsage {
 	h := workerUsage{free: w.latest.Capacity}
-	for id := range d.State.Runs(w.instance) {
+	for id, r := range d.State.Runs(w.instance) {
 		h.free = h.free.Sub(d.taskResources(id))
-		if j := d.State.Jobs[id.Graph]; j != nil && j.Steps[id.Step].LongRunning {
+		j, t := d.State.Task(id)
+		if t != nil {
+			h.exposure.count(&j.Steps[id.Step], t, w.isStarting(id, r))
+		}
+		if j != nil && j.Steps[id.Step].LongRunning {
 			h.longRunning = h.longRunning.Add(stepResources(j.Steps[id.Step]))
 		} else {
 			h.finite = true
@@ -55,6 +62,20 @@
 	for _, s := range c.Start {
 		stale(s.Instance)
 	}
+	changed, forgotten := slices.Clone(c.ClearCrashes), slices.Clone(c.ForgetExpired)
+	for _, crash := range c.Crash {
+		changed, forgotten = append(changed, crash.Tasks...), append(forgotten, crash.Instance)
+	}
+	for _, l := range forgotten {
+		for id := range d.State.Expired(l) {
+			changed = append(changed, id)
+		}
+	}
+	for _, id := range changed {
+		if _, t := d.State.Task(id); t != nil && t.Open != nil {
+			stale(t.Open.Instance)
+		}
+	}
 	for _, e := range c.End {
 		if r := d.State.OpenRun(e.Task, e.Run); r != nil {
 			stale(r.Instance)
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -36,11 +36,13 @@
 	// deadly tells which tasks crash a worker that starts them, and crashes counts the workers that crashed under each.
 	deadly  func(manager.TaskID) bool
 	crashes map[manager.TaskID]int
+	// brokenGangs holds the latest run in which a worker of a gang crashed, by the gang's first task.
+	brokenGangs map[manager.TaskID]manager.RunNumber
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, now: 1_000_000, state: recorder.New(), answers: map[dispatcher.CallID]dispatcher.Answer{}, crashes: map[manager.TaskID]int{}}
+	f := &fleet{t: t, now: 1_000_000, state: recorder.New(), answers: map[dispatcher.CallID]dispatcher.Answer{}, crashes: map[manager.TaskID]int{}, brokenGangs: map[manager.TaskID]manager.RunNumber{}}
 	f.startDispatcher(1)
 	f.send(dispatcher.Event{Configure: &manager.FleetConfiguration{
 		Version: 1,
@@ -171,11 +173,26 @@
 func (w *fakeWorker) crash() {
 	for id := range w.runs {
 		w.f.crashes[id]++
+		if j := w.f.state.Jobs[id.Graph]; j != nil && j.Steps[id.Step].Gang {
+			w.f.endGang(id, w.numbers[id])
+		}
 	}
 	clear(w.runs)
 	w.silent, w.backAt, w.call = true, w.f.now.Add(w.downTime), 0
 }
 
+// endGang ends the other runs of a gang.
+func (f *fleet) endGang(lost manager.TaskID, n manager.RunNumber) {
+	f.brokenGangs[manager.TaskID{Graph: lost.Graph, Step: lost.Step}] = n
+	for _, w := range f.workers {
+		for id := range w.runs {
+			if id != lost && id.Graph == lost.Graph && id.Step == lost.Step {
+				w.end(id, manager.RunGangEnded)
+			}
+		}
+	}
+}
+
 func (f *fleet) worker(id manager.WorkerID, p manager.PoolID, cores manager.MilliCores) *fakeWorker {
 	w := &fakeWorker{
 		f: f, taskTime: 1000, downTime: 3 * manager.Second, runs: map[manager.TaskID]manager.Time{}, numbers: map[manager.TaskID]manager.RunNumber{},
@@ -259,6 +276,9 @@
 		require.False(w.f.t, again && w.numbers[s.Task] != s.Run, "a task has two runs on one worker")
 		w.runs[s.Task], w.numbers[s.Task] = w.f.now, s.Run
 		w.started = append(w.started, s)
+		if w.f.brokenGangs[manager.TaskID{Graph: s.Task.Graph, Step: s.Task.Step}] == s.Run {
+			w.end(s.Task, manager.RunGangIncomplete)
+		}
 	}
 	for _, s := range a.Orders.Start {
 		if w.f.deadly != nil && w.f.deadly(s.Task) {
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -28,7 +28,7 @@
 		if !urgent && !waited {
 			continue
 		}
-		w.polling, w.throttleOrders = false, nil
+		w.polling, w.throttleOrders, w.answeredAt = false, nil, now
 		w.leaseExpiresAt = max(w.leaseExpiresAt, w.pollStartedAt.Add(d.leaseTimeout()))
 		answers = append(answers, Answer{Call: w.call, Orders: o})
 	}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -33,6 +33,7 @@
 	lent bool
 	// longRunning is the capacity that long-running tasks use.
 	longRunning manager.Resources
+	exposure    exposure
 	lowLoad     bool
 }
 
@@ -50,7 +51,9 @@
 			continue
 		}
 		var unmet shortage
-		for _, t := range d.rankedJobs(now, p) {
+		jobs := d.rankedJobs(now, p)
+		suspectsFirst(jobs)
+		for _, t := range jobs {
 			d.placeJob(now, t.job, pools[p], &unmet, c)
 			if d.gangBlocksPool(now, t.job, c) {
 				// Smaller tasks would take the capacity that the gang waits for.
@@ -89,7 +92,7 @@
 			continue
 		}
 		pools[w.latest.Pool] = append(pools[w.latest.Pool], &candidate{
-			worker: w, free: d.usageOf(w).free, lent: d.isLent(w), longRunning: d.usageOf(w).longRunning, lowLoad: d.hasLowLoad(w.latest.Pool),
+			worker: w, free: d.usageOf(w).free, lent: d.isLent(w), longRunning: d.usageOf(w).longRunning, exposure: d.usageOf(w).exposure, lowLoad: d.hasLowLoad(w.latest.Pool),
 		})
 	}
 	return pools
@@ -127,7 +130,7 @@
 
 // unconstrained reports whether only free capacity decides which worker may run a task.
 func unconstrained(step *manager.GraphStep, t *recorder.Task) bool {
-	return step.Requires == "" && step.MaxPerWorker == 0 && !step.LongRunning && t.FailedOn == ""
+	return step.Requires == "" && step.MaxPerWorker == 0 && !step.LongRunning && t.FailedOn == "" && t.Suspicion() == 0
 }
 
 func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, all []*candidate, unmet *shortage, c *recorder.Changes) {
@@ -140,26 +143,43 @@
 			d.placeGang(now, j, s, list, c)
 			continue
 		}
-		perWorker := d.perWorker(j, s)
-		for i := range j.Tasks[s] {
-			t := &j.Tasks[s][i]
-			if t.Done || t.Open != nil {
-				continue
-			}
-			best := unmet.choose(now, &j.Steps[s], t, perWorker, list, len(list) == len(all))
-			if best == nil {
-				d.backlog[d.poolOf(j)] = true
-				break
-			}
-			best.assign(step, perWorker)
-			c.Start = append(c.Start, recorder.Start{
-				Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: t.LastRun + 1, Instance: best.instance,
-				Permit: d.permit(j, s, best.instance),
-			})
+		d.placeStep(now, j, s, list, len(list) == len(all), unmet, c)
+	}
+}
+
+// placeStep proposes starts of the waiting tasks of a step; open means that every worker of the pool may run them.
+func (d *Dispatcher) placeStep(now manager.Time, j *recorder.Job, s int, list []*candidate, open bool, unmet *shortage, c *recorder.Changes) {
+	perWorker := d.perWorker(j, s)
+	order := placementOrder(j, s)
+	for i := range j.Tasks[s] {
+		if order != nil {
+			i = order[i]
+		}
+		t := &j.Tasks[s][i]
+		if t.Done || t.Open != nil {
+			continue
+		}
+		best := unmet.choose(now, &j.Steps[s], t, perWorker, list, open)
+		if best != nil {
+			best.assign(j.Steps[s], t, perWorker)
+			c.Start = append(c.Start, d.start(j, s, i, t.LastRun+1, best))
+			continue
+		}
+		d.backlog[d.poolOf(j)] = true
+		if t.Suspicion() == 0 {
+			return
 		}
 	}
 }
 
+// start returns the start of a task on a worker.
+func (d *Dispatcher) start(j *recorder.Job, s, i int, n manager.RunNumber, w *candidate) recorder.Start {
+	return recorder.Start{
+		Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: n, Instance: w.instance, VM: w.latest.VM,
+		Permit: d.permit(j, s, w.instance),
+	}
+}
+
 // choose returns the best worker for a task, or nil. It skips the search if a smaller request found no worker; open
 // means that every worker of the pool may run the step.
 func (s *shortage) choose(now manager.Time, step *manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerInstance]int, list []*candidate, open bool) *candidate {
@@ -175,8 +195,9 @@
 }
 
 // assign subtracts a task of a step from the worker's free capacity.
-func (w *candidate) assign(step manager.GraphStep, perWorker map[manager.WorkerInstance]int) {
+func (w *candidate) assign(step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerInstance]int) {
 	w.free = w.free.Sub(stepResources(step))
+	w.exposure.count(&step, t, true)
 	if step.LongRunning {
 		w.longRunning = w.longRunning.Add(stepResources(step))
 	}
@@ -223,7 +244,7 @@
 	if w.movePending && !step.LongRunning {
 		return false
 	}
-	if t.FailedOn == w.instance.Worker && now.Sub(t.EndedAt) < failedWorkerDelay {
+	if t.FailedOn == w.instance.Worker && now.Sub(t.EndedAt) < failedWorkerDelay || w.delays(now, step, t) {
 		return false
 	}
 	// Finite tasks wait for a worker whose report is held, so that they start at once. Gang tasks would wait forever:
@@ -243,7 +264,7 @@
 	if t.FailedOn == w.instance.Worker {
 		score -= failedPenalty
 	}
-	return score
+	return score + w.isolationScore(t)
 }
 
 // bestFit prefers the worker with the smallest share of its capacity left free, so that other VMs become idle when a load
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -38,6 +38,8 @@
 	pollStartedAt manager.Time
 	// leaseExpiresAt is when the lease of all runs on the worker has certainly expired.
 	leaseExpiresAt manager.Time
+	// answeredAt is when the latest report was answered, with all orders until then.
+	answeredAt manager.Time
 	// evacuating blocks new starts, as the VM is due for maintenance or in it.
 	evacuating  bool
 	evacuatedAt manager.Time
@@ -93,6 +95,7 @@
 	w.usageStale, w.stallCheckDue = true, true
 	d.recordEnds(now, w, c)
 	d.updateRunning(now, w)
+	d.clearCrashes(now, w, c)
 	d.endStoppedRuns(now, w, c)
 	w.throttleOrders = d.throttleBestEffort(w)
 	return answers
@@ -138,12 +141,7 @@
 	}
 	// A new dispatcher doesn't know which leases its predecessor granted.
 	w.leaseExpiresAt = max(now, d.StartedAt).Add(d.leaseTimeout())
-	older := func(l manager.WorkerInstance) bool {
-		return l.Worker == r.Instance.Worker && l.StartedAt < r.Instance.StartedAt
-	}
-	for _, l := range d.sortedInstances(older) {
-		d.endLostRuns(now, l, lossLaterInstance, c)
-	}
+	d.recordOlderInstances(now, r, c)
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
 		if o != nil && o.instance != r.Instance && o.instance.StartedAt < r.Instance.StartedAt {
 			d.endLostRuns(now, o.instance, lossLaterInstance, c)
@@ -170,7 +168,10 @@
 
 // sortedInstances returns, in order, the worker instances with open runs for which pass returns true.
 func (d *Dispatcher) sortedInstances(pass func(manager.WorkerInstance) bool) []manager.WorkerInstance {
-	list := d.State.Instances(pass)
+	return sortInstances(d.State.Instances(pass))
+}
+
+func sortInstances(list []manager.WorkerInstance) []manager.WorkerInstance {
 	slices.SortFunc(list, func(a, b manager.WorkerInstance) int {
 		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
@@ -198,7 +199,7 @@
 		if slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number }) {
 			continue
 		}
-		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost})
+		c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunLost, Unreported: reason == lossLeaseExpired && d.mayHaveCrashed(l, id, r)})
 		d.log(manager.LogRunLost, "RequestID", id.Graph, "Task", id, "Run", r.Number, "Worker", l.Worker, "Born", l.StartedAt,
 			"Reason", reason, "OpenMs", now.Sub(r.At))
 	}
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -28,6 +28,7 @@
 	LogJobAccepted                   = "Job accepted"
 	LogJobCancelled                  = "Job cancelled"
 	LogJobEnded                      = "Job ended"
+	LogJobGivenUp                    = "Job given up"
 	LogJobRefused                    = "Job refused"
 	LogLinesDropped                  = "Log lines dropped"
 	LogCallRefused                   = "Call refused"
@@ -79,6 +80,7 @@
 	LogWaveAccepted                  = "Wave taken"
 	LogWriteNotStored                = "Write not stored"
 	LogWritesStoredAgain             = "Writes stored again"
+	LogWorkerCrashed                 = "Worker crashed"
 	LogWorkerDraining                = "Worker drains"
 	LogWorkerLost                    = "Worker gone"
 	LogWorkerRegistered              = "Worker known"
@@ -105,6 +107,7 @@
 		{LogJobAccepted, "Leader", "A job is being committed."},
 		{LogJobCancelled, "Leader", "The cancellation of a job is being committed."},
 		{LogJobEnded, "Leader", "A job has ended; InTime tells whether it met its objective, and WaitedMs how long its first task waited."},
+		{LogJobGivenUp, "Leader", "A job fails because workers crash when they start one of its tasks; Crashes counts them."},
 		{LogJobRefused, "Any", "A job was refused and never runs."},
 		{LogLinesDropped, "Any", "Log lines were written faster than they are read; Minor and Essential count the missing lines."},
 		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code."},
@@ -156,6 +159,7 @@
 		{LogMaintenanceOrdered, "Leader", "The maintenance of a VM is recorded; the platform is called next."},
 		{LogVMMoveOrdered, "Leader", "A VM is to move to another pool because the load of that pool is the highest."},
 		{LogWaveAccepted, "Leader", "A maintenance wave is being committed."},
+		{LogWorkerCrashed, "Leader", "A later worker instance reported from the VM of one with open runs, which nobody had asked to end; the crash counts against Tasks tasks, of which Suspects may have caused it."},
 		{LogWorkerDraining, "Leader", "A worker reported that it will leave; it gets no more runs."},
 		{LogWorkerLost, "Leader", "A worker sent no report for longer than its lease and was removed."},
 		{LogWorkerRegistered, "Leader", "A worker instance sent its first report."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -30,9 +30,21 @@
 func (st *State) Apply(c Changes) {
 	st.At = max(st.At, c.At)
 	st.configure(c.Configure)
+	for _, crash := range c.Crash {
+		st.recordCrash(crash)
+	}
 	for _, e := range c.End {
 		st.endRun(e)
 	}
+	for _, id := range c.ClearCrashes {
+		st.clearCrashes(id)
+	}
+	for _, l := range c.ForgetExpired {
+		st.forgetExpired(l)
+	}
+	for _, id := range c.GiveUp {
+		st.giveUp(id)
+	}
 	for _, id := range c.Cancel {
 		if j := st.active[id]; j != nil {
 			st.endJob(j, manager.GraphCancelled)
@@ -115,8 +127,9 @@
 	if gang := j.Steps[s.Task.Step].Gang; s.Run <= t.LastRun || !gang && s.Run != t.LastRun+1 {
 		return
 	}
+	st.dropOldExpired(s.Task, j, t)
 	t.LastRun = s.Run
-	t.Open = &Run{Number: s.Run, Instance: s.Instance, At: st.At, Permit: s.Permit}
+	t.Open = &Run{Number: s.Run, Instance: s.Instance, VM: s.VM, At: st.At, Permit: s.Permit}
 	j.openRuns++
 	j.openByStep[s.Task.Step]++
 	st.addRun(s.Task, t.Open)
@@ -134,6 +147,9 @@
 		return
 	}
 	instance, began := t.Open.Instance, t.Open.At
+	if e.Unreported && !j.State.Ended() && st.At.Sub(began) <= CrashWindow {
+		st.addExpired(e.Task, j, t, ExpiredRun{Instance: instance, VM: t.Open.VM, At: began})
+	}
 	delete(st.runs[instance], e.Task)
 	if len(st.runs[instance]) == 0 {
 		delete(st.runs, instance)
@@ -162,7 +178,7 @@
 // checkJobEnd ends a job when all its tasks are done or a task has used up its attempts.
 func (st *State) checkJobEnd(j *Job, t *Task) {
 	if j.State.Ended() {
-		j.dropTasks()
+		st.dropTasks(j)
 		return
 	}
 	if !j.LongRunning() && !t.Done && t.Failures >= st.maxAttempts(j.Queue) {
@@ -197,15 +213,24 @@
 	j.State, j.EndedAt = s, st.At
 	delete(st.active, j.Graph.Graph)
 	st.Ended = append(st.Ended, j.Graph.Graph)
-	j.dropTasks()
+	st.dropTasks(j)
 	st.endOccurrences(j)
 }
 
 // dropTasks frees the memory of an ended job once none of its runs is open.
-func (j *Job) dropTasks() {
-	if j.openRuns == 0 {
-		j.Tasks, j.Payload = nil, ""
+func (st *State) dropTasks(j *Job) {
+	if j.openRuns > 0 {
+		return
+	}
+	for s := range j.Tasks {
+		for i := range j.Tasks[s] {
+			t := &j.Tasks[s][i]
+			for len(t.Expired) > 0 {
+				st.removeExpired(manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, j, t, t.Expired[0].Instance)
+			}
+		}
 	}
+	j.Tasks, j.Payload = nil, ""
 }
 
 // dropExpired removes ended jobs after the retention period, unless a run of theirs is still open.
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -29,6 +29,7 @@
 
 	active  map[manager.GraphID]*Job
 	runs    map[manager.WorkerInstance]map[manager.TaskID]*Run
+	expired map[manager.WorkerInstance]map[manager.TaskID]ExpiredRun
 	pending map[manager.QueueID]int
 }
 
@@ -54,6 +55,8 @@
 	remaining  []int
 	openByStep []int
 	openRuns   int
+	// suspects counts the tasks that may have crashed a worker.
+	suspects int
 }
 
 // Task is one task of a step.
@@ -69,12 +72,20 @@
 	EndedAt manager.Time `json:",omitempty"`
 	// FailedRun is the latest failed run of a gang. It is kept on the gang's first task.
 	FailedRun manager.RunNumber `json:",omitempty"`
+	// Crashes is the number of workers that crashed within CrashWindow after they were told to start the task. Suspected
+	// counts those that the task may have crashed, and CrashedOn are their VMs.
+	Crashes   int            `json:",omitempty"`
+	Suspected int            `json:",omitempty"`
+	CrashedOn []manager.VMID `json:",omitempty"`
+	// Expired are the latest runs that were just starting when the lease of their worker expired, until it shows whether the worker crashed.
+	Expired []ExpiredRun `json:",omitempty"`
 }
 
 // Run is an open run of a task, which a worker may be executing.
 type Run struct {
 	Number   manager.RunNumber
 	Instance manager.WorkerInstance `json:"Life"`
+	VM       manager.VMID           `json:",omitempty"`
 	At       manager.Time
 	Permit   manager.Permit `json:",omitempty"`
 }
@@ -132,24 +143,17 @@
 func (st *State) buildIndexes() {
 	st.active = map[manager.GraphID]*Job{}
 	st.runs = map[manager.WorkerInstance]map[manager.TaskID]*Run{}
+	st.expired = map[manager.WorkerInstance]map[manager.TaskID]ExpiredRun{}
 	st.pending = map[manager.QueueID]int{}
 	if st.Configuration != nil {
 		st.Configuration.Index()
 	}
 	for id, j := range st.Jobs {
 		j.remaining, j.openByStep = make([]int, len(j.Steps)), make([]int, len(j.Steps))
-		j.openRuns = 0
+		j.openRuns, j.suspects = 0, 0
 		for s := range j.Tasks {
 			for i := range j.Tasks[s] {
-				t := &j.Tasks[s][i]
-				if !t.Done {
-					j.remaining[s]++
-				}
-				if t.Open != nil {
-					j.openRuns++
-					j.openByStep[s]++
-					st.addRun(manager.TaskID{Graph: id, Step: s, Task: i}, t.Open)
-				}
+				st.indexTask(manager.TaskID{Graph: id, Step: s, Task: i}, j, &j.Tasks[s][i])
 			}
 		}
 		if j.State.Ended() {
@@ -162,6 +166,23 @@
 	}
 }
 
+func (st *State) indexTask(id manager.TaskID, j *Job, t *Task) {
+	if !t.Done {
+		j.remaining[id.Step]++
+	}
+	if t.Suspicion() > 0 {
+		j.suspects++
+	}
+	for _, e := range t.Expired {
+		st.indexExpired(id, e)
+	}
+	if t.Open != nil {
+		j.openRuns++
+		j.openByStep[id.Step]++
+		st.addRun(id, t.Open)
+	}
+}
+
 func (st *State) addRun(t manager.TaskID, r *Run) {
 	if st.runs[r.Instance] == nil {
 		st.runs[r.Instance] = map[manager.TaskID]*Run{}
@@ -177,8 +198,17 @@
 
 // Instances returns, in no particular order, the worker instances with open runs for which pass returns true.
 func (st *State) Instances(pass func(manager.WorkerInstance) bool) []manager.WorkerInstance {
+	return instances(st.runs, pass)
+}
+
+// ExpiredInstances returns, in no particular order, the worker instances with expired runs for which pass returns true.
+func (st *State) ExpiredInstances(pass func(manager.WorkerInstance) bool) []manager.WorkerInstance {
+	return instances(st.expired, pass)
+}
+
+func instances[V any](m map[manager.WorkerInstance]V, pass func(manager.WorkerInstance) bool) []manager.WorkerInstance {
 	var list []manager.WorkerInstance
-	for w := range st.runs {
+	for w := range m {
 		if pass(w) {
 			list = append(list, w)
 		}
@@ -226,5 +256,8 @@
 // OpenRuns returns the number of open runs of the job.
 func (j *Job) OpenRuns() int { return j.openRuns }
 
+// HasSuspects reports whether a task of the job may have crashed a worker.
+func (j *Job) HasSuspects() bool { return j.suspects > 0 }
+
 // LongRunning reports whether the job runs until it is cancelled.
 func (j *Job) LongRunning() bool { return j.Steps[0].LongRunning }
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -5,9 +5,16 @@
 // Changes is the content of one log entry. Its parts are applied in the order of the fields.
 type Changes struct {
 	// At is the dispatcher's time. The time of the state is the latest one applied.
-	At          manager.Time
-	Configure   *manager.FleetConfiguration  `json:",omitempty"`
-	End         []End                        `json:",omitempty"`
+	At        manager.Time
+	Configure *manager.FleetConfiguration `json:",omitempty"`
+	Crash     []Crash                     `json:",omitempty"`
+	End       []End                       `json:",omitempty"`
+	// ClearCrashes names tasks with a run that has outlasted CrashWindow.
+	ClearCrashes []manager.TaskID `json:",omitempty"`
+	// ForgetExpired names worker instances that have not crashed although their leases expired.
+	ForgetExpired []manager.WorkerInstance `json:",omitempty"`
+	// GiveUp names jobs that fail because a task crashes its workers.
+	GiveUp      []manager.GraphID            `json:",omitempty"`
 	Cancel      []manager.GraphID            `json:",omitempty"`
 	Submit      []manager.Graph              `json:",omitempty"`
 	Wave        []manager.MaintenanceRequest `json:",omitempty"`
@@ -19,7 +26,8 @@
 
 // Empty reports whether there are no changes.
 func (c *Changes) Empty() bool {
-	return c.Configure == nil && len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Maintenance)+len(c.Move)+len(c.Occur)+len(c.Start) == 0
+	return c.Configure == nil && len(c.Crash)+len(c.ClearCrashes)+len(c.ForgetExpired)+len(c.GiveUp) == 0 &&
+		len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Maintenance)+len(c.Move)+len(c.Occur)+len(c.Start) == 0
 }
 
 // Start records that a task was assigned to a worker instance.
@@ -27,6 +35,7 @@
 	Task     manager.TaskID
 	Run      manager.RunNumber
 	Instance manager.WorkerInstance `json:"Life"`
+	VM       manager.VMID           `json:",omitempty"`
 	// Permit is sent with the start order, for queues that require one.
 	Permit manager.Permit `json:",omitempty"`
 }
@@ -37,6 +46,8 @@
 	Run   manager.RunNumber
 	How   manager.RunEnd
 	Saved manager.Checkpoint `json:",omitempty"`
+	// Unreported means that the lease of the worker has expired before it reported that it runs the task.
+	Unreported bool `json:",omitempty"`
 }
 
 // MaintenanceState is the progress of one VM of a wave.
