--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -18,6 +18,8 @@
 	callTime    = 3 * time.Second
 	controlTime = 2 * time.Second
 	callers     = 5
+	// deadlyPeriod is the number of jobs of which one has tasks that crash their workers.
+	deadlyPeriod = 25
 	// tries bounds how often a caller hands one job in.
 	tries = 8
 	// stopMargin is how long before a planned stop a call must have been sent to count as taken.
@@ -27,12 +29,21 @@
 // job is what a caller knows of its job.
 type job struct {
 	id        string
+	deadly    bool
 	accepted  bool
 	refused   int
 	attempts  int
 	completed bool
 }
 
+// payload returns what the job's tasks are started with.
+func (j *job) payload() string {
+	if j.deadly {
+		return emulator.DeadlyPayload
+	}
+	return j.id
+}
+
 // watch calls the system as callers and operators do and keeps what must not have been.
 type watch struct {
 	fleet  *Fleet
@@ -170,10 +181,10 @@
 			continue
 		}
 		w.mu.Lock()
-		j := &job{id: jobID(w.seed, len(w.jobs))}
+		j := &job{id: jobID(w.seed, len(w.jobs)), deadly: len(w.jobs)%deadlyPeriod == deadlyPeriod-1}
 		w.jobs = append(w.jobs, j)
 		w.mu.Unlock()
-		w.fleet.Ledger.Expect(j.id, j.id)
+		w.fleet.Ledger.Expect(j.id, j.payload())
 		if w.handIn(rng, j) {
 			w.follow(rng, j)
 		}
@@ -182,7 +193,7 @@
 
 // handIn sends a job until it is taken; it returns false where the caller gives up.
 func (w *watch) handIn(rng *rand.Rand, j *job) bool {
-	t := emulator.Task{Payload: j.id, Count: 1 + rng.IntN(4), CPU: 500 + rng.IntN(1000)}
+	t := emulator.Task{Payload: j.payload(), Count: 1 + rng.IntN(4), CPU: 500 + rng.IntN(1000)}
 	for range tries {
 		o := w.timed(rng, func(ctx context.Context, n *Node) emulator.Outcome {
 			return w.caller.Submit(ctx, n.At(portFront), prefix, j.id, t)
@@ -244,6 +255,13 @@
 			// A cancel without an answer was taken.
 			w.over(j)
 			return
+		case state == "failed" && j.deadly:
+			w.over(j)
+			return
+		case state == "completed" && j.deadly:
+			w.fail("job %s is shown as completed, and crashes its workers", j.id)
+			w.over(j)
+			return
 		case state == "failed" || state == "cancelled":
 			w.fail("job %s is shown as %s without a cause", j.id, state)
 			w.over(j)
