--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -187,7 +187,7 @@
 	case e.Report != nil:
 		return d.handleReport(now, e, c)
 	case e.Leave != nil:
-		d.handleLeave(*e.Leave, c)
+		d.handleLeave(now, *e.Leave, c)
 	case e.Submit != nil:
 		return d.handleSubmit(now, e.Call, *e.Submit, c)
 	case e.Cancel != nil:
@@ -299,8 +299,10 @@
 		logJob(e.Task.Graph)
 		logJob(parent)
 	}
-	for _, id := range d.inFlight.Cancel {
+	for _, id := range slices.Concat(d.inFlight.Cancel, d.inFlight.GiveUp) {
+		parent, _ := id.Split()
 		logJob(id)
+		logJob(parent)
 		for k := 1; d.State.Jobs[id] != nil && k < d.State.Jobs[id].Occurred; k++ {
 			logJob(id.Occurrence(k))
 		}
