--- a/internal/coordinator/rediscovery_test.go
+++ b/internal/coordinator/rediscovery_test.go
@@ -110,3 +110,29 @@
 		})
 	}
 }
+
+// Many nodes that restart at once while their seeds are down must all be told within the time to recover.
+func TestManyRestartedNodesFindLeaderWhileSeedsAreDown(t *testing.T) {
+	const nodes, timeToRecover = 60, 17 // updates, 12 s
+	d := &discovery{clock: &manager.ManualClock{At: 100_000}}
+	leader := d.add(t)
+	leader.Local = func() (finder.View, bool) { return finder.View{Term: 4, Leader: leader.Own}, true }
+	d.seeds = []manager.Address{leader.Own}
+	for range nodes {
+		d.add(t)
+	}
+	d.run(t, 3)
+
+	d.seeds = []manager.Address{down}
+	for _, f := range d.nodes[1:] {
+		d.restart(f)
+	}
+	d.run(t, timeToRecover)
+	var without int
+	for _, f := range d.nodes[1:] {
+		if f.View().Leader == "" {
+			without++
+		}
+	}
+	require.Zero(t, without, "nodes without a leader")
+}
