Tell all silent nodes who leads within the time to recover

What callers would see: after a zone or more has restarted while the seeds are down, most nodes answer 503 for up to 0.7 s times their number.

Cause: the leader told one silent node with each update.

Evidence: TestManyRestartedNodesFindLeaderWhileSeedsAreDown failed before (45 of 60 nodes without a leader after 12 s) and passes now. Each node is still told once in 2 s at most. The cost with 300 nodes was not measured.

--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -46,7 +46,7 @@
 	}
 	targets := f.announceTargets(v)
 	if v.Leader == f.Own {
-		targets = append(targets, f.silentCaller(f.Clock.Now())...)
+		targets = append(targets, f.silentCallers(f.Clock.Now())...)
 	}
 	var work sync.WaitGroup
 	for _, a := range targets {
--- a/internal/finder/callers.go
+++ b/internal/finder/callers.go
@@ -17,6 +17,8 @@
 	// callerSilence is how long a node has not asked before it is told who leads; a node that knows the leader asks it more
 	// often.
 	callerSilence = 2 * manager.Second
+	// maxToldAtOnce limits the silent nodes that are told with one update; a zone of a hundred may be back at once.
+	maxToldAtOnce = 32
 	// callerRetention is how long a node that does not ask is remembered.
 	callerRetention = 10 * manager.Minute
 )
@@ -43,9 +45,9 @@
 	}
 }
 
-// silentCaller returns the node that was told least recently among those that have stopped asking, or none, and forgets
-// those that stopped long ago.
-func (f *Finder) silentCaller(now manager.Time) []manager.Address {
+// silentCallers returns the nodes that were told least recently among those that have stopped asking, and forgets those that
+// stopped long ago.
+func (f *Finder) silentCallers(now manager.Time) []manager.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var silent []manager.Address
@@ -57,12 +59,12 @@
 			silent = append(silent, a)
 		}
 	}
-	if len(silent) == 0 {
-		return nil
-	}
-	next := slices.MinFunc(silent, func(a, b manager.Address) int {
+	slices.SortFunc(silent, func(a, b manager.Address) int {
 		return cmp.Or(cmp.Compare(f.callers[a].toldAt, f.callers[b].toldAt), cmp.Compare(a, b))
 	})
-	f.callers[next] = callerRecord{heardAt: f.callers[next].heardAt, toldAt: now}
-	return []manager.Address{next}
+	silent = silent[:min(len(silent), maxToldAtOnce)]
+	for _, a := range silent {
+		f.callers[a] = callerRecord{heardAt: f.callers[a].heardAt, toldAt: now}
+	}
+	return silent
 }
