--- a/internal/coordinator/rediscovery_test.go
+++ b/internal/coordinator/rediscovery_test.go
@@ -136,3 +136,26 @@
 	}
 	require.Zero(t, without, "nodes without a leader")
 }
+
+// A leader that changes while a node is down must not lose the knowledge of that node.
+func TestRestartedNodeIsToldLeaderThatChangedMeanwhile(t *testing.T) {
+	d := &discovery{clock: &manager.ManualClock{At: 100_000}}
+	first, second := d.add(t), d.add(t)
+	members := []manager.ReplicaMember{{Replica: 1, Address: first.Own}, {Replica: 2, Address: second.Own}}
+	leads := func(term manager.Term, leader *finder.Finder) {
+		for _, f := range []*finder.Finder{first, second} {
+			f.Local = func() (finder.View, bool) { return finder.View{Term: term, Leader: leader.Own, Members: members}, true }
+		}
+	}
+	leads(4, first)
+	d.seeds = []manager.Address{first.Own}
+	node := d.add(t)
+	d.run(t, 6)
+	require.Equal(t, first.Own, node.View().Leader)
+
+	d.seeds = []manager.Address{down}
+	leads(5, second)
+	d.restart(node)
+	d.run(t, 17)
+	require.Equal(t, second.Own, node.View().Leader)
+}
