Let a replica that no longer leads tell its callers who does

What callers would see: a node without a disk that restarts while its seeds are down and the leader changes answers every call with 503 until a seed is back.

Cause: only the leader told the nodes that had stopped asking it, and the next leader had never heard of this one.

Change: every replica that knows the leader tells the callers that have fallen silent; one that does not lead forgets a caller once it has learned of the leader, so that a change of leaders costs one call a node.

--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -45,7 +45,7 @@
 		return
 	}
 	targets := f.announceTargets(v)
-	if v.Leader == f.Own {
+	if f.Local != nil {
 		targets = append(targets, f.silentCallers(f.Clock.Now())...)
 	}
 	var work sync.WaitGroup
@@ -57,6 +57,9 @@
 				return
 			}
 			f.Learn(theirs)
+			if v.Leader != f.Own {
+				f.forgetCaller(a)
+			}
 		})
 	}
 	work.Wait()
--- a/internal/finder/callers.go
+++ b/internal/finder/callers.go
@@ -68,3 +68,10 @@
 	}
 	return silent
 }
+
+// forgetCaller forgets a node that has learned that another node leads: it asks that one from now on.
+func (f *Finder) forgetCaller(a manager.Address) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.callers, a)
+}
