--- a/internal/coordinator/outage_test.go
+++ b/internal/coordinator/outage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,16 +83,16 @@
 // worker drops an answer that comes later than a second.
 func TestOldReportIsNotSentOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tries := 0
+		var tries atomic.Int64
 		n := newNodeOf(func(ctx context.Context) (net.Conn, error) {
-			tries++
+			tries.Add(1)
 			<-ctx.Done()
 			return nil, ctx.Err()
 		})
 		began := time.Now()
 		_, err := n.Call(context.Background(), manager.FleetCall{Kind: manager.CallReport, Report: &manager.WorkerReport{}})
 		require.Error(t, err)
-		require.Equal(t, 1, tries)
+		require.Equal(t, int64(1), tries.Load())
 		require.Less(t, time.Since(began), time.Second)
 		n.HTTP.CloseIdleConnections()
 	})
