Test placement against capacity that shrinks and grows

A worker's capacity may change while it runs. They also take time to stop a run and refuse a run that was stopped before it began, as real workers do.

--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -141,6 +141,15 @@
 	slowPercent    manager.Duration
 	leaseExpiresAt manager.Time
 	loseAnswer     bool
+	// stopTime is how long a run goes on after its stop order; stopping holds when such runs end.
+	stopTime manager.Duration
+	stopping map[manager.TaskID]manager.Time
+	// stopped holds the highest run of each task that was stopped here. Runs up to it are refused.
+	stopped map[manager.TaskID]manager.RunNumber
+	// onStart, if set, is called for each new run before it starts. The run is refused if it returns false.
+	onStart func(manager.StartOrder) bool
+	// onReport, if set, is called with each report.
+	onReport func(manager.WorkerReport)
 }
 
 // expireLease ends all runs if the lease has expired.
@@ -156,6 +165,8 @@
 // restart starts a new instance of the worker, without any state.
 func (w *fakeWorker) restart() {
 	clear(w.runs)
+	clear(w.stopping)
+	clear(w.stopped)
 	w.report.Instance.StartedAt, w.report.Sequence, w.report.Ended, w.lastEnd = w.f.now, 0, nil, 0
 	w.call, w.nextReportAt = 0, w.f.now
 }
@@ -163,6 +174,7 @@
 func (f *fleet) worker(id manager.WorkerID, p manager.PoolID, cores manager.MilliCores) *fakeWorker {
 	w := &fakeWorker{
 		f: f, taskTime: 1000, runs: map[manager.TaskID]manager.Time{}, numbers: map[manager.TaskID]manager.RunNumber{},
+		stopping: map[manager.TaskID]manager.Time{}, stopped: map[manager.TaskID]manager.RunNumber{},
 		report: manager.WorkerReport{
 			Instance: manager.WorkerInstance{Worker: id, StartedAt: f.now}, VM: manager.VMID("vm-" + id), Pool: p,
 			Address:  manager.Address(fmt.Sprintf("10.0.0.%d:80", len(f.workers)+1)),
@@ -178,6 +190,11 @@
 	if w.silent {
 		return
 	}
+	for id, at := range w.stopping {
+		if w.f.now >= at {
+			w.end(id, manager.RunStopped)
+		}
+	}
 	for id, at := range w.runs {
 		j := w.f.state.Jobs[id.Graph]
 		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.LongRunning()) {
@@ -198,6 +215,7 @@
 	w.nextReportAt = min(w.nextReportAt, w.f.now.Add(50))
 	w.report.Ended = append(w.report.Ended, manager.EndedRun{Number: w.lastEnd, Task: id, Run: w.numbers[id], How: how})
 	delete(w.runs, id)
+	delete(w.stopping, id)
 }
 
 func (w *fakeWorker) send() {
@@ -209,6 +227,9 @@
 		r.Running = append(r.Running, manager.RunningTask{Task: id, Run: w.numbers[id], Progress: 100})
 	}
 	slices.SortFunc(r.Running, func(a, b manager.RunningTask) int { return a.Task.Task - b.Task.Task })
+	if w.onReport != nil {
+		w.onReport(r)
+	}
 	w.call = w.f.send(dispatcher.Event{Report: &r})
 }
 
@@ -232,16 +253,38 @@
 	w.report.Ended = slices.DeleteFunc(w.report.Ended, func(e manager.EndedRun) bool { return e.Number <= a.Orders.AckedEnds })
 	w.nextReportAt = w.f.now.Add(a.Orders.NextMs)
 	for _, s := range a.Orders.Start {
-		_, again := w.runs[s.Task]
-		require.False(w.f.t, again && w.numbers[s.Task] != s.Run, "a task has two runs on one worker")
-		w.runs[s.Task], w.numbers[s.Task] = w.f.now, s.Run
-		w.started = append(w.started, s)
+		w.start(s)
 	}
 	for _, s := range a.Orders.Stop {
-		if _, ok := w.runs[s.Task]; ok {
-			w.end(s.Task, manager.RunStopped)
-		}
+		w.stop(s)
+	}
+}
+
+func (w *fakeWorker) start(s manager.StartOrder) {
+	_, again := w.runs[s.Task]
+	require.False(w.f.t, again && w.numbers[s.Task] != s.Run, "a task has two runs on one worker")
+	if !again && (s.Run <= w.stopped[s.Task] || w.onStart != nil && !w.onStart(s)) {
+		w.numbers[s.Task] = s.Run
+		w.end(s.Task, manager.RunRefused)
+		return
+	}
+	w.runs[s.Task], w.numbers[s.Task] = w.f.now, s.Run
+	w.started = append(w.started, s)
+}
+
+func (w *fakeWorker) stop(s manager.StopOrder) {
+	w.stopped[s.Task] = max(w.stopped[s.Task], s.Run)
+	if _, ok := w.runs[s.Task]; !ok || w.numbers[s.Task] != s.Run {
+		return
+	}
+	if _, ok := w.stopping[s.Task]; ok {
+		return
+	}
+	if w.stopTime == 0 {
+		w.end(s.Task, manager.RunStopped)
+		return
 	}
+	w.stopping[s.Task] = w.f.now.Add(w.stopTime)
 }
 
 func task(cores manager.MilliCores, count int) manager.GraphStep {
