End the run of a cancelled job whose start order was lost

Seen by callers: waiting jobs got less of a worker's capacity than it has, for as long as the worker lived.

Cause: a run that was stopped before it began is ended 1.5 s after its stop order, but the stop order is repeated after 0.9 s and each repeat restarted the 1.5 s. A worker that reports more often than each 0.6 s, as all with finite work do, never got past them.

Change: the time counts from the first stop order of the run. From then on no start order of the run is sent, so the repeats have no bearing on whether an earlier start order is still on its way. The mark holds the run number, so that it can't apply to a later run of the task on the same worker.

--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -71,7 +71,7 @@
 func (d *Dispatcher) stops(now manager.Time, w *worker) []manager.StopOrder {
 	var list []manager.StopOrder
 	add := func(id manager.TaskID, n manager.RunNumber) {
-		if at, ok := w.stopSentAt[id]; ok && now.Sub(at) < d.Options.StopMs {
+		if m, ok := w.stops[id]; ok && m.run == n && now.Sub(m.latest) < d.Options.StopMs {
 			return
 		}
 		list = append(list, manager.StopOrder{Task: id, Run: n})
@@ -90,7 +90,7 @@
 	}
 	slices.SortFunc(list, func(a, b manager.StopOrder) int { return compareTasks(a.Task, b.Task) })
 	for _, s := range list {
-		w.stopSentAt[s.Task] = now
+		w.markStopped(now, s)
 		d.logMinor(manager.LogRunStopped, "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", w.instance.Worker)
 	}
 	return list
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -56,7 +56,7 @@
 	usageStale bool
 	// stallCheckDue means that the latest report was not checked for stalled runs yet.
 	stallCheckDue bool
-	stopSentAt    map[manager.TaskID]manager.Time
+	stops         map[manager.TaskID]stopMark
 	progress      map[manager.TaskID]progressMark
 }
 
@@ -98,27 +98,6 @@
 	return answers
 }
 
-// stopDeliveryTime is the time after which an answer with a stop order has either reached its worker or never will.
-const stopDeliveryTime = 1500 * manager.Millisecond
-
-// endStoppedRuns ends the runs that were stopped before they began: the worker refuses to start them from then on.
-func (d *Dispatcher) endStoppedRuns(now manager.Time, w *worker, c *recorder.Changes) {
-	for id, at := range w.stopSentAt {
-		if _, ok := w.running[id]; ok || now.Sub(at) < stopDeliveryTime {
-			continue
-		}
-		r := d.State.Runs(w.instance)[id]
-		if r == nil {
-			delete(w.stopSentAt, id)
-			continue
-		}
-		ended := slices.ContainsFunc(w.latest.Ended, func(e manager.EndedRun) bool { return e.Task == id && e.Run == r.Number })
-		if j := d.State.Jobs[id.Graph]; !ended && j != nil && j.State.Ended() {
-			c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunStopped})
-		}
-	}
-}
-
 // superseded reports whether a later worker instance is known on the report's VM or at its address.
 func (d *Dispatcher) superseded(r manager.WorkerReport) bool {
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
@@ -134,7 +113,7 @@
 func (d *Dispatcher) addWorker(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
 	w := &worker{
 		instance: r.Instance, firstSeenAt: now, running: map[manager.TaskID]manager.RunningTask{}, shares: map[manager.TaskID]manager.Percent{},
-		stopSentAt: map[manager.TaskID]manager.Time{}, progress: map[manager.TaskID]progressMark{},
+		stops: map[manager.TaskID]stopMark{}, progress: map[manager.TaskID]progressMark{},
 	}
 	// A new dispatcher doesn't know which leases its predecessor granted.
 	w.leaseExpiresAt = max(now, d.StartedAt).Add(d.leaseTimeout())
@@ -238,7 +217,7 @@
 		if _, ok := w.running[id]; !ok {
 			delete(w.progress, id)
 			delete(w.shares, id)
-			delete(w.stopSentAt, id)
+			delete(w.stops, id)
 		}
 	}
 }
