Stop the rest of a gang when one of its tasks is refused

Seen by callers: nothing on workers whose capacity is constant. The other tasks held their capacity until the workers ended them as alone.

Cause: the end of one task was recorded, but the other runs of the gang stayed wanted, and the gang can't start again while one of them is open.

Change: a refusal marks the gang's run as incomplete. Its runs that have begun are stopped, those whose orders were not sent yet are not started, and the gang starts again once all have ended. The mark is kept by the dispatcher alone; after a change of leader the workers end the tasks by themselves, as before.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -100,6 +100,8 @@
 	lending  lending
 	schedule schedule
 	advice   advice
+	// incompleteGangs holds the runs of gangs that lack a task from the start.
+	incompleteGangs map[StepID]manager.RunNumber
 	// direct counts the workers that report to this node directly.
 	direct int
 	// leasesCheckedAt is when expired leases were last looked for.
@@ -148,6 +150,7 @@
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refusedUntil: map[manager.GraphID]manager.Time{},
 		times: estimator{state: state}, initialStateAt: state.At, unresolved: unresolvedOrders(state),
+		incompleteGangs: map[StepID]manager.RunNumber{},
 	}
 }
 
--- a/pkg/manager/dispatcher/gang_test.go
+++ b/pkg/manager/dispatcher/gang_test.go
@@ -223,3 +223,17 @@
 		require.Zero(t, f.state.Pending(queue), c.what)
 	}
 }
+
+// A worker whose capacity has shrunk refuses its task of a gang. The others must not wait until they end by themselves.
+func TestRestOfGangIsStoppedWhenOneTaskIsRefused(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.worker("w1", pool, 2000), f.worker("w2", pool, 2000)
+	first.taskTime, second.taskTime = manager.Minute, manager.Minute
+	second.onStart = func(o manager.StartOrder) bool { return o.Run > 1 }
+	f.run(200)
+	f.submit("g", gang(1000, 4))
+	f.run(1500)
+	require.Equal(t, map[int]manager.RunNumber{0: 2, 1: 2, 2: 2, 3: 2}, f.runNumbers("g"), "the tasks that started wait for those that were refused")
+	require.Len(t, first.runs, 2)
+	require.Len(t, second.runs, 2)
+}
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -59,7 +59,7 @@
 	for _, id := range sortedTasks(runs) {
 		r := runs[id]
 		j, t := d.State.Task(id)
-		if _, ok := w.running[id]; ok || t == nil || t.Done || j.State.Ended() {
+		if _, ok := w.running[id]; ok || t == nil || t.Done || d.unwanted(id, r.Number) {
 			continue
 		}
 		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
@@ -67,7 +67,12 @@
 	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Throttle) > 0
 }
 
-// stops lists the runs that must end: runs of ended jobs, runs that are not open in the state, and evicted runs.
+// unwanted reports whether an open run must end, or must not begin: its job has ended, or its gang lacks a task.
+func (d *Dispatcher) unwanted(id manager.TaskID, n manager.RunNumber) bool {
+	return d.State.Jobs[id.Graph].State.Ended() || d.incompleteGang(id, n)
+}
+
+// stops lists the runs that must end: unwanted runs, runs that are not open in the state, and evicted runs.
 func (d *Dispatcher) stops(now manager.Time, w *worker) []manager.StopOrder {
 	var list []manager.StopOrder
 	add := func(id manager.TaskID, n manager.RunNumber) {
@@ -77,14 +82,13 @@
 		list = append(list, manager.StopOrder{Task: id, Run: n})
 	}
 	for id, r := range w.running {
-		j, _ := d.State.Task(id)
 		open := d.State.OpenRun(id, r.Run)
-		if open == nil || open.Instance != w.instance || j.State.Ended() || d.evicted(w, id) {
+		if open == nil || open.Instance != w.instance || d.unwanted(id, r.Run) || d.evicted(w, id) {
 			add(id, r.Run)
 		}
 	}
 	for id, r := range d.State.Runs(w.instance) {
-		if _, ok := w.running[id]; !ok && d.State.Jobs[id.Graph].State.Ended() {
+		if _, ok := w.running[id]; !ok && d.unwanted(id, r.Number) {
 			add(id, r.Number)
 		}
 	}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -199,6 +199,7 @@
 		w.health.recordEnd(now, e.How)
 		if e.How == manager.RunRefused {
 			d.dropPermit(e.Task, w.instance)
+			d.markIncomplete(e.Task, e.Run)
 		}
 		d.logMinor(manager.LogRunEnded, "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.instance.Worker, "RanMs", now.Sub(r.At))
 	}
