Withdraw runs that no longer fit the worker's capacity

A worker that starts whatever it is told to was brought over its capacity (LIMIT) more than 3 s after it had reported the smaller one.

Cause: the answer to each report repeats the start orders of all open runs that the report doesn't list, whatever the capacity is by then. Placement itself counts the reported capacity; the repeats didn't. It takes a lost answer, or a start that is committed but not sent before the leader changes.

Change: a start order is sent only if the run fits beside all that the worker lists, runs that are being stopped included.

Why it works: a worker sends its next report only after it has the answer to the one before or has given it up, so a report without the run that follows the stop order shows that no earlier start order can be carried out. Until its end is recorded the run counts as used. The capacity may grow again meanwhile; the run stays withdrawn, so that the worker never gets a start order for a run that it was told to stop. A new dispatcher has no marks and compares the open runs with the first report itself.

--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -53,23 +53,16 @@
 		LeaseMs: d.Options.LeaseMs, AckedEnds: w.ackedEnds, Token: d.Token, ReportTo: d.reportTo(now, w), NextMs: d.reportPause(),
 	}
 	urgent := len(w.latest.Ended) > 0
+	o.Start = d.startOrders(w)
 	o.Stop = d.stops(now, w)
 	o.Throttle = w.throttleOrders
-	runs := d.State.Runs(w.instance)
-	for _, id := range sortedTasks(runs) {
-		r := runs[id]
-		j, t := d.State.Task(id)
-		if _, ok := w.running[id]; ok || t == nil || t.Done || d.unwanted(id, r.Number) {
-			continue
-		}
-		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
-	}
 	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Throttle) > 0
 }
 
-// unwanted reports whether an open run must end, or must not begin: its job has ended, or its gang lacks a task.
-func (d *Dispatcher) unwanted(id manager.TaskID, n manager.RunNumber) bool {
-	return d.State.Jobs[id.Graph].State.Ended() || d.incompleteGang(id, n)
+// unwanted reports whether an open run of a worker must end, or must not begin: its job has ended, its gang lacks a task,
+// or it was withdrawn.
+func (d *Dispatcher) unwanted(w *worker, id manager.TaskID, n manager.RunNumber) bool {
+	return d.State.Jobs[id.Graph].State.Ended() || d.incompleteGang(id, n) || w.withdrawn[id] == n
 }
 
 // stops lists the runs that must end: unwanted runs, runs that are not open in the state, and evicted runs.
@@ -83,12 +76,12 @@
 	}
 	for id, r := range w.running {
 		open := d.State.OpenRun(id, r.Run)
-		if open == nil || open.Instance != w.instance || d.unwanted(id, r.Run) || d.evicted(w, id) {
+		if open == nil || open.Instance != w.instance || d.unwanted(w, id, r.Run) || d.evicted(w, id) {
 			add(id, r.Run)
 		}
 	}
 	for id, r := range d.State.Runs(w.instance) {
-		if _, ok := w.running[id]; !ok && d.unwanted(id, r.Number) {
+		if _, ok := w.running[id]; !ok && d.unwanted(w, id, r.Number) {
 			add(id, r.Number)
 		}
 	}
--- a/pkg/manager/dispatcher/stopping.go
+++ b/pkg/manager/dispatcher/stopping.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		ended := slices.ContainsFunc(w.latest.Ended, func(e manager.EndedRun) bool { return e.Task == id && e.Run == r.Number })
-		if !ended && d.unwanted(id, r.Number) {
+		if !ended && d.unwanted(w, id, r.Number) {
 			c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunStopped})
 		}
 	}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -57,7 +57,9 @@
 	// stallCheckDue means that the latest report was not checked for stalled runs yet.
 	stallCheckDue bool
 	stops         map[manager.TaskID]stopMark
-	progress      map[manager.TaskID]progressMark
+	// withdrawn holds the runs that no longer fit and whose start orders are not sent any more.
+	withdrawn map[manager.TaskID]manager.RunNumber
+	progress  map[manager.TaskID]progressMark
 }
 
 // progressMark is the latest progress of a run and when it was first reported.
@@ -113,7 +115,7 @@
 func (d *Dispatcher) addWorker(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
 	w := &worker{
 		instance: r.Instance, firstSeenAt: now, running: map[manager.TaskID]manager.RunningTask{}, shares: map[manager.TaskID]manager.Percent{},
-		stops: map[manager.TaskID]stopMark{}, progress: map[manager.TaskID]progressMark{},
+		stops: map[manager.TaskID]stopMark{}, withdrawn: map[manager.TaskID]manager.RunNumber{}, progress: map[manager.TaskID]progressMark{},
 	}
 	// A new dispatcher doesn't know which leases its predecessor granted.
 	w.leaseExpiresAt = max(now, d.StartedAt).Add(d.leaseTimeout())
@@ -209,6 +211,7 @@
 	clear(w.running)
 	for _, r := range w.latest.Running {
 		w.running[r.Task] = r
+		delete(w.withdrawn, r.Task)
 		m, ok := w.progress[r.Task]
 		if !ok || m.run != r.Run || m.value != r.Progress {
 			w.progress[r.Task] = progressMark{run: r.Run, value: r.Progress, unchangedSince: now}
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -62,6 +62,7 @@
 	LogRunEvicted                    = "Run recalled"
 	LogRunStalled                    = "Run stalled"
 	LogRunStopped                    = "Run stopped"
+	LogRunWithdrawn                  = "Run withdrawn"
 	LogSeedsChanged                  = "Seeds changed"
 	LogReloadingSettings             = "Reloading settings"
 	LogSettingsRejected              = "Settings rejected, keeping the previous ones"
@@ -139,6 +140,7 @@
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
 		{LogRunStalled, "Leader", "A run makes no progress and is to be started on another worker."},
 		{LogRunStopped, "Leader", "A worker is told to stop a run."},
+		{LogRunWithdrawn, "Leader", "A run that has not begun no longer fits, as the worker's capacity has shrunk; its task is placed again."},
 		{LogSeedsChanged, "Any", "The settings list other seeds."},
 		{LogReloadingSettings, "Any", "A signal was received or the settings file changed."},
 		{LogSettingsRejected, "Any", "The changed settings are invalid."},
