Limit the pause that a refused caller is asked for

Seen by callers: a job that is refused while its pool has no processors for a moment was told to retry after 66 minutes, and was refused for that long although the capacity was back seconds later.

Cause: the pause is the time that the backlog needs on the present capacity, counted as one milli-core where there is none, and a refused job is refused again until its pause is over.

Evidence: TestJobIsAcceptedSoonAfterPoolHasGrownAgain failed before with 'overloaded: retry after 3975400 ms', 10 s after the capacity had grown again.

Change: the pause is 10 s at most.

Measured: the test passes; the other tests of the package are unchanged and pass.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -12,6 +12,8 @@
 	warmUpTime = 5 * manager.Second
 	// minRetryAfter is the least pause that a refused caller is asked for.
 	minRetryAfter = 1 * manager.Second
+	// maxRetryAfter is the longest pause: the capacity of a pool may have changed by then.
+	maxRetryAfter = 10 * manager.Second
 )
 
 // handleSubmit accepts a job, or refuses it at once if it can't be served in time.
@@ -73,7 +75,7 @@
 	if wait <= slack {
 		return 0
 	}
-	return max(minRetryAfter, wait-slack)
+	return min(maxRetryAfter, max(minRetryAfter, wait-slack))
 }
 
 // freeCapacity returns the capacity of a pool's available workers that long-running tasks don't use.
--- a/pkg/manager/dispatcher/order_test.go
+++ b/pkg/manager/dispatcher/order_test.go
@@ -118,3 +118,24 @@
 	require.Equal(t, 1, f.state.Jobs["b"].OpenRuns())
 	require.Equal(t, 1, f.state.Jobs["d"].OpenRuns())
 }
+
+// A pool that has no processors for a moment must not refuse a job for much longer than that.
+func TestJobIsAcceptedSoonAfterPoolHasGrownAgain(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 4000)
+	f.run(6 * manager.Second)
+	w.report.Capacity = cores(0)
+	f.run(1 * manager.Second)
+	f.submit("a", task(1000, 4))
+	f.run(1 * manager.Second)
+	refused := f.submit("b", task(1000, 4))
+	f.runCycle()
+	require.True(t, manager.IsErrOverloaded(f.answers[refused].Err))
+	w.report.Capacity = cores(4000)
+	f.run(10 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+	again := f.submit("b", task(1000, 4))
+	f.run(4 * manager.Second)
+	require.NoError(t, f.answers[again].Err)
+	require.Equal(t, manager.GraphCompleted, f.jobState("b"))
+}
