Test changing capacities under faults at random

rapid draws capacities (processors, memory, accelerators) that shrink and grow while answers are lost, workers are cut off or restart, runs take time to stop, jobs are cancelled and dispatchers are replaced after an outage. The fake workers let a gang's tasks wait for the others and end them after 3 s.

--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -21,9 +22,18 @@
 	leaseTimeout = dispatcher.DefaultLease + dispatcher.DefaultLease*2/100 + 150
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
+
 // fleet drives a dispatcher in virtual time. The changes of every cycle are committed at once.
 type fleet struct {
-	t              *testing.T
+	t              require.TestingT
 	now            manager.Time
 	state          *recorder.State
 	d              *dispatcher.Dispatcher
@@ -35,8 +45,7 @@
 	acceptOrders   bool
 }
 
-func newFleet(t *testing.T) *fleet {
-	t.Helper()
+func newFleet(t require.TestingT) *fleet {
 	f := &fleet{t: t, now: 1_000_000, state: recorder.New(), answers: map[dispatcher.CallID]dispatcher.Answer{}}
 	f.startDispatcher(1)
 	f.send(dispatcher.Event{Configure: &manager.FleetConfiguration{
@@ -197,6 +206,12 @@
 	}
 	for id, at := range w.runs {
 		j := w.f.state.Jobs[id.Graph]
+		if w.f.lacksTask(id, w.numbers[id]) {
+			if w.f.now.Sub(at) >= gangTimeout {
+				w.end(id, manager.RunGangIncomplete)
+			}
+			continue
+		}
 		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.LongRunning()) {
 			how := manager.RunDone
 			if w.fails {
@@ -210,6 +225,24 @@
 	}
 }
 
+// gangTimeout is how long a task of a gang waits for the others.
+const gangTimeout = 3 * manager.Second
+
+// lacksTask reports whether some task of a gang's run is on no worker.
+func (f *fleet) lacksTask(id manager.TaskID, n manager.RunNumber) bool {
+	j, t := f.state.Task(id)
+	if t == nil || t.Done || !j.Steps[id.Step].Gang {
+		return false
+	}
+	for i := range j.Tasks[id.Step] {
+		other := manager.TaskID{Graph: id.Graph, Step: id.Step, Task: i}
+		if !slices.ContainsFunc(f.workers, func(w *fakeWorker) bool { _, ok := w.runs[other]; return ok && w.numbers[other] == n }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *fakeWorker) end(id manager.TaskID, how manager.RunEnd) {
 	w.lastEnd++
 	w.nextReportAt = min(w.nextReportAt, w.f.now.Add(50))
