Shrink and grow the capacity of workers in the soak

One more random trouble, drawn from a source of its own, so that a seed's other troubles stay what they were: every other call makes the capacity of a worker smaller for up to 8 s, to as little as nothing. Workers take 300 ms to stop a run. A start that brings a worker over its capacity fails the seed.

--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -105,7 +105,7 @@
 func (f *Fleet) addWorker(i int, rng *rand.Rand) {
 	w := &emulator.Worker{
 		ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Pool: Pool, Address: fmt.Sprintf("10.0.0.%d:80", i),
-		CPU: 4000, Work: time.Duration(100+rng.IntN(300)) * time.Millisecond, Ledger: &f.Ledger, HTTP: &http.Client{},
+		CPU: 4000, Work: time.Duration(100+rng.IntN(300)) * time.Millisecond, StopTime: stopTime, Ledger: &f.Ledger, HTTP: &http.Client{},
 	}
 	for _, k := range rng.Perm(len(f.Nodes)) {
 		w.Nodes = append(w.Nodes, f.Nodes[k].At(portControl))
@@ -114,6 +114,9 @@
 	go w.Run(f.ctx)
 }
 
+// stopTime is how long a worker takes to stop a run.
+const stopTime = 300 * time.Millisecond
+
 // Pool is the name of the workers' pool.
 const Pool = "p"
 
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -83,6 +83,9 @@
 	rng   *rand.Rand
 	// extra draws the faults that were added later, so that a seed's first faults stay what they were.
 	extra *rand.Rand
+	// shrinks draws the capacities that shrink; shrunk counts them.
+	shrinks *rand.Rand
+	shrunk  int
 	// refused tells that some disk refused writes.
 	refused bool
 	watch   *watch
@@ -108,13 +111,14 @@
 	t.Run("final-fault", s.playFinalFault)
 	s.watch.stop()
 	require.Empty(t, s.watch.failures())
-	t.Log(s.watch.summary())
+	t.Logf("%s, %d times a smaller capacity", s.watch.summary(), s.shrunk)
 }
 
 // start starts the fleet and waits until it serves.
 func (s *soak) start(seed uint64, core int) {
 	t := s.t
 	s.rng, s.extra, s.busy = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 7)), map[*Node]bool{}
+	s.shrinks = rand.New(rand.NewPCG(seed, 9))
 	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: *big, WorkerCount: 5, Seed: seed}
 	require.NoError(t, s.fleet.Start())
 	s.watch = newWatch(s.fleet, seed)
@@ -149,6 +153,7 @@
 	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
 		s.fault(time.Duration(300+s.rng.IntN(2500)) * time.Millisecond)
 		s.addedFault(time.Duration(300+s.extra.IntN(2700)) * time.Millisecond)
+		s.shrinkWorker()
 		time.Sleep(time.Duration(100+s.rng.IntN(600)) * time.Millisecond)
 	}
 }
--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -183,6 +183,7 @@
 // handIn sends a job until it is taken; it returns false where the caller gives up.
 func (w *watch) handIn(rng *rand.Rand, j *job) bool {
 	t := emulator.Task{Payload: j.id, Count: 1 + rng.IntN(4), CPU: 500 + rng.IntN(1000)}
+	w.fleet.Ledger.Needs(j.id, t.CPU)
 	for range tries {
 		o := w.timed(rng, func(ctx context.Context, n *Node) emulator.Outcome {
 			return w.caller.Submit(ctx, n.At(portFront), prefix, j.id, t)
