--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -53,44 +53,41 @@
 		LeaseMs: d.Options.LeaseMs, AckedEnds: w.ackedEnds, Token: d.Token, ReportTo: d.reportTo(now, w), NextMs: d.reportPause(),
 	}
 	urgent := len(w.latest.Ended) > 0
+	o.Start = d.startOrders(w)
 	o.Stop = d.stops(now, w)
 	o.Throttle = w.throttleOrders
-	runs := d.State.Runs(w.instance)
-	for _, id := range sortedTasks(runs) {
-		r := runs[id]
-		j, t := d.State.Task(id)
-		if _, ok := w.running[id]; ok || t == nil || t.Done || j.State.Ended() {
-			continue
-		}
-		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
-	}
 	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Throttle) > 0
 }
 
-// stops lists the runs that must end: runs of ended jobs, runs that are not open in the state, and evicted runs.
+// unwanted reports whether an open run of a worker must end, or must not begin: its job has ended, its gang lacks a task,
+// or it was withdrawn.
+func (d *Dispatcher) unwanted(w *worker, id manager.TaskID, n manager.RunNumber) bool {
+	return d.State.Jobs[id.Graph].State.Ended() || d.incompleteGang(id, n) || w.withdrawn[id] == n
+}
+
+// stops lists the runs that must end: unwanted runs, runs that are not open in the state, and evicted runs.
 func (d *Dispatcher) stops(now manager.Time, w *worker) []manager.StopOrder {
 	var list []manager.StopOrder
 	add := func(id manager.TaskID, n manager.RunNumber) {
-		if at, ok := w.stopSentAt[id]; ok && now.Sub(at) < d.Options.StopMs {
+		if m, ok := w.stops[id]; ok && m.run == n && now.Sub(m.latest) < d.Options.StopMs {
 			return
 		}
 		list = append(list, manager.StopOrder{Task: id, Run: n})
 	}
 	for id, r := range w.running {
-		j, _ := d.State.Task(id)
 		open := d.State.OpenRun(id, r.Run)
-		if open == nil || open.Instance != w.instance || j.State.Ended() || d.evicted(w, id) {
+		if open == nil || open.Instance != w.instance || d.unwanted(w, id, r.Run) || d.evicted(w, id) {
 			add(id, r.Run)
 		}
 	}
 	for id, r := range d.State.Runs(w.instance) {
-		if _, ok := w.running[id]; !ok && d.State.Jobs[id.Graph].State.Ended() {
+		if _, ok := w.running[id]; !ok && d.unwanted(w, id, r.Number) {
 			add(id, r.Number)
 		}
 	}
 	slices.SortFunc(list, func(a, b manager.StopOrder) int { return compareTasks(a.Task, b.Task) })
 	for _, s := range list {
-		w.stopSentAt[s.Task] = now
+		w.markStopped(now, s)
 		d.logMinor(manager.LogRunStopped, "RequestID", s.Task.Graph, "Task", s.Task, "Run", s.Run, "Worker", w.instance.Worker)
 	}
 	return list
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -58,8 +58,10 @@
 	usageStale bool
 	// stallCheckDue means that the latest report was not checked for stalled runs yet.
 	stallCheckDue bool
-	stopSentAt    map[manager.TaskID]manager.Time
-	progress      map[manager.TaskID]progressMark
+	stops         map[manager.TaskID]stopMark
+	// withdrawn holds the runs that no longer fit and whose start orders are not sent any more.
+	withdrawn map[manager.TaskID]manager.RunNumber
+	progress  map[manager.TaskID]progressMark
 }
 
 // progressMark is the latest progress of a run and when it was first reported.
@@ -101,27 +103,6 @@
 	return answers
 }
 
-// stopDeliveryTime is the time after which an answer with a stop order has either reached its worker or never will.
-const stopDeliveryTime = 1500 * manager.Millisecond
-
-// endStoppedRuns ends the runs that were stopped before they began: the worker refuses to start them from then on.
-func (d *Dispatcher) endStoppedRuns(now manager.Time, w *worker, c *recorder.Changes) {
-	for id, at := range w.stopSentAt {
-		if _, ok := w.running[id]; ok || now.Sub(at) < stopDeliveryTime {
-			continue
-		}
-		r := d.State.Runs(w.instance)[id]
-		if r == nil {
-			delete(w.stopSentAt, id)
-			continue
-		}
-		ended := slices.ContainsFunc(w.latest.Ended, func(e manager.EndedRun) bool { return e.Task == id && e.Run == r.Number })
-		if j := d.State.Jobs[id.Graph]; !ended && j != nil && j.State.Ended() {
-			c.End = append(c.End, recorder.End{Task: id, Run: r.Number, How: manager.RunStopped})
-		}
-	}
-}
-
 // superseded reports whether a later worker instance is known on the report's VM or at its address.
 func (d *Dispatcher) superseded(r manager.WorkerReport) bool {
 	for _, o := range []*worker{d.byVM[r.VM], d.byAddress[r.Address]} {
@@ -137,7 +118,7 @@
 func (d *Dispatcher) addWorker(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
 	w := &worker{
 		instance: r.Instance, firstSeenAt: now, running: map[manager.TaskID]manager.RunningTask{}, shares: map[manager.TaskID]manager.Percent{},
-		stopSentAt: map[manager.TaskID]manager.Time{}, progress: map[manager.TaskID]progressMark{},
+		stops: map[manager.TaskID]stopMark{}, withdrawn: map[manager.TaskID]manager.RunNumber{}, progress: map[manager.TaskID]progressMark{},
 	}
 	// A new dispatcher doesn't know which leases its predecessor granted.
 	w.leaseExpiresAt = max(now, d.StartedAt).Add(d.leaseTimeout())
@@ -232,6 +213,7 @@
 		w.health.recordEnd(now, e.How)
 		if e.How == manager.RunRefused {
 			d.dropPermit(e.Task, w.instance)
+			d.markIncomplete(e.Task, e.Run)
 		}
 		d.logMinor(manager.LogRunEnded, "RequestID", e.Task.Graph, "Task", e.Task, "Run", e.Run, "How", e.How, "Worker", w.instance.Worker, "RanMs", now.Sub(r.At))
 	}
@@ -241,6 +223,7 @@
 	clear(w.running)
 	for _, r := range w.latest.Running {
 		w.running[r.Task] = r
+		delete(w.withdrawn, r.Task)
 		m, ok := w.progress[r.Task]
 		if !ok || m.run != r.Run || m.value != r.Progress {
 			w.progress[r.Task] = progressMark{run: r.Run, value: r.Progress, unchangedSince: now}
@@ -250,7 +233,7 @@
 		if _, ok := w.running[id]; !ok {
 			delete(w.progress, id)
 			delete(w.shares, id)
-			delete(w.stopSentAt, id)
+			delete(w.stops, id)
 		}
 	}
 }
