Let an odd entry of the VM list cost only itself

Callers saw: with one entry in the platform's list that could not be decoded, no VM was lent to a pool that lacked some, and a wave waited for VMs that had left the list, for as long as the entry stayed. Cause: a page of the list was decoded as one value, so that one entry of another type, a number too large or a nesting above 10,000 failed the page and with it the list. An entry with a capacity near the maximum of int64 was accepted, and an answer without a list counted as an empty one, which ends the maintenance of every VM without a worker. The VM of an entry that can't be used still exists; if an entry names no VM, no VM counts as gone.

--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -53,6 +53,8 @@
 	demand map[manager.PoolID]*demand
 	// rejected holds the VMs that the platform refused to move.
 	rejected map[manager.VMID]bool
+	// noted holds the unusable entries of the list that were logged.
+	noted map[string]bool
 }
 
 func (l *lending) stale(now manager.Time) bool {
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -62,6 +62,12 @@
 	// AskedAt is when the list was requested; its content is not older.
 	AskedAt manager.Time
 	VMs     map[manager.VMID]ListedVM
+	// Unread holds, for each VM whose entry could not be used, the reason. Such a VM exists.
+	Unread map[manager.VMID]string
+	// Unnamed counts the entries that name no VM, and UnnamedReason is what is wrong with the first of them. Each may
+	// stand for any VM.
+	Unnamed       int
+	UnnamedReason string
 }
 
 // ListedVM is a VM of the list.
@@ -361,6 +367,7 @@
 // handleListing ends the maintenance of VMs that no longer exist, and of VMs that are up again without a worker.
 func (d *Dispatcher) handleListing(l Listing, c *recorder.Changes) {
 	d.lending.update(l)
+	d.logUnread(&l)
 	for _, id := range d.waves() {
 		wave := d.State.Waves[id]
 		for _, vm := range wave.VMs {
@@ -370,7 +377,7 @@
 			listed, ok := l.VMs[vm]
 			begun := d.maintenance.startedAt[vm]
 			back := wave.State[vm] == recorder.MaintenanceStarted && listed.Up && begun != 0 && l.AskedAt > begun
-			if ok && !back {
+			if ok && !back || !ok && l.mayHold(vm) {
 				continue
 			}
 			c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: id, VM: vm, State: recorder.MaintenanceDone})
--- a/pkg/manager/ids.go
+++ b/pkg/manager/ids.go
@@ -34,6 +34,9 @@
 	ReplicaID uint64
 )
 
+// MaxIDBytes limits the IDs that come from outside: they are part of many messages and log entries.
+const MaxIDBytes = 256
+
 // Counters that order events. None ever decreases.
 type (
 	// Revision counts the changes applied to the replicated state.
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -32,6 +32,7 @@
 	LogLinesDropped                  = "Log lines dropped"
 	LogCallRefused                   = "Call refused"
 	LogLeaderFound                   = "Leader found"
+	LogListEntryNotUsed              = "List entry not used"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
 	LogNodeFailed                    = "Node failed"
@@ -109,6 +110,7 @@
 		{LogLinesDropped, "Any", "Log lines were written faster than they are read; Minor and Essential count the missing lines."},
 		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code."},
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
+		{LogListEntryNotUsed, "Leader", "An entry of the platform's list of VMs is unusable for Reason. Its VM keeps its place in waves and is not lent; without a VM, no VM counts as gone. The first entries with each reason are logged."},
 		{LogListenerFailed, "Any", "A listener stopped unexpectedly."},
 		{LogNodeDidNotStopCleanly, "Any", "Work was still running when the grace period ended."},
 		{LogNodeFailed, "Any", "A part of the node has ended for good. The process stops what is in flight and exits with an error, to be restarted."},
--- a/pkg/manager/profile.go
+++ b/pkg/manager/profile.go
@@ -1,5 +1,7 @@
 package manager
 
+import "fmt"
+
 // Resources is an amount of processors, memory and accelerators.
 type Resources struct {
 	ProcessorMilliCores MilliCores
@@ -7,6 +9,26 @@
 	Accelerators        Accelerators
 }
 
+// MaxResource limits an amount in each dimension, so that no sum over a fleet overflows.
+const MaxResource = 1 << 40
+
+// Validate returns an ErrInvalid for the first dimension that is negative or too large, or nil.
+func (r Resources) Validate() error {
+	for _, d := range []struct {
+		field  string
+		amount int64
+	}{
+		{"ProcessorMilliCores", int64(r.ProcessorMilliCores)},
+		{"MemoryMegaBytes", int64(r.MemoryMegaBytes)},
+		{"Accelerators", int64(r.Accelerators)},
+	} {
+		if d.amount < 0 || d.amount > MaxResource {
+			return ErrInvalid{Field: d.field, Reason: fmt.Sprintf("is %d: expected 0 to %d", d.amount, int64(MaxResource))}
+		}
+	}
+	return nil
+}
+
 // Add returns r plus o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{
