Keep the leader running when a heartbeat names an absent task

Callers saw: a heartbeat that lists a running task of an active job with a step that the job doesn't have ended the leader's process. Its sender then goes to the next node, which ended the next leader as well. Cause: throttling took the step of the job by the reported number without a check. Evidence: before, TestReportOfAnAbsentTaskDoesNotEndTheDispatcher failed with "Panic value: runtime error: index out of range [1] with length 1" in throttleBestEffort. Change: throttling looks the task up as all other readers of reports do; the run counts as unknown and gets a stop order. The other places that index a job's steps take the task from the state. Why it works: State.Task checks both numbers.

--- /dev/null
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -0,0 +1,34 @@
+package dispatcher_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+// A report may name a step or a task that its job does not have.
+func TestReportOfAnAbsentTaskDoesNotEndTheDispatcher(t *testing.T) {
+	for _, odd := range []manager.TaskID{
+		{Graph: "a", Step: 1}, {Graph: "a", Step: math.MaxInt}, {Graph: "a", Task: math.MaxInt}, {Graph: "none", Step: 3, Task: 4},
+		{Graph: manager.GraphID("a").Occurrence(7)},
+	} {
+		f := newFleet(t)
+		f.worker("w1", pool, 4000)
+		f.run(200)
+		f.submit("a", manager.GraphStep{Count: 1, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 500})
+		f.run(200)
+		require.NotPanics(t, func() {
+			f.send(dispatcher.Event{Report: &manager.WorkerReport{
+				Instance: manager.WorkerInstance{Worker: "odd", StartedAt: 17}, Sequence: 1, VM: "vm-odd", Pool: "elsewhere", Address: "10.9.9.9:80",
+				Running: []manager.RunningTask{{Task: odd, Run: math.MaxUint64, Progress: 5}},
+				Ended:   []manager.EndedRun{{Number: 1, Task: odd, Run: math.MaxUint64, How: manager.RunDone}},
+			}})
+			f.run(4 * manager.Second)
+		}, "%+v", odd)
+		require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+	}
+}
--- a/pkg/manager/dispatcher/throttling.go
+++ b/pkg/manager/dispatcher/throttling.go
@@ -22,8 +22,9 @@
 	var tasks []manager.TaskID
 	worst := manager.Percent(0)
 	for id, r := range w.running {
-		j := d.State.Jobs[id.Graph]
-		if j == nil || j.State.Ended() {
+		// Another writer's report may name a task that the job does not have.
+		j, t := d.State.Task(id)
+		if t == nil || j.State.Ended() {
 			continue
 		}
 		s := j.Steps[id.Step]
