Throttle on any tail latency, however large

Workers saw: best-effort tasks beside a serving task whose reported tail latency is above a hundredth of the maximum of int64 were not throttled. Cause: the latency was multiplied by 100 before the division. Evidence: before, TestTailLatencyNearTheMaximumThrottles failed with "actual: []manager.ThrottleOrder(nil)". Change: the latency is limited to the target first; above it the percentage has no further meaning. Why it works: the product is at most 100 times the target.

--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -32,3 +32,26 @@
 		require.Equal(t, manager.GraphCompleted, f.jobState("a"))
 	}
 }
+
+func TestTailLatencyNearTheMaximumThrottles(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 4000)
+	w.taskTime = 60_000
+	f.run(200)
+	serving := longRunning(1000, 1, 1)
+	serving.TailTargetMs = 50
+	f.submit("a", serving)
+	f.submit("b", manager.GraphStep{Count: 1, BestEffort: true, EstimateMs: 60_000})
+	f.run(2 * manager.Second)
+	require.Zero(t, f.notRunning("a")+f.notRunning("b"))
+	report := w.report
+	report.Sequence++
+	report.Running = []manager.RunningTask{
+		{Task: manager.TaskID{Graph: "a"}, Run: 1, Progress: 100, Gauge: math.MaxInt64}, {Task: manager.TaskID{Graph: "b"}, Run: 1, Progress: 5},
+	}
+	w.silent = true
+	call := f.send(dispatcher.Event{Report: &report})
+	f.run(200)
+	require.NotNil(t, f.answers[call].Orders)
+	require.Equal(t, []manager.ThrottleOrder{{Task: manager.TaskID{Graph: "b"}, Run: 1, Share: 40}}, f.answers[call].Orders.Throttle)
+}
--- a/pkg/manager/dispatcher/throttling.go
+++ b/pkg/manager/dispatcher/throttling.go
@@ -32,7 +32,7 @@
 		case s.BestEffort:
 			tasks = append(tasks, id)
 		case s.TailTargetMs > 0:
-			worst = max(worst, manager.Percent(r.Gauge*100/int64(s.TailTargetMs)))
+			worst = max(worst, manager.Percent(min(r.Gauge, int64(s.TailTargetMs))*100/int64(s.TailTargetMs)))
 		}
 	}
 	slices.SortFunc(tasks, compareTasks)
