Read task IDs of jobs whose ID contains a dot

Callers saw: once a job whose ID contains a dot had its first start, the replicas ended one after the other: no leader, nothing served. The entry is read again at each restart. Cause: a task ID is stored as ID.occurrence.step.task and was split at every dot, so that the committed entry could not be decoded by any replica. IDs come from the path of a request, and any text was accepted. An ID that is not UTF-8 was stored with replacement characters, under which its caller never finds it. Change: the three numbers are taken from the end, and what precedes them is the job's ID. IDs that are not UTF-8 text of at most 256 bytes are refused. Why it works: a formatted task ID always ends in three numbers, so that formatting and parsing are inverse for every ID that Validate accepts. Entries committed before with such an ID are read as well.

--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Ids of job graphs and of the workers that run their tasks.
@@ -57,21 +58,25 @@
 	return err
 }
 
-// ParseTaskID decodes the format of TaskID.String.
+// maxQuotedBytes limits what an error quotes of a text that comes from outside.
+const maxQuotedBytes = 80
+
+// ParseTaskID decodes the format of TaskID.String. The ID of the job graph may contain dots.
 func ParseTaskID(s string) (TaskID, error) {
-	parts := strings.Split(s, ".")
-	if len(parts) != 4 {
-		return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q must have four parts", s)}
-	}
 	var numbers [3]int
-	for i, p := range parts[1:] {
-		n, err := strconv.Atoi(p)
+	rest := s
+	for i := len(numbers) - 1; i >= 0; i-- {
+		dot := strings.LastIndexByte(rest, '.')
+		if dot < 0 {
+			return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%.*q must have four parts", maxQuotedBytes, s)}
+		}
+		n, err := strconv.Atoi(rest[dot+1:])
 		if err != nil || n < 0 {
-			return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%q: part %d is not a non-negative number", s, i+1)}
+			return TaskID{}, ErrInvalid{Field: "Task", Reason: fmt.Sprintf("%.*q: part %d is not a non-negative number", maxQuotedBytes, s, i+1)}
 		}
-		numbers[i] = n
+		numbers[i], rest = n, rest[:dot]
 	}
-	return TaskID{Graph: GraphID(parts[0]).Occurrence(numbers[0]), Step: numbers[1], Task: numbers[2]}, nil
+	return TaskID{Graph: GraphID(rest).Occurrence(numbers[0]), Step: numbers[1], Task: numbers[2]}, nil
 }
 
 // GraphStep is a step of a job graph: identical tasks that may run in parallel.
@@ -143,6 +148,9 @@
 	if g.Graph == "" {
 		return ErrInvalid{Field: "Graph", Reason: "is missing"}
 	}
+	if len(g.Graph) > MaxIDBytes || !utf8.ValidString(string(g.Graph)) {
+		return ErrInvalid{Field: "Graph", Reason: fmt.Sprintf("must be UTF-8 text of at most %d bytes", MaxIDBytes)}
+	}
 	if strings.Contains(string(g.Graph), occurrenceSeparator) {
 		return ErrInvalid{Field: "Graph", Reason: "must not contain " + occurrenceSeparator + ", which is reserved for occurrences"}
 	}
