--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"unicode/utf8"
 )
 
 // Ids of job graphs and of the workers that run their tasks.
@@ -145,11 +144,8 @@
 
 // Validate returns an ErrInvalid for the first invalid value of the job graph, or nil.
 func (g Graph) Validate() error {
-	if g.Graph == "" {
-		return ErrInvalid{Field: "Graph", Reason: "is missing"}
-	}
-	if len(g.Graph) > MaxIDBytes || !utf8.ValidString(string(g.Graph)) {
-		return ErrInvalid{Field: "Graph", Reason: fmt.Sprintf("must be UTF-8 text of at most %d bytes", MaxIDBytes)}
+	if err := validateID("Graph", string(g.Graph)); err != nil {
+		return err
 	}
 	if strings.Contains(string(g.Graph), occurrenceSeparator) {
 		return ErrInvalid{Field: "Graph", Reason: "must not contain " + occurrenceSeparator + ", which is reserved for occurrences"}
