Log a refused heartbeat once in ten minutes

Operators saw: a sender whose heartbeats are refused repeats them, and each gave a log line that quotes the error in full. A report that the leader refuses as invalid got 503, after which its sender calls the next node. An invalid report is answered with 400.

--- a/internal/assembler/fleetlisten.go
+++ b/internal/assembler/fleetlisten.go
@@ -56,7 +56,7 @@
 	}{
 		{s.Front, platform.Front{API: f.node}, idleTimeout},
 		{s.Ready, platform.Ready{Check: f.Ready}, idleTimeout},
-		{s.Control, platform.Control{API: f.node}, lease.Std()},
+		{s.Control, &platform.Control{API: f.node}, lease.Std()},
 		{manager.Address(net.JoinHostPort(s.Address, fmt.Sprint(s.MetricsPort))), metrics, idleTimeout},
 	} {
 		if err := f.serve(s.Bind(h.address), h.handler, h.idle); err != nil {
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -102,7 +102,7 @@
 		{LogDispatcherStarted, "Leader", "This node starts dispatching, with Token as its fencing token."},
 		{LogElectionNotWon, "Replica", "This replica has sought votes for ForMs without a winner. Granted, Refused and Unheard are the voters by their latest answer."},
 		{LogGroupCreated, "Replica", "The replica group was bootstrapped, which happens once in the lifetime of the system."},
-		{LogHeartbeatRefused, "Any", "A heartbeat could not be read and is ignored."},
+		{LogHeartbeatRefused, "Any", "A heartbeat names no usable worker and is answered with 400. Each worker is logged once in ten minutes."},
 		{LogJobAccepted, "Leader", "A job is being committed."},
 		{LogJobCancelled, "Leader", "The cancellation of a job is being committed."},
 		{LogJobEnded, "Leader", "A job has ended; InTime tells whether it met its objective, and WaitedMs how long its first task waited."},
