Refuse reports from the future that displace a worker

Callers saw: a heartbeat with the address, VM or ID of a worker and a start in the far future displaced that worker: its runs ended as lost, and its own reports were stale until the odd instance had been silent for the lease and 10 s. Cause: the latest start wins, and no start was too late. Evidence: before, TestReportOfAStartInTheFutureDisplacesNoWorker failed: the report was taken ("{Call:0 Orders:<nil> Err:<nil>}", held for orders). Change: a report whose start is over an hour ahead of the leader's wall clock is invalid if it would displace an instance. Clocks that differ by seconds are as before; a leader whose clock is wrong still accepts new workers. Why it works: the instance in place keeps its VM and address.

--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -55,3 +55,29 @@
 	require.NotNil(t, f.answers[call].Orders)
 	require.Equal(t, []manager.ThrottleOrder{{Task: manager.TaskID{Graph: "b"}, Run: 1, Share: 40}}, f.answers[call].Orders.Throttle)
 }
+
+// A worker that reports a start in the far future would be the latest instance at its address for ever.
+func TestReportOfAStartInTheFutureDisplacesNoWorker(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 4000)
+	f.d.SetWall(f.now, f.now)
+	f.run(200)
+	odd := manager.WorkerReport{
+		Instance: manager.WorkerInstance{Worker: "w1", StartedAt: f.now.Add(2 * manager.Hour)}, Sequence: 1, VM: w.report.VM, Pool: pool,
+		Address: w.report.Address, Capacity: w.report.Capacity,
+	}
+	f.d.SetWall(f.now, f.now)
+	call := f.send(dispatcher.Event{Report: &odd})
+	f.run(200)
+	require.True(t, manager.IsErrInvalid(f.answers[call].Err), "%+v", f.answers[call])
+	f.submit("a", manager.GraphStep{Count: 1, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 500})
+	f.run(3 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+	early := odd
+	early.Instance = manager.WorkerInstance{Worker: "w2", StartedAt: f.now.Add(10 * manager.Second)}
+	early.VM, early.Address = "vm-w2", "10.0.0.77:80"
+	f.d.SetWall(f.now, f.now)
+	call = f.send(dispatcher.Event{Report: &early})
+	f.run(manager.Second)
+	require.NotNil(t, f.answers[call].Orders, "a clock may be some seconds behind")
+}
--- a/pkg/manager/dispatcher/schedule.go
+++ b/pkg/manager/dispatcher/schedule.go
@@ -13,6 +13,8 @@
 	wallWindow = 10 * manager.Second
 	// wallSlotCount is the number of slots of the window.
 	wallSlotCount = 10
+	// maxClockAhead is how far a worker's wall clock may be ahead of the dispatcher's.
+	maxClockAhead = 1 * manager.Hour
 	// maxOccurrences limits the occurrences that start in one cycle, and with them the size of the log entry.
 	maxOccurrences = 32
 )
@@ -47,6 +49,12 @@
 	s.wall = now.Add(lowest)
 }
 
+// startsAhead reports whether a worker instance claims a start in the future, after which no later instance could be
+// known.
+func (d *Dispatcher) startsAhead(r manager.WorkerReport) bool {
+	return d.schedule.offsets != nil && r.Instance.StartedAt > d.schedule.wall.Add(maxClockAhead)
+}
+
 // startDueOccurrences starts the occurrences that are due.
 func (d *Dispatcher) startDueOccurrences(c *recorder.Changes) {
 	var due []recorder.Occurrence
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -77,6 +77,9 @@
 	if d.superseded(r) {
 		return stale
 	}
+	if d.startsAhead(r) && d.displaces(r) {
+		return []Answer{{Call: call, Err: manager.ErrInvalid{Field: "Born", Reason: "is in the future, and another instance is known"}}}
+	}
 	if w == nil || w.instance != r.Instance {
 		w = d.addWorker(now, r, c)
 	}
@@ -129,6 +132,17 @@
 	return false
 }
 
+// displaces reports whether a report would replace a worker instance: one of the same worker, on its VM or at its
+// address.
+func (d *Dispatcher) displaces(r manager.WorkerReport) bool {
+	for _, o := range []*worker{d.workers[r.Instance.Worker], d.byVM[r.VM], d.byAddress[r.Address]} {
+		if o != nil && o.instance != r.Instance {
+			return true
+		}
+	}
+	return false
+}
+
 // addWorker adds a new worker instance and ends the runs of older instances of the worker, on its VM and at its
 // address.
 func (d *Dispatcher) addWorker(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
