Refuse reports of an unknown pool that displace a worker

Callers saw: a heartbeat of another writer with a service that no configuration names and the address or VM of a worker ended that worker's runs as lost and blocked its reports. Cause: the latest instance at an address or on a VM wins, whatever it reports. Evidence: before, TestReportOfAnUnknownPoolDisplacesNoWorker failed: the report got orders ("{Call:4 Orders:0x32349a9eec80 Err:<nil>}"). Change: such a report is invalid if it would displace an instance; otherwise it is taken as before, as the configuration with its pool may come later. Why it works: it can't replace the instance in place, and no job is placed on its pool.

--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -81,3 +81,23 @@
 	f.run(manager.Second)
 	require.NotNil(t, f.answers[call].Orders, "a clock may be some seconds behind")
 }
+
+func TestReportOfAnUnknownPoolDisplacesNoWorker(t *testing.T) {
+	f := newFleet(t)
+	w := f.worker("w1", pool, 4000)
+	f.run(200)
+	f.submit("a", manager.GraphStep{Count: 1, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 500})
+	f.run(200)
+	odd := manager.WorkerReport{
+		Instance: manager.WorkerInstance{Worker: "odd", StartedAt: f.now}, Sequence: 1, Pool: "elsewhere", Address: w.report.Address,
+		Capacity: w.report.Capacity,
+	}
+	call := f.send(dispatcher.Event{Report: &odd})
+	f.run(3 * manager.Second)
+	require.True(t, manager.IsErrInvalid(f.answers[call].Err), "%+v", f.answers[call])
+	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+	odd.Address = "10.0.0.77:80"
+	call = f.send(dispatcher.Event{Report: &odd})
+	f.run(manager.Second)
+	require.NotNil(t, f.answers[call].Orders, "the pool may be in a configuration that comes later")
+}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -77,8 +77,8 @@
 	if d.superseded(r) {
 		return stale
 	}
-	if d.startsAhead(r) && d.displaces(r) {
-		return []Answer{{Call: call, Err: manager.ErrInvalid{Field: "Born", Reason: "is in the future, and another instance is known"}}}
+	if err := d.checkDisplacing(r); err != nil {
+		return []Answer{{Call: call, Err: err}}
 	}
 	if w == nil || w.instance != r.Instance {
 		w = d.addWorker(now, r, c)
@@ -132,6 +132,21 @@
 	return false
 }
 
+// checkDisplacing returns an ErrInvalid for a report that would replace a worker instance although no worker of this fleet
+// sends such a report.
+func (d *Dispatcher) checkDisplacing(r manager.WorkerReport) error {
+	if !d.displaces(r) {
+		return nil
+	}
+	if d.startsAhead(r) {
+		return manager.ErrInvalid{Field: "Born", Reason: "is in the future, and another instance is known"}
+	}
+	if f := d.State.Configuration; f != nil && !f.HasPool(r.Pool) {
+		return manager.ErrInvalid{Field: "Pool", Reason: "is not configured, and another instance is known"}
+	}
+	return nil
+}
+
 // displaces reports whether a report would replace a worker instance: one of the same worker, on its VM or at its
 // address.
 func (d *Dispatcher) displaces(r manager.WorkerReport) bool {
--- a/pkg/manager/workerreport.go
+++ b/pkg/manager/workerreport.go
@@ -1,5 +1,7 @@
 package manager
 
+import "slices"
+
 // WorkerReport is the state of a worker, sent with each heartbeat.
 type WorkerReport struct {
 	Instance WorkerInstance `json:"Life"`
@@ -158,6 +160,11 @@
 	return QueueSettings{}, false
 }
 
+// HasPool reports whether a pool is configured.
+func (c *FleetConfiguration) HasPool(p PoolID) bool {
+	return slices.ContainsFunc(c.Pools, func(s PoolSettings) bool { return s.Pool == p })
+}
+
 // MaintenanceRequest asks for the maintenance of each of its VMs in a wave.
 type MaintenanceRequest struct {
 	Wave       uint64
