Start and reload with a seed that can't be used

Operators saw: with one seed whose port is out of range or that is no address a node ended at each start, and a running node refused the whole changed list and kept the old one. Cause: every seed had to be an IP address and port, although the ports of seeds are not used. Evidence: before, 'mulberryhaven fleet' with the seed "10.2.0.23:86230" ended with code 2: 'Seeds[1]: is "10.2.0.23:86230": expected an IP address and port'. Change: only the IP address of a seed is read; a seed without one is skipped and logged at the start and when the seeds change. One usable seed is needed. A node that founds the group needs all of them, as replicas that found it from different lists would form several groups; a reload founds none. Why it works: SeedPeers skips what it can't parse, and its other readers take its result.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -105,6 +105,7 @@
 	}
 	f.work.Go(func() { f.finder.Run(f.ctx) })
 	klog.InfoS(manager.LogNodeStarted, "Peer", s.Peer(), "Replica", s.DataFolder != "", "Found", s.Found, "Seeds", s.Seeds)
+	logUnusableSeeds(s)
 	return nil
 }
 
@@ -218,6 +219,13 @@
 	old := f.settings.Swap(&s)
 	if !slices.Equal(old.Seeds, s.Seeds) {
 		klog.InfoS(manager.LogSeedsChanged, "Seeds", s.Seeds, "Before", old.Seeds)
+		logUnusableSeeds(s)
+	}
+}
+
+func logUnusableSeeds(s configurer.FleetNode) {
+	for _, i := range s.UnusableSeeds() {
+		klog.InfoS(manager.LogSeedNotUsed, "Seed", i, "Value", fmt.Sprintf("%.80q", s.Seeds[i]))
 	}
 }
 
--- a/internal/commander/fleetnode.go
+++ b/internal/commander/fleetnode.go
@@ -110,7 +110,7 @@
 }
 
 func reloadFleetNode(file string, f *assembler.FleetNode) {
-	settings, err := configurer.ReadFleetNode(file)
+	settings, err := configurer.ReloadFleetNode(file)
 	if err != nil {
 		klog.ErrorS(err, manager.LogSettingsRejected)
 		return
--- a/internal/configurer/fleet.go
+++ b/internal/configurer/fleet.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
+// maxQuotedBytes limits what an error quotes of a value.
+const maxQuotedBytes = 80
+
 // FleetNode are the settings of a process that runs on a platform's entry VM.
 type FleetNode struct {
 	// Node names this VM in logs and in orders to the platform.
@@ -55,7 +59,12 @@
 }
 
 // ReadFleetNode reads and checks a settings file.
-func ReadFleetNode(file string) (FleetNode, error) {
+func ReadFleetNode(file string) (FleetNode, error) { return readFleetNode(file, false) }
+
+// ReloadFleetNode reads and checks a settings file for a process that runs, which founds no group any more.
+func ReloadFleetNode(file string) (FleetNode, error) { return readFleetNode(file, true) }
+
+func readFleetNode(file string, running bool) (FleetNode, error) {
 	var s FleetNode
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -64,6 +73,7 @@
 	if err := Decode(bytes.NewReader(data), &s); err != nil {
 		return s, fmt.Errorf("settings in %s: %w", file, err)
 	}
+	s.Found = s.Found && !running
 	if err := s.Validate(); err != nil {
 		return s, fmt.Errorf("settings in %s: %w", file, err)
 	}
@@ -95,10 +105,10 @@
 	if len(s.Seeds) == 0 {
 		return invalid("Seeds", "is empty: expected the address of at least one node")
 	}
-	for i, a := range s.Seeds {
-		if _, err := netip.ParseAddrPort(string(a)); err != nil {
-			return invalid(fmt.Sprintf("Seeds[%d]", i), "is %q: expected an IP address and port", a)
-		}
+	// Nodes that found the group from different lists would form several groups. Otherwise one seed is enough.
+	founds, unusable := s.Found && s.DataFolder != "", s.UnusableSeeds()
+	if len(unusable) > 0 && (founds || len(unusable) == len(s.Seeds)) {
+		return invalid(fmt.Sprintf("Seeds[%d]", unusable[0]), "is %.*q: expected an IP address and port", maxQuotedBytes, s.Seeds[unusable[0]])
 	}
 	if s.Work.MaxLeaseMs <= 0 || s.Work.StopMs <= 0 || s.Work.DutyGapMs <= 0 {
 		return invalid("Work", "has a bound that is not above 0")
@@ -118,15 +128,38 @@
 	return manager.Address(netip.AddrPortFrom(netip.MustParseAddr(s.Listen), port).String())
 }
 
-// SeedPeers returns the seeds' addresses for other nodes, in the order of the settings.
+// SeedPeers returns the usable seeds' addresses for other nodes, in the order of the settings.
 func (s FleetNode) SeedPeers() []manager.Address {
 	list := make([]manager.Address, 0, len(s.Seeds))
-	for _, a := range s.Seeds {
-		list = append(list, s.peerAt(netip.MustParseAddrPort(string(a)).Addr()))
+	for _, seed := range s.Seeds {
+		if a, ok := seedAddress(seed); ok {
+			list = append(list, s.peerAt(a))
+		}
 	}
 	return list
 }
 
+// UnusableSeeds returns the indexes of the seeds without an IP address.
+func (s FleetNode) UnusableSeeds() []int {
+	var list []int
+	for i, seed := range s.Seeds {
+		if _, ok := seedAddress(seed); !ok {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// seedAddress returns the IP address of a seed; its port is not used and may be anything.
+func seedAddress(seed manager.Address) (netip.Addr, bool) {
+	host, _, err := net.SplitHostPort(string(seed))
+	if err != nil {
+		host = string(seed)
+	}
+	a, err := netip.ParseAddr(host)
+	return a, err == nil
+}
+
 func (s FleetNode) peerAt(a netip.Addr) manager.Address {
 	return manager.Address(netip.AddrPortFrom(a, s.PeerPort).String())
 }
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -63,6 +63,7 @@
 	LogRunEvicted                    = "Run recalled"
 	LogRunStalled                    = "Run stalled"
 	LogRunStopped                    = "Run stopped"
+	LogSeedNotUsed                   = "Seed not used"
 	LogSeedsChanged                  = "Seeds changed"
 	LogReloadingSettings             = "Reloading settings"
 	LogSettingsRejected              = "Settings rejected, keeping the previous ones"
@@ -141,6 +142,7 @@
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
 		{LogRunStalled, "Leader", "A run makes no progress and is to be started on another worker."},
 		{LogRunStopped, "Leader", "A worker is told to stop a run."},
+		{LogSeedNotUsed, "Any", "An entry of the seeds holds no IP address; the others are used. It is looked at again when the settings change."},
 		{LogSeedsChanged, "Any", "The settings list other seeds."},
 		{LogReloadingSettings, "Any", "A signal was received or the settings file changed."},
 		{LogSettingsRejected, "Any", "The changed settings are invalid."},
