Refuse jobs with values that overflow

Callers saw: a job with, for example, an interval near the maximum of int64 was accepted; the time of its third occurrence wraps to a negative one and is due at once. Estimates and resources of that size wrap in sums of durations and of capacity. Names of 100 kB and a million dependencies were stored and became part of log entries. Cause: Validate limited counts, but neither times nor amounts nor the size of names.

--- a/pkg/manager/clock.go
+++ b/pkg/manager/clock.go
@@ -16,6 +16,9 @@
 	Hour        Duration = 60 * Minute
 )
 
+// MaxDuration limits the durations that come from outside, so that no sum of them overflows.
+const MaxDuration Duration = 1 << 40
+
 // Clock returns the time in milliseconds.
 type Clock interface {
 	// Now returns the current time; it is monotonic.
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -134,66 +134,6 @@
 	Repeat  Repeat `json:",omitzero"`
 }
 
-// Limits of a job graph; larger ones are rejected.
-const (
-	MaxPayloadBytes = 4000
-	MaxGraphSteps   = 64
-	MaxGraphTasks   = 4096
-	MaxOccurrences  = 10_000
-)
-
-// Validate returns an ErrInvalid for the first invalid value of the job graph, or nil.
-func (g Graph) Validate() error {
-	if err := validateID("Graph", string(g.Graph)); err != nil {
-		return err
-	}
-	if strings.Contains(string(g.Graph), occurrenceSeparator) {
-		return ErrInvalid{Field: "Graph", Reason: "must not contain " + occurrenceSeparator + ", which is reserved for occurrences"}
-	}
-	if len(g.Payload) > MaxPayloadBytes {
-		return ErrInvalid{Field: "Payload", Reason: fmt.Sprintf("has more than %d bytes", MaxPayloadBytes)}
-	}
-	if n := len(g.Steps); n == 0 || n > MaxGraphSteps {
-		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("has %d steps; must have 1 to %d", n, MaxGraphSteps)}
-	}
-	if r := g.Repeat; r.Count < 0 || r.Count > MaxOccurrences || r.IntervalMs < 0 || r.FirstAt < 0 {
-		return ErrInvalid{Field: "Repeat", Reason: fmt.Sprintf("has a negative field or more than %d occurrences", MaxOccurrences)}
-	}
-	if g.Repeat.Count > 0 && g.Steps[0].LongRunning {
-		return ErrInvalid{Field: "Repeat", Reason: "is not allowed for long-running tasks"}
-	}
-	tasks := 0
-	for i, s := range g.Steps {
-		if err := s.validate(i); err != nil {
-			return err
-		}
-		tasks += s.Count
-	}
-	if tasks > MaxGraphTasks {
-		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("has %d tasks; at most %d are allowed", tasks, MaxGraphTasks)}
-	}
-	return nil
-}
-
-func (s GraphStep) validate(i int) error {
-	field := fmt.Sprintf("Steps[%d]", i)
-	if s.Count < 1 || s.Count > MaxGraphTasks {
-		return ErrInvalid{Field: field + ".Count", Reason: fmt.Sprintf("is %d; must be 1 to %d", s.Count, MaxGraphTasks)}
-	}
-	if s.PerTask.ProcessorMilliCores < 0 || s.PerTask.MemoryMegaBytes < 0 || s.PerTask.Accelerators < 0 {
-		return ErrInvalid{Field: field + ".Room", Reason: "is negative"}
-	}
-	if s.Gang && s.LongRunning {
-		return ErrInvalid{Field: field + ".Gang", Reason: "is not allowed for long-running tasks"}
-	}
-	for _, n := range s.DependsOn {
-		if n < 0 || n >= i {
-			return ErrInvalid{Field: field + ".Needs", Reason: fmt.Sprintf("%d is not an earlier step", n)}
-		}
-	}
-	return nil
-}
-
 // GraphState is the state of a job graph.
 type GraphState string
 
