Limit durations that are computed in floating point

Cause: the results of floating-point sums were converted to a Duration without a limit. Beyond int64 the conversion is not defined, and a sum with the result wraps. Evidence: before, TestObjectiveBeyondAllTimesIsNoReasonToRefuse failed with a refusal, and TestRefusalOfAHugeJobNamesATime with '"" is not less than or equal to "300000"' (arm64). Change: DurationOf limits the result to 0 .. MaxDuration; the pause of a refusal is at most five minutes. Why it works: MaxDuration times the factors of the dispatcher stays below 2^63. Values in range are converted as before.

--- a/pkg/manager/clock.go
+++ b/pkg/manager/clock.go
@@ -19,6 +19,9 @@
 // MaxDuration limits the durations that come from outside, so that no sum of them overflows.
 const MaxDuration Duration = 1 << 40
 
+// DurationOf converts milliseconds to a Duration between 0 and MaxDuration.
+func DurationOf(ms float64) Duration { return Duration(min(max(ms, 0), float64(MaxDuration))) }
+
 // Clock returns the time in milliseconds.
 type Clock interface {
 	// Now returns the current time; it is monotonic.
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -12,6 +12,8 @@
 	warmUpTime = 5 * manager.Second
 	// minRetryAfter is the least pause that a refused caller is asked for.
 	minRetryAfter = 1 * manager.Second
+	// maxRetryAfter limits that pause: the load may change, and refused jobs are remembered until then.
+	maxRetryAfter = 5 * manager.Minute
 )
 
 // handleSubmit accepts a job, or refuses it at once if it can't be served in time.
@@ -67,13 +69,13 @@
 			backlog.plus(d.times.work(j))
 		}
 	}
-	wait := manager.Duration(backlog.over(free.Add(d.lending.lendable)))
+	wait := manager.DurationOf(backlog.over(free.Add(d.lending.lendable)))
 	probe := &recorder.Job{Graph: g, Accepted: now}
 	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.graphCriticalPath(g)
 	if wait <= slack {
 		return 0
 	}
-	return max(minRetryAfter, wait-slack)
+	return min(max(minRetryAfter, wait-slack), maxRetryAfter)
 }
 
 // freeCapacity returns the capacity of a pool's available workers that long-running tasks don't use.
--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -101,3 +101,38 @@
 	f.run(manager.Second)
 	require.NotNil(t, f.answers[call].Orders, "the pool may be in a configuration that comes later")
 }
+
+// An objective beyond all times must not count as one that is long past.
+func TestObjectiveBeyondAllTimesIsNoReasonToRefuse(t *testing.T) {
+	f := newFleet(t)
+	f.send(dispatcher.Event{Configure: &manager.FleetConfiguration{
+		Version: 2,
+		Queues:  []manager.QueueSettings{{Queue: queue, Host: "h", Prefix: "/q/", Pool: pool, TimeoutMs: 3000, SlackMs: 3600, Stretch: 1e300, MaxAttempts: 2}},
+		Pools:   []manager.PoolSettings{{Pool: pool}},
+	}})
+	f.worker("w1", pool, 4000)
+	f.run(8 * manager.Second)
+	step := manager.GraphStep{Count: 8, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 900}
+	f.submit("a", step)
+	f.run(200)
+	call := f.submit("b", step)
+	f.run(200)
+	require.NoError(t, f.answers[call].Err)
+	f.run(8 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.jobState("b"))
+}
+
+func TestRefusalOfAHugeJobNamesATime(t *testing.T) {
+	f := newFleet(t)
+	f.worker("w1", pool, 4000)
+	f.run(8 * manager.Second)
+	call := f.submit("a", manager.GraphStep{Count: 4096, PerTask: manager.Resources{ProcessorMilliCores: manager.MaxResource}, EstimateMs: manager.MaxDuration})
+	f.run(200)
+	require.NoError(t, f.answers[call].Err, "an empty pool takes any job")
+	call = f.submit("b", manager.GraphStep{Count: 1, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 900})
+	f.run(200)
+	var refused manager.ErrOverloaded
+	require.ErrorAs(t, f.answers[call].Err, &refused)
+	require.Positive(t, refused.RetryAfterMs)
+	require.LessOrEqual(t, refused.RetryAfterMs, 5*manager.Minute)
+}
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -123,5 +123,5 @@
 // objective returns when a job should be complete.
 func (d *Dispatcher) objective(j *recorder.Job) manager.Time {
 	q := d.queue(j)
-	return j.ReleaseTime().Add(manager.Duration(q.Stretch*float64(d.times.graphCriticalPath(j.Graph))) + q.SlackMs)
+	return j.ReleaseTime().Add(manager.DurationOf(q.Stretch*float64(d.times.graphCriticalPath(j.Graph))) + q.SlackMs)
 }
--- a/pkg/manager/recorder/times.go
+++ b/pkg/manager/recorder/times.go
@@ -60,12 +60,12 @@
 func (t *QueueTimes) Estimate(s manager.GraphStep) manager.Duration {
 	switch {
 	case t == nil || t.Runs == 0:
-		return manager.Duration(max(float64(s.EstimateMs), float64(defaultTaskTime)))
+		return manager.DurationOf(max(float64(s.EstimateMs), float64(defaultTaskTime)))
 	case s.EstimateMs == 0:
-		return manager.Duration(t.MeanMs)
+		return manager.DurationOf(t.MeanMs)
 	case t.Runs < minRuns:
-		return manager.Duration((t.MeanMs + float64(s.EstimateMs)) / 2)
+		return manager.DurationOf((t.MeanMs + float64(s.EstimateMs)) / 2)
 	}
 	meanWeight, estimateWeight := 1/(t.MeanError+minError), 1/(t.OffError+minError)
-	return manager.Duration((t.MeanMs*meanWeight + t.corrected(s.EstimateMs)*estimateWeight) / (meanWeight + estimateWeight))
+	return manager.DurationOf((t.MeanMs*meanWeight + t.corrected(s.EstimateMs)*estimateWeight) / (meanWeight + estimateWeight))
 }
