Count no work as load that can't be done

Callers saw: after a job that no VM can run, too large or with a label that no VM has, or a job with one task of a huge estimate, every later job of the queue was refused with 429 until that job was cancelled. VMs were switched on for it. Cause: the backlog and the load of a pool counted all work of all active jobs with its full estimate, although work that no VM can run uses no capacity, and one task uses no more than its own share of it however long it takes. Change: steps that exceed what the known VMs offer at most, or whose label none has, count in neither. For the admission of a job a task counts with at most the time that the job can wait, for the load with at most a minute. Why it works: what remains is the capacity that the backlog can take from a new job until its deadline. Tasks shorter than that, and shorter than a minute, count as before.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -63,15 +63,15 @@
 	if free == (manager.Resources{}) {
 		return 0
 	}
+	probe := &recorder.Job{Graph: g, Accepted: now}
+	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.graphCriticalPath(g)
 	var backlog work
 	for _, j := range d.State.Active() {
 		if !j.LongRunning() && !j.Unreleased() && d.poolOf(j) == q.Pool {
-			backlog.plus(d.times.work(j))
+			backlog.plus(d.runnableWork(j, max(slack, 0)))
 		}
 	}
 	wait := manager.DurationOf(backlog.over(free.Add(d.lending.lendable)))
-	probe := &recorder.Job{Graph: g, Accepted: now}
-	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.graphCriticalPath(g)
 	if wait <= slack {
 		return 0
 	}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -106,6 +106,8 @@
 	leasesCheckedAt manager.Time
 	// freeByPool caches the free capacity of each pool during a cycle.
 	freeByPool map[manager.PoolID]manager.Resources
+	// fleetLimits caches the limits of the known VMs during a cycle.
+	fleetLimits *fleetLimits
 	// workersByID caches the workers sorted by ID; jobsByPool caches the active jobs of each pool during a cycle.
 	workersByID []*worker
 	jobsByPool  map[manager.PoolID][]*recorder.Job
@@ -162,12 +164,12 @@
 // are applied, and a dispatcher whose commit failed is discarded.
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
-	d.freeByPool = nil
+	d.freeByPool, d.fleetLimits = nil, nil
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.handleEvent(now, e, &c)...)
 	}
-	d.freeByPool = nil
+	d.freeByPool, d.fleetLimits = nil, nil
 	d.startDueOccurrences(&c)
 	d.groupJobsByPool()
 	d.expireLeases(now, &c)
--- a/pkg/manager/dispatcher/estimator.go
+++ b/pkg/manager/dispatcher/estimator.go
@@ -42,15 +42,6 @@
 	return total
 }
 
-// graphWork is the work of a job that is not accepted yet.
-func (e *estimator) graphWork(g manager.Graph) work {
-	var total work
-	for _, s := range g.Steps {
-		total.add(s, float64(s.Count)*float64(e.task(g.Queue, s)))
-	}
-	return total
-}
-
 // graphCriticalPath is the critical path of a job that is not accepted yet.
 func (e *estimator) graphCriticalPath(g manager.Graph) manager.Duration {
 	longest := make([]manager.Duration, len(g.Steps))
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -7,6 +7,10 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
+// maxTaskLoad limits the time with which a task counts as load: estimates are rough, and a task that runs longer uses no
+// more capacity at a time.
+const maxTaskLoad = 1 * manager.Minute
+
 // demand is an exponential moving average of incoming work, as capacity.
 type demand struct {
 	mean work
@@ -36,7 +40,13 @@
 	if d.lending.demand[p] == nil {
 		d.lending.demand[p] = &demand{at: now}
 	}
-	d.lending.demand[p].add(now, d.times.graphWork(g))
+	var in work
+	for i, s := range g.Steps {
+		if d.runnable(&g.Steps[i]) {
+			in.add(s, float64(s.Count)*float64(min(maxTaskLoad, d.times.task(g.Queue, s))))
+		}
+	}
+	d.lending.demand[p].add(now, in)
 }
 
 // poolLoad is what a pool needs and has.
@@ -107,7 +117,7 @@
 // within the horizon.
 func (d *Dispatcher) addNeed(l *poolLoad, j *recorder.Job) {
 	for s, step := range j.Steps {
-		if j.Remaining(s) == 0 || !j.StepReady(s) {
+		if j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
 			// Tasks that are not ready will use the capacity of those that they depend on.
 			continue
 		}
@@ -119,7 +129,7 @@
 		}
 		// A running task is half done on average.
 		left := float64(j.Remaining(s)) - float64(running)/2
-		l.need.add(step, left*float64(d.times.task(j.Queue, step))/float64(loadHorizon))
+		l.need.add(step, left*float64(min(maxTaskLoad, d.times.task(j.Queue, step)))/float64(loadHorizon))
 		l.running.add(step, float64(running))
 	}
 }
