Let no gang that can't run block its pool

Callers saw: behind a gang that no VM can run, too large or with a label that none has, no job of its pool started until the gang's objective had passed. Cause: a gang that has waited for a second blocks the jobs behind it, so that smaller tasks don't take its capacity. Evidence: before, TestGangThatNoVMCanRunBlocksNoPool failed with 'expected: "completed" actual: "queued"'. Change: a gang whose step no known VM can run blocks nothing. Why it works: no capacity that is kept for it would ever be used.

--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -87,7 +87,7 @@
 // cycle.
 func (d *Dispatcher) gangBlocksPool(now manager.Time, j *recorder.Job, c *recorder.Changes) bool {
 	for s, step := range j.Steps {
-		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 {
+		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 || !d.runnable(&j.Steps[s]) {
 			continue
 		}
 		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
--- a/pkg/manager/dispatcher/runnable_test.go
+++ b/pkg/manager/dispatcher/runnable_test.go
@@ -42,3 +42,14 @@
 	f.run(200)
 	require.NoError(t, f.answers[call].Err)
 }
+
+func TestGangThatNoVMCanRunBlocksNoPool(t *testing.T) {
+	f := newFleet(t)
+	f.worker("w1", pool, 4000)
+	f.run(200)
+	f.submit("odd", manager.GraphStep{Count: 2, Gang: true, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 900, Requires: "x"})
+	f.run(1500)
+	f.submit("b", manager.GraphStep{Count: 1, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 900})
+	f.run(1800)
+	require.Equal(t, manager.GraphCompleted, f.jobState("b"))
+}
