Take no more events into a cycle than its entry holds

Callers saw: when large calls came between two cycles, all callers of the cycle got 400, those of valid jobs too, reports got no answer, and the dispatcher restarted. By their size, some hundreds of ordinary jobs with a full payload after a pause of the leader do the same (worked out, not played). Cause: the changes of a cycle are one log entry of at most 1 MiB, and a cycle took all waiting events. Change: each event is sized when it is queued. A cycle takes the oldest until half an entry is full, the next cycle follows at once. An event that exceeds an entry is refused alone. Should an entry be too large all the same, its callers get 503, as nothing was proposed.

--- a/internal/coordinator/events.go
+++ b/internal/coordinator/events.go
@@ -14,6 +14,8 @@
 type queuedEvent struct {
 	event dispatcher.Event
 	done  chan outcome
+	// size is what the event adds to a log entry, in bytes.
+	size int
 }
 
 // eventBox collects events between two cycles.
@@ -29,6 +31,10 @@
 
 // add queues an event. It fails if this replica does not lead, or too many events wait.
 func (b *eventBox) add(e dispatcher.Event, done chan outcome) error {
+	size, err := checkSize(e)
+	if err != nil {
+		return err
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.opened || b.closing {
@@ -39,12 +45,34 @@
 	}
 	b.next++
 	e.Call = b.next
-	b.list = append(b.list, queuedEvent{event: e, done: done})
+	b.list = append(b.list, queuedEvent{event: e, done: done, size: size})
+	b.notify()
+	return nil
+}
+
+func (b *eventBox) notify() {
 	select {
 	case b.wake <- struct{}{}:
 	default:
 	}
-	return nil
+}
+
+// takeCycle takes the events of one cycle, the oldest first: as many as fit into its log entry, and at least one.
+func (b *eventBox) takeCycle() []queuedEvent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, size := 0, 0
+	for n < len(b.list) && (n == 0 || size+b.list[n].size <= maxCycleBytes) {
+		size += b.list[n].size
+		n++
+	}
+	list := b.list[:n:n]
+	if b.list = b.list[n:]; len(b.list) == 0 {
+		b.list = nil
+		return list
+	}
+	b.notify()
+	return list
 }
 
 func (b *eventBox) take() []queuedEvent {
--- /dev/null
+++ b/internal/coordinator/events_test.go
@@ -0,0 +1,52 @@
+package coordinator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+func newEventBox() *eventBox {
+	b := &eventBox{wake: make(chan struct{}, 1)}
+	b.open()
+	return b
+}
+
+func TestEventsOfACycleFitIntoItsEntry(t *testing.T) {
+	b := newEventBox()
+	payload := strings.Repeat("\x01", manager.MaxPayloadBytes)
+	for range 200 {
+		require.NoError(t, b.add(dispatcher.Event{Submit: &manager.Graph{Graph: "a", Payload: payload}}, nil))
+	}
+	taken, last := 0, dispatcher.CallID(0)
+	for taken < 200 {
+		<-b.wake
+		list := b.takeCycle()
+		require.NotEmpty(t, list)
+		size := 0
+		for _, e := range list {
+			require.Equal(t, last+1, e.event.Call, "events are taken in order")
+			last, size = e.event.Call, size+e.size
+		}
+		require.Greater(t, size, len(list)*manager.MaxPayloadBytes)
+		require.LessOrEqual(t, size, maxCycleBytes)
+		taken += len(list)
+	}
+	require.Empty(t, b.takeCycle())
+	require.Empty(t, b.wake)
+}
+
+func TestEventThatFitsIntoNoEntryFailsAlone(t *testing.T) {
+	b := newEventBox()
+	large := manager.Graph{Graph: "a", Steps: []manager.GraphStep{{Count: 1, Requires: manager.Label(strings.Repeat("x", 2<<20))}}}
+	require.True(t, manager.IsErrInvalid(b.add(dispatcher.Event{Submit: &large}, nil)))
+	require.True(t, manager.IsErrInvalid(b.add(dispatcher.Event{Configure: &manager.FleetConfiguration{Document: make([]byte, 1<<20)}}, nil)))
+	require.NoError(t, b.add(dispatcher.Event{Configure: &manager.FleetConfiguration{Document: make([]byte, 700<<10)}}, nil))
+	require.NoError(t, b.add(dispatcher.Event{Submit: &manager.Graph{Graph: "b"}}, nil))
+	require.Len(t, b.takeCycle(), 1)
+	require.Len(t, b.takeCycle(), 1)
+}
--- /dev/null
+++ b/internal/coordinator/eventsize.go
@@ -0,0 +1,58 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+)
+
+const (
+	// maxEventBytes limits what one event adds to a log entry. A part of the entry is kept for the starts and ends that
+	// the cycle decides itself.
+	maxEventBytes = storer.MaxEntryBytes - storer.MaxEntryBytes/16
+	// maxCycleBytes limits what the events of one cycle add together, unless it has only one.
+	maxCycleBytes = storer.MaxEntryBytes / 2
+	// endBytes is what the end of a run adds besides its checkpoint and the ID of its job.
+	endBytes = 160
+)
+
+// entryBytes estimates what an event adds to the log entry of its cycle.
+func entryBytes(e dispatcher.Event) (int, error) {
+	var value any
+	switch {
+	case e.Report != nil:
+		size := 0
+		for _, end := range e.Report.Ended {
+			size += endBytes + len(end.Saved) + len(end.Task.Graph)
+		}
+		return size, nil
+	case e.Submit != nil:
+		value = e.Submit
+	case e.Configure != nil:
+		value = e.Configure
+	case e.Wave != nil:
+		value = e.Wave
+	default:
+		return 0, nil
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return 0, fmt.Errorf("encode event: %w", err)
+	}
+	return len(data), nil
+}
+
+// checkSize returns what an event adds to a log entry, or an ErrInvalid if that is more than an entry holds.
+func checkSize(e dispatcher.Event) (int, error) {
+	size, err := entryBytes(e)
+	if err != nil {
+		return 0, err
+	}
+	if size > maxEventBytes {
+		return 0, manager.ErrInvalid{Field: "body", Reason: fmt.Sprintf("takes %d bytes in the log: at most %d are allowed", size, maxEventBytes)}
+	}
+	return size, nil
+}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -155,6 +155,10 @@
 	defer cancel()
 	start := l.Clock.Now()
 	err = l.Store.ProposeEntry(ctx, data)
+	if manager.IsErrInvalid(err) {
+		// No caller of the cycle is at fault, and nothing was proposed.
+		err = manager.ErrUnavailable{Component: "log", Reason: err.Error()}
+	}
 	meter.CommitSeconds().Update(l.Clock.Now().Sub(start).Std().Seconds())
 	return err
 }
@@ -192,7 +196,7 @@
 }
 
 func (l *Leader) takeEvents() []dispatcher.Event {
-	list := l.inbox.take()
+	list := l.inbox.takeCycle()
 	events := make([]dispatcher.Event, len(list))
 	for i, e := range list {
 		events[i] = e.event
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -42,8 +42,8 @@
 }
 
 func (r *Replicated) submit(ctx context.Context, id manager.CommandID, data []byte) (manager.Result, error) {
-	if len(data) > maxCommandBytes {
-		return manager.Result{}, manager.ErrInvalid{Field: "Command", Reason: fmt.Sprintf("has %d bytes: at most %d are allowed", len(data), maxCommandBytes)}
+	if len(data) > MaxEntryBytes {
+		return manager.Result{}, manager.ErrInvalid{Field: "Command", Reason: fmt.Sprintf("has %d bytes: at most %d are allowed", len(data), MaxEntryBytes)}
 	}
 	p := &proposal{command: id, data: data, done: make(chan outcome, 1)}
 	if err := r.inbox.add(func(b *batch) { b.proposals = append(b.proposals, p) }); err != nil {
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -25,8 +25,8 @@
 	// slowSync is the sync time that is logged: a third of a peer's timeout for an answer, which takes
 	// one or two syncs.
 	slowSync = 200 * manager.Millisecond
-	// maxCommandBytes limits the size of a command; a larger one would delay the commands behind it.
-	maxCommandBytes = 1 << 20
+	// MaxEntryBytes limits the size of a command or entry; a larger one would delay the commands behind it.
+	MaxEntryBytes = 1 << 20
 	// maxQueued limits the calls that wait for the driver.
 	maxQueued = 10_000
 	// DefaultSnapshotEvery is the default number of applied entries between two snapshots; a larger
