Limit what a cycle commits and what an answer carries

Callers saw: with five jobs of 4,096 tasks that need next to nothing, the leader committed nothing any more. The answer to the worker that gets them exceeds 4 MiB with full payloads, and workers drop such an answer. Cause: tasks without any need fit on a worker in any number, and a cycle proposed the starts of all of them, or the ends of all runs of a lost worker, as one log entry. An entry of more than 1 MiB is refused, and the next dispatcher proposes the same again. Change: a cycle takes starts of 480 KiB, 1,000 ends and 1,000 changes of waves; an answer carries start orders with 512 KiB of payloads. The rest follows with the next cycle or report. A gang starts as a whole, so that Validate refuses one whose start exceeds the limit: 4,096 tasks fit with an ID of up to 30 bytes. Why it works: with the events of a cycle, which take half an entry, the sum stays below 1 MiB, and the runs of a lost instance have an expired lease, so that the next check ends the others.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -106,6 +106,8 @@
 	leasesCheckedAt manager.Time
 	// freeByPool caches the free capacity of each pool during a cycle.
 	freeByPool map[manager.PoolID]manager.Resources
+	// startBytes is the estimated size of the starts of a cycle.
+	startBytes int
 	// fleetLimits caches the limits of the known VMs during a cycle.
 	fleetLimits *fleetLimits
 	// workersByID caches the workers sorted by ID; jobsByPool caches the active jobs of each pool during a cycle.
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -25,9 +25,15 @@
 		d.backlog[d.poolOf(j)] = true
 		return
 	}
+	starts := make([]recorder.Start, len(places))
 	for i, w := range places {
+		starts[i] = recorder.Start{Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: run, Instance: w.instance, Permit: d.permit(j, s, w.instance)}
+	}
+	if !d.addStarts(starts, c) {
+		return
+	}
+	for _, w := range places {
 		w.assign(j.Steps[s], nil)
-		c.Start = append(c.Start, recorder.Start{Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: run, Instance: w.instance, Permit: d.permit(j, s, w.instance)})
 	}
 }
 
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -134,6 +134,9 @@
 	down := d.trackOrdered(now, wave, c)
 	rate := d.requiredEvacuations(now, wave)
 	for _, vm := range d.maintenanceQueue(now, wave) {
+		if len(c.Maintenance) >= maxMaintenanceChanges {
+			return
+		}
 		w := d.byVM[vm]
 		if w == nil {
 			d.maintenance.listingNeeded = true
@@ -172,7 +175,7 @@
 			if d.maintenance.startedAt[vm] == 0 {
 				d.maintenance.startedAt[vm] = now
 			}
-			if w := d.byVM[vm]; w != nil && d.hasReturned(now, w, wave.InstanceStart[vm]) {
+			if w := d.byVM[vm]; w != nil && len(c.Maintenance) < maxMaintenanceChanges && d.hasReturned(now, w, wave.InstanceStart[vm]) {
 				c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: wave.Wave, VM: vm, State: recorder.MaintenanceDone})
 				d.log(manager.LogMaintenanceDone, "VM", vm, "Wave", wave.Wave, "Worker", w.instance.Worker)
 				continue
@@ -371,7 +374,7 @@
 	for _, id := range d.waves() {
 		wave := d.State.Waves[id]
 		for _, vm := range wave.VMs {
-			if wave.State[vm] == recorder.MaintenanceDone || d.byVM[vm] != nil {
+			if wave.State[vm] == recorder.MaintenanceDone || d.byVM[vm] != nil || len(c.Maintenance) >= maxMaintenanceChanges {
 				continue
 			}
 			listed, ok := l.VMs[vm]
--- a/pkg/manager/dispatcher/orders.go
+++ b/pkg/manager/dispatcher/orders.go
@@ -55,13 +55,17 @@
 	urgent := len(w.latest.Ended) > 0
 	o.Stop = d.stops(now, w)
 	o.Throttle = w.throttleOrders
-	runs := d.State.Runs(w.instance)
+	runs, payloads := d.State.Runs(w.instance), 0
 	for _, id := range sortedTasks(runs) {
 		r := runs[id]
 		j, t := d.State.Task(id)
 		if _, ok := w.running[id]; ok || t == nil || t.Done || j.State.Ended() {
 			continue
 		}
+		payloads += len(j.Payload) + len(t.Saved) + manager.StartBytes
+		if payloads > maxPayloadBytes && len(o.Start) > 0 {
+			break
+		}
 		o.Start = append(o.Start, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
 	}
 	return o, urgent || len(o.Start)+len(o.Stop)+len(o.Throttle) > 0
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -38,7 +38,7 @@
 
 // place proposes starts of ready tasks, by pool and in the order of their jobs.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
-	d.backlog = map[manager.PoolID]bool{}
+	d.backlog, d.startBytes = map[manager.PoolID]bool{}, 0
 	ready := d.readyPools()
 	if len(ready) == 0 {
 		return
@@ -151,11 +151,14 @@
 				d.backlog[d.poolOf(j)] = true
 				break
 			}
-			best.assign(step, perWorker)
-			c.Start = append(c.Start, recorder.Start{
+			start := recorder.Start{
 				Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: t.LastRun + 1, Instance: best.instance,
 				Permit: d.permit(j, s, best.instance),
-			})
+			}
+			if !d.addStart(start, c) {
+				return
+			}
+			best.assign(step, perWorker)
 		}
 	}
 }
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -213,6 +213,10 @@
 // endLostRuns ends the open runs of a worker instance that is gone.
 func (d *Dispatcher) endLostRuns(l manager.WorkerInstance, c *recorder.Changes) {
 	for _, id := range sortedTasks(d.State.Runs(l)) {
+		if len(c.End) >= maxEnds {
+			// The others end in a later cycle, as their lease has expired too.
+			return
+		}
 		r := d.State.Runs(l)[id]
 		if slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number }) {
 			continue
--- a/pkg/manager/jobvalidate.go
+++ b/pkg/manager/jobvalidate.go
@@ -11,6 +11,10 @@
 	MaxGraphSteps   = 64
 	MaxGraphTasks   = 4096
 	MaxOccurrences  = 10_000
+	// MaxGangBytes limits the log entry that starts a gang, and StartBytes is what each task adds to it besides the ID of
+	// its job.
+	MaxGangBytes = 480 << 10
+	StartBytes   = 90
 )
 
 // Validate returns an ErrInvalid for the first invalid value of the job graph, or nil.
@@ -38,6 +42,9 @@
 		if err := s.validate(i); err != nil {
 			return err
 		}
+		if s.Gang && s.Count*(StartBytes+len(g.Graph)) > MaxGangBytes {
+			return ErrInvalid{Field: fmt.Sprintf("Steps[%d].Gang", i), Reason: fmt.Sprintf("has %d tasks, too many for the length of the ID", s.Count)}
+		}
 		tasks += s.Count
 	}
 	if tasks > MaxGraphTasks {
