Limit the tasks of unfinished occurrences

Callers saw: a repeating job with many occurrences in the past, for example with no interval, starts 32 of them in each cycle; each holds its tasks in the memory of every replica, up to 41 million for the largest valid job (worked out). Cause: nothing limited how many occurrences are unfinished at a time. Evidence: before, TestOccurrencesThatAreAllDueStayWithinMemory failed with '"1179649" is not less than or equal to "24576"' after ten cycles. Change: another occurrence starts only while the unfinished ones with it have at most 16,384 tasks, or if none is unfinished. It stays due. Why it works: each occurrence that ends makes room for the next.

--- a/pkg/manager/dispatcher/bounds_test.go
+++ b/pkg/manager/dispatcher/bounds_test.go
@@ -60,3 +60,36 @@
 	}
 	require.Empty(t, f.state.Runs(w.report.Instance), "the runs of the silent worker have ended")
 }
+
+// All occurrences of a repeating job may be due at once, and the tasks of each take memory on every replica.
+func TestOccurrencesThatAreAllDueStayWithinMemory(t *testing.T) {
+	f := newFleet(t)
+	f.d.SetWall(f.now, 1_700_000_000_000)
+	f.send(dispatcher.Event{Submit: &manager.Graph{
+		Graph: "a", Queue: queue, Steps: []manager.GraphStep{{Count: 4096, PerTask: manager.Resources{ProcessorMilliCores: 1000}, EstimateMs: 900}},
+		Repeat: manager.Repeat{Count: manager.MaxOccurrences, FirstAt: 1},
+	}})
+	f.send(dispatcher.Event{Submit: &manager.Graph{
+		Graph: "b", Queue: queue, Steps: []manager.GraphStep{{Count: 1, EstimateMs: 900}}, Repeat: manager.Repeat{Count: 50, FirstAt: 1},
+	}})
+	for range 10 {
+		f.d.SetWall(f.now, 1_700_000_000_000)
+		f.runCycle()
+		f.now = f.now.Add(50)
+	}
+	tasks := 0
+	for _, j := range f.state.Active() {
+		for s := range j.Tasks {
+			tasks += len(j.Tasks[s])
+		}
+	}
+	require.LessOrEqual(t, tasks, 6*4096)
+	require.Equal(t, 50, f.state.Jobs["b"].Occurred, "a small job is not held up")
+	w := f.worker("w1", pool, 4_096_000)
+	w.taskTime = 100
+	for range 20 {
+		f.d.SetWall(f.now, 1_700_000_000_000)
+		f.run(500)
+	}
+	require.Greater(t, f.state.Jobs["a"].Occurred, 6, "later occurrences follow")
+}
--- a/pkg/manager/dispatcher/schedule.go
+++ b/pkg/manager/dispatcher/schedule.go
@@ -15,6 +15,8 @@
 	wallSlotCount = 10
 	// maxClockAhead is how far a worker's wall clock may be ahead of the dispatcher's.
 	maxClockAhead = 1 * manager.Hour
+	// maxOpenTasks limits the tasks of the unfinished occurrences of a job, which are kept in memory.
+	maxOpenTasks = 16_384
 	// maxOccurrences limits the occurrences that start in one cycle, and with them the size of the log entry.
 	maxOccurrences = 32
 )
@@ -59,7 +61,7 @@
 func (d *Dispatcher) startDueOccurrences(c *recorder.Changes) {
 	var due []recorder.Occurrence
 	for id, j := range d.State.Active() {
-		for k := j.Occurred; k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k); k++ {
+		for k := j.Occurred; k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k) && mayOverlap(j, k-j.Occurred); k++ {
 			due = append(due, recorder.Occurrence{Graph: id, Number: k})
 		}
 	}
@@ -71,3 +73,14 @@
 		d.logMinor(manager.LogOccurrenceStarted, "RequestID", o.Graph, "Occurrence", o.Number, "WallTime", d.schedule.wall)
 	}
 }
+
+// mayOverlap reports whether another occurrence of a job may start beside the unfinished ones and some that start in this
+// cycle.
+func mayOverlap(j *recorder.Job, starting int) bool {
+	tasks := 0
+	for _, s := range j.Steps {
+		tasks += s.Count
+	}
+	open := j.Unfinished + starting
+	return open == 0 || (open+1)*tasks <= maxOpenTasks
+}
