Refuse configurations and waves with times that overflow

Operators saw: durations near the maximum of int64, negative ones and a durationS of 1e300 were accepted, and wrap in the sums of the dispatcher; a wave with the largest cap evacuates nothing, as cap + 2 is negative (worked out). A machine that is named twice counts twice against the cap. Cause: only the time-out was checked, and only for being above 0. Why it works: the largest valid values stay far below 2^63 in every sum. Valid documents are kept byte for byte as before.

--- a/pkg/manager/fleetvalidate.go
+++ b/pkg/manager/fleetvalidate.go
@@ -30,7 +30,47 @@
 		case q.TimeoutMs <= 0:
 			return ErrInvalid{Field: field + ".TimeoutMs", Reason: "must be greater than 0"}
 		}
+		if err := q.validateTimes(field); err != nil {
+			return err
+		}
 		routes[route], names[q.Queue] = true, true
 	}
 	return nil
 }
+
+func (q QueueSettings) validateTimes(field string) error {
+	for _, d := range []struct {
+		name  string
+		value Duration
+	}{
+		{".TimeoutMs", q.TimeoutMs},
+		{".SlackMs", q.SlackMs},
+		{".Advice.DecisionMs", q.Advice.DecisionMs},
+		{".Advice.PerWorkerMs", q.Advice.PerWorkerMs},
+		{".Advice.ValidMs", q.Advice.ValidMs},
+	} {
+		if d.value < 0 || d.value > MaxDuration {
+			return ErrInvalid{Field: field + d.name, Reason: fmt.Sprintf("is %d: expected 0 to %d", d.value, MaxDuration)}
+		}
+	}
+	if q.Stretch < 0 {
+		return ErrInvalid{Field: field + ".Stretch", Reason: "is negative"}
+	}
+	return nil
+}
+
+// Validate returns an ErrInvalid for the first invalid value of the request, or nil.
+func (m *MaintenanceRequest) Validate() error {
+	if len(m.VMs) == 0 || m.Cap < 1 {
+		return ErrInvalid{Field: "Wave", Reason: "names no VMs or no cap"}
+	}
+	for _, vm := range m.VMs {
+		if err := validateID("VMs", string(vm)); err != nil {
+			return err
+		}
+	}
+	if m.DurationMs < 0 || m.DurationMs > MaxDuration {
+		return ErrInvalid{Field: "DurationMs", Reason: fmt.Sprintf("is %d: expected 0 to %d", m.DurationMs, MaxDuration)}
+	}
+	return nil
+}
