Ignore replication messages that no replica sends

Only a sender that knows the group and the disk gets so far. Cause: Step checked the addressee only.

--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -194,7 +194,7 @@
 
 // Step handles a message from another replica.
 func (r *Replica) Step(now manager.Time, m manager.ReplicaMessage) {
-	if m.Group != r.Group || m.To != r.ID || m.Disk != r.Disk {
+	if m.Group != r.Group || m.To != r.ID || m.Disk != r.Disk || !r.valid(m) {
 		return
 	}
 	r.sender = manager.ReplicaMember{Replica: m.From, Disk: m.FromDisk}
