Refuse calls between nodes without their body

What was seen: a submit or a question for a wave without its body made the handler panic and broke the connection; a wave, configuration, report or leave without one was answered with 200. Cause: the leader took the body that the kind names without a check. Evidence: before, TestOddCallsToNodesStopNothing failed with 'no answer to /fleet/call {"Kind":"submit"...', and the log showed 'http: panic serving ...: invalid memory address or nil pointer dereference'. Change: FleetCall.Validate checks that the body of the kind is there. Why it works: every later reader of a body is behind that check.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -13,6 +13,9 @@
 	if !l.Serving() {
 		return manager.FleetReply{}, manager.ErrNotLeader{}
 	}
+	if err := c.Validate(); err != nil {
+		return manager.FleetReply{}, err
+	}
 	switch c.Kind {
 	case manager.CallSubmit, manager.CallState, manager.CallCancel, manager.CallPending:
 		return l.callQueue(ctx, c)
--- a/pkg/manager/fleetapi.go
+++ b/pkg/manager/fleetapi.go
@@ -36,6 +36,27 @@
 	Forwarded bool `json:"-"`
 }
 
+// Validate returns an ErrInvalid if the call lacks the body of its kind, or nil. The body itself is not checked.
+func (c FleetCall) Validate() error {
+	missing := false
+	switch c.Kind {
+	case CallSubmit:
+		missing = c.Graph == nil
+	case CallReport:
+		missing = c.Report == nil
+	case CallLeave:
+		missing = c.Instance == nil
+	case CallConfigure:
+		missing = c.Configuration == nil
+	case CallWave, CallWaveState:
+		missing = c.Wave == nil
+	}
+	if missing {
+		return ErrInvalid{Field: string(c.Kind), Reason: "has no body"}
+	}
+	return nil
+}
+
 // FleetReply is the reply to an accepted call.
 type FleetReply struct {
 	State     GraphState    `json:",omitempty"`
