Ignore gossip whose times overflow

What was seen: an entry of a peer with an age near the maximum of int64 was stored as announced 292 million years ago or ahead, depending on the transit time. An announcement with port 0 was accepted. Cause: the age was compared after the sum with the transit time; the echo of a clock was not compared with the clock. Change: the age and the echo are checked before the sums, and a port has to be above 0. Why it works: sums of checked values stay in range.

--- a/pkg/manager/registrar/gossip.go
+++ b/pkg/manager/registrar/gossip.go
@@ -110,7 +110,7 @@
 	t.init()
 	t.expire(now)
 	transit := now.Sub(m.Echo) - m.SinceMs
-	if m.Echo > 0 && m.EchoStart == t.Start && m.SinceMs >= 0 && transit >= 0 {
+	if m.Echo > 0 && m.Echo <= now && m.EchoStart == t.Start && m.SinceMs >= 0 && transit >= 0 {
 		t.acceptEntries(now, transit, m)
 	}
 	a := t.message(now)
@@ -126,7 +126,7 @@
 func (t *Table) acceptEntries(now manager.Time, transit manager.Duration, m manager.GossipMessage) {
 	for _, e := range m.Entries {
 		age := e.AgeMs + transit
-		if Validate(e.Announcement) != nil || e.AgeMs < 0 || age > memberExpiry {
+		if Validate(e.Announcement) != nil || e.AgeMs < 0 || e.AgeMs > memberExpiry || age > memberExpiry {
 			continue
 		}
 		t.store(now, manager.Member{Announcement: e.Announcement, AnnouncedAt: now.Add(-age)})
--- a/pkg/manager/registrar/validate.go
+++ b/pkg/manager/registrar/validate.go
@@ -30,7 +30,7 @@
 	case a.State != manager.UpstreamReady && a.State != manager.UpstreamLeaving:
 		return manager.ErrInvalid{Field: "State", Reason: `must be "ready" or "leaving"`}
 	}
-	if _, err := netip.ParseAddrPort(string(a.Address)); err != nil {
+	if at, err := netip.ParseAddrPort(string(a.Address)); err != nil || at.Port() == 0 {
 		return manager.ErrInvalid{Field: "Address", Reason: "must be an IP address and port"}
 	}
 	return nil
