Let an odd entry of the platform's lists cost only itself

Operators saw: with one entry in the list of VMs or of task reports that could not be decoded, the controllers took no state of a VM and no end of a task any more. Amounts near the maximum of int64 were taken, answers of any size read. Cause: both lists were decoded as one value, and their values were not checked. Evidence: before, TestOddEntryCostsNoOtherEntry failed at its first entry with "decode platform's answer: invalid character '[' exceeded max depth". Change: the lists are split as the machines list is, whose splitter moves to internal/splitter; each entry is decoded and checked by itself. The number of unusable entries is logged when it changes. Why it works: a VM or task that is missing in a list changes nothing in the controllers until it is in the list again.

--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
@@ -22,6 +24,10 @@
 	HTTP    *http.Client
 	// Timeout bounds one call, in milliseconds.
 	Timeout manager.Duration
+
+	// unusedVMs and unusedReports are the numbers of unusable entries in the latest lists.
+	unusedVMs     atomic.Int64
+	unusedReports atomic.Int64
 }
 
 var (
@@ -46,9 +52,7 @@
 
 // Observe returns the state of every VM.
 func (c *Client) Observe(ctx context.Context) ([]manager.VMObservation, error) {
-	var list []manager.VMObservation
-	err := c.do(ctx, http.MethodGet, PathVMs, nil, &list)
-	return list, err
+	return readList(ctx, c, PathVMs, &c.unusedVMs, validateObservation)
 }
 
 // Start starts the task of a lease unless that lease was started before.
@@ -68,9 +72,7 @@
 
 // Usage returns the reports of all tasks, those that ended included.
 func (c *Client) Usage(ctx context.Context) ([]manager.UsageReport, error) {
-	var list []manager.UsageReport
-	err := c.do(ctx, http.MethodGet, PathTasks, nil, &list)
-	return list, err
+	return readList(ctx, c, PathTasks, &c.unusedReports, validateReport)
 }
 
 func (c *Client) post(ctx context.Context, path string, body any) error {
@@ -105,7 +107,10 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform refused %s: %w", path, translator.ReadError(response))
 	}
-	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+	if text, ok := answer.(*rawText); ok {
+		return text.read(response.Body)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer); err != nil {
 		return fmt.Errorf("decode platform's answer: %w", err)
 	}
 	return nil
--- a/internal/platformer/client_test.go
+++ b/internal/platformer/client_test.go
@@ -1,8 +1,10 @@
 package platformer_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -70,3 +72,38 @@
 	c.Token = "guess"
 	require.ErrorIs(t, c.Drain(t.Context(), "vm-1", 1), translator.ErrUnauthorized)
 }
+
+// serveLists returns a client of a platform that answers every call with a text.
+func serveLists(t *testing.T, text string) *platformer.Client {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }))
+	t.Cleanup(s.Close)
+	return &platformer.Client{Address: manager.Address(s.Listener.Addr().String()), HTTP: &http.Client{}}
+}
+
+func TestOddEntryCostsNoOtherEntry(t *testing.T) {
+	nested := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	for _, odd := range []string{
+		nested, `{"VM":"vm-5","State":` + nested + `}`, `{"VM":"vm-5","State":"running","Epoch":18446744073709551616}`, `{"VM":"vm-5","State":"running","Epoch":-1}`,
+		`{"VM":"vm-5","State":"asleep"}`, `{"VM":7,"State":"running"}`, `{"State":"running"}`, `null`, `"vm-5"`, `{"VM":"vm-5","State":running}`,
+	} {
+		c := serveLists(t, `[{"VM":"vm-1","State":"running","Epoch":3},`+odd+`,{"VM":"vm-2","State":"drained"}]`)
+		list, err := c.Observe(t.Context())
+		require.NoError(t, err, "%.60s", odd)
+		require.Equal(t, []manager.VMObservation{{VM: "vm-1", State: manager.VMRunning, Epoch: 3}, {VM: "vm-2", State: manager.VMDrained}}, list, "%.60s", odd)
+	}
+	good := manager.UsageReport{Lease: 7, Job: "a", VM: "vm-1", At: 5, DoneMs: 9}
+	for _, odd := range []string{
+		nested, `{"Lease":8,"Used":{"ProcessorMilliCores":9223372036854775807}}`, `{"Lease":8,"Used":{"MemoryMegaBytes":-1}}`, `{"Lease":-8}`,
+		`{"Lease":8,"DoneMs":9223372036854775807}`, `{"Lease":8,"DoneMs":-1}`, `{"Lease":8,"At":1e300}`, `{"Lease":8,"At":9223372036854775807}`, `null`,
+	} {
+		c := serveLists(t, `[`+odd+`,{"Lease":7,"Job":"a","VM":"vm-1","At":5,"DoneMs":9}]`)
+		list, err := c.Usage(t.Context())
+		require.NoError(t, err, "%.60s", odd)
+		require.Equal(t, []manager.UsageReport{good}, list, "%.60s", odd)
+	}
+	for _, text := range []string{"", "null", "{}", `[{"VM":"vm-1"`, nested[:100]} {
+		_, err := serveLists(t, text).Observe(t.Context())
+		require.Error(t, err, "%q is no list", text)
+	}
+}
--- a/platform/elements.go
+++ b/internal/splitter/splitter.go
@@ -1,4 +1,4 @@
-package platform
+package splitter
 
 import (
 	"bytes"
@@ -8,14 +8,15 @@
 	"github.com/rotisserie/eris"
 )
 
-var errNotWhole = eris.New("is not a whole JSON array or object")
+// ErrNotWhole reports text that is not one JSON array or object.
+var ErrNotWhole = eris.New("is not a whole JSON array or object")
 
 // split returns the parts between the commas of a JSON array or object without decoding them. A part that can't be
 // decoded then costs no other one, however deeply it is nested.
 func split(data []byte) ([][]byte, error) {
 	data = bytes.TrimSpace(data)
 	if len(data) < 2 || data[0] != '[' && data[0] != '{' {
-		return nil, errNotWhole
+		return nil, ErrNotWhole
 	}
 	var parts [][]byte
 	depth, start, quoted, escaped := 0, 1, false, false
@@ -37,7 +38,7 @@
 				continue
 			}
 			if i != len(data)-1 || c != data[0]+2 {
-				return nil, errNotWhole
+				return nil, ErrNotWhole
 			}
 			if last := data[start:i]; len(parts) > 0 || len(bytes.TrimSpace(last)) > 0 {
 				parts = append(parts, last)
@@ -45,21 +46,21 @@
 			return parts, nil
 		}
 	}
-	return nil, errNotWhole
+	return nil, ErrNotWhole
 }
 
-// elements returns the elements of a JSON array.
-func elements(data []byte) ([][]byte, error) {
+// Elements returns the elements of a JSON array.
+func Elements(data []byte) ([][]byte, error) {
 	if data = bytes.TrimSpace(data); len(data) == 0 || data[0] != '[' {
-		return nil, errNotWhole
+		return nil, ErrNotWhole
 	}
 	return split(data)
 }
 
-// member returns the value of a member of a JSON object, or nil if there is none.
-func member(data []byte, name string) ([]byte, error) {
+// Member returns the value of a member of a JSON object, or nil if there is none.
+func Member(data []byte, name string) ([]byte, error) {
 	if data = bytes.TrimSpace(data); len(data) == 0 || data[0] != '{' {
-		return nil, errNotWhole
+		return nil, ErrNotWhole
 	}
 	parts, err := split(data)
 	if err != nil {
