Count the entries of a list before decoding it

What was seen: a body of 4 MiB of small entries takes far more memory once decoded: 2,292 MiB were allocated for the steps of one job, 1,724 MiB for the routes of a configuration, 417 MiB for the runs of a heartbeat. Cause: lists were decoded before their length was checked. Why it works: counting takes no memory.

--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -11,14 +11,19 @@
 // ErrNotWhole reports text that is not one JSON array or object.
 var ErrNotWhole = eris.New("is not a whole JSON array or object")
 
-// split returns the parts between the commas of a JSON array or object without decoding them. A part that can't be
-// decoded then costs no other one, however deeply it is nested.
+// split returns the parts between the commas of a JSON array or object without decoding them.
 func split(data []byte) ([][]byte, error) {
+	var parts [][]byte
+	err := scan(data, func(part []byte) { parts = append(parts, part) })
+	return parts, err
+}
+
+// scan calls found for each part between the commas of a JSON array or object.
+func scan(data []byte, found func(part []byte)) error {
 	data = bytes.TrimSpace(data)
 	if len(data) < 2 || data[0] != '[' && data[0] != '{' {
-		return nil, ErrNotWhole
+		return ErrNotWhole
 	}
-	var parts [][]byte
 	depth, start, quoted, escaped := 0, 1, false, false
 	for i, c := range data {
 		switch {
@@ -31,22 +36,30 @@
 		case c == '[' || c == '{':
 			depth++
 		case c == ',' && depth == 1:
-			parts, start = append(parts, data[start:i]), i+1
+			found(data[start:i])
+			start = i + 1
 		case c == ']' || c == '}':
 			depth--
 			if depth > 0 {
 				continue
 			}
 			if i != len(data)-1 || c != data[0]+2 {
-				return nil, ErrNotWhole
+				return ErrNotWhole
 			}
-			if last := data[start:i]; len(parts) > 0 || len(bytes.TrimSpace(last)) > 0 {
-				parts = append(parts, last)
+			if last := data[start:i]; start > 1 || len(bytes.TrimSpace(last)) > 0 {
+				found(last)
 			}
-			return parts, nil
+			return nil
 		}
 	}
-	return nil, ErrNotWhole
+	return ErrNotWhole
+}
+
+// Count returns the number of elements of a JSON array.
+func Count(data []byte) (int, error) {
+	n := 0
+	err := scan(data, func([]byte) { n++ })
+	return n, err
 }
 
 // Elements returns the elements of a JSON array.
