Refuse ends of runs with a long way of ending

Callers saw: the text of how a run ended was taken at any length and becomes part of a log entry (worked out). Cause: the last text of a heartbeat without a limit. Why it works: as for the other texts of a report.

--- a/internal/coordinator/eventsize.go
+++ b/internal/coordinator/eventsize.go
@@ -26,7 +26,7 @@
 	case e.Report != nil:
 		size := 0
 		for _, end := range e.Report.Ended {
-			size += endBytes + len(end.Saved) + len(end.Task.Graph)
+			size += endBytes + len(end.Saved) + len(end.Task.Graph) + len(end.How)
 		}
 		return size, nil
 	case e.Submit != nil:
--- a/pkg/manager/workervalidate.go
+++ b/pkg/manager/workervalidate.go
@@ -63,6 +63,9 @@
 		if e.Number > MaxCount {
 			return ErrInvalid{Field: field + ".Number", Reason: fmt.Sprintf("is %d: expected at most %d", e.Number, int64(MaxCount))}
 		}
+		if len(e.How) > MaxIDBytes {
+			return ErrInvalid{Field: field + ".How", Reason: fmt.Sprintf("has more than %d bytes", MaxIDBytes)}
+		}
 		if len(e.Saved) > MaxCheckpointBytes {
 			return ErrInvalid{Field: field + ".Saved", Reason: fmt.Sprintf("has more than %d bytes", MaxCheckpointBytes)}
 		}
