Log a call to the platform that fails again and again once a minute

Operators saw: while the list of VMs or the advisor's answers can't be read, each try gave a log line, every 2 s and every 300 ms (read from the code). Change: the first failure after a success is logged, and one in a minute with the number of those that were not. Why it works: the time of the latest line is kept for each kind of call.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -44,9 +44,12 @@
 
 	inbox   eventBox
 	limiter orderLimiter
-	calls   map[dispatcher.CallID]chan outcome
-	current *dispatcher.Dispatcher
-	term    manager.Term
+	// listFailures and adviceFailures bound the log lines about calls that fail again and again.
+	listFailures   failureNotes
+	adviceFailures failureNotes
+	calls          map[dispatcher.CallID]chan outcome
+	current        *dispatcher.Dispatcher
+	term           manager.Term
 	// startAt is when a dispatcher may start again after a commit that failed.
 	startAt manager.Time
 	stop    chan struct{}
--- a/internal/coordinator/platformorders.go
+++ b/internal/coordinator/platformorders.go
@@ -35,8 +35,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.LimitMs.Std()+adviceMargin)
 	defer cancel()
 	permits, err := l.Platform.Advise(ctx, r)
-	if err != nil {
-		klog.InfoS(manager.LogAdviceFailed, "RequestID", r.Step.Graph, "Step", r.Step.Step, "Reason", err.Error())
+	if err == nil {
+		l.adviceFailures.succeeded()
+	} else if skipped, ok := l.adviceFailures.failed(l.Clock.Now()); ok {
+		klog.InfoS(manager.LogAdviceFailed, "RequestID", r.Step.Graph, "Step", r.Step.Step, "Reason", err.Error(), "Skipped", skipped)
 	}
 	result := dispatcher.AdviceResult{Request: r, Permits: permits, Failed: err != nil}
 	if err := l.inbox.add(dispatcher.Event{Advice: &result}, nil); err != nil {
@@ -91,9 +93,12 @@
 	asked := l.Clock.Now()
 	listing, err := l.Platform.List(ctx)
 	if err != nil {
-		klog.InfoS(manager.LogPlatformListNotRead, "Reason", err.Error())
+		if skipped, ok := l.listFailures.failed(l.Clock.Now()); ok {
+			klog.InfoS(manager.LogPlatformListNotRead, "Reason", err.Error(), "Skipped", skipped)
+		}
 		return
 	}
+	l.listFailures.succeeded()
 	listing.AskedAt = asked
 	if err := l.inbox.add(dispatcher.Event{Listing: &listing}, nil); err != nil {
 		klog.V(2).InfoS("Platform's list dropped", "Reason", err.Error())
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -92,7 +92,7 @@
 	return []LogMessage{
 		{LogAdviceAnswered, "Leader", "The advisor service answered which workers may run a step. If Failed is set, it is asked again."},
 		{LogAdviceAsked, "Leader", "The advisor service is asked which workers may run a step, among those with the most free resources."},
-		{LogAdviceFailed, "Leader", "A call to the advisor service failed; Reason is the error."},
+		{LogAdviceFailed, "Leader", "A call to the advisor service failed; Reason is the error. While calls fail, one in a minute is logged; Skipped counts the others."},
 		{LogAnswerNotEncoded, "Any", "An answer could not be encoded, because of a bug in the program."},
 		{LogCallNotAnswered, "Any", "No leader replied before the call timed out. Sent means that one may have accepted the call, Isolated that none has answered this node for longer than an election takes."},
 		{LogChangesNotCommitted, "Leader", "A commit failed. Its callers get no definite answer, and the dispatcher restarts."},
@@ -128,7 +128,7 @@
 		{LogShutdownStarted, "Any", "A signal requested a shutdown."},
 		{LogPlatformAnswered, "Leader", "The platform answered an order for a VM; Outcome is the result."},
 		{LogPlatformDidNotAnswer, "Leader", "An order got no answer and may have been accepted; it is repeated."},
-		{LogPlatformListNotRead, "Leader", "The list of VMs could not be read; it is read again later."},
+		{LogPlatformListNotRead, "Leader", "The list of VMs could not be read; it is read again later. While that fails, one failure in a minute is logged; Skipped counts the others."},
 		{LogPlatformRefusalNotRead, "Leader", "The reason of a refusal could not be read, so the VM is treated as busy."},
 		{LogPoolLoad, "Leader", "The load and the VMs of a pool, once a second while it has work."},
 		{LogReplicaAdded, "Leader", "A disk was added to the group as a replica, without a vote at first."},
