Count no task as a backlog that no VM can run

Workers saw: in a pool with a task that no VM can run, reports were answered at once instead of being held, so that each worker reported more than three times as often, until the job was cancelled. A long-running task of that kind kept its pool from lending VMs. Cause: a ready task without a worker counted as a backlog, whether any VM can run it or not. Evidence: before, TestJobThatNoVMCanRunIsNoBacklog failed with 'Max difference between 6 and 20 allowed is 1'. Change: such tasks are left out where waiting tasks are looked for and placed. The limits of the fleet, which were computed in each cycle, are kept until a worker or the list of VMs changes. Why it works: a VM that can run the task changes the limits when it first reports or is listed (TestJobIsRunnableOnceAVMIsLargeEnough).

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -108,7 +108,7 @@
 	freeByPool map[manager.PoolID]manager.Resources
 	// startBytes is the estimated size of the starts of a cycle.
 	startBytes int
-	// fleetLimits caches the limits of the known VMs during a cycle.
+	// fleetLimits caches the limits of the known VMs until one of them changes.
 	fleetLimits *fleetLimits
 	// workersByID caches the workers sorted by ID; jobsByPool caches the active jobs of each pool during a cycle.
 	workersByID []*worker
@@ -166,12 +166,12 @@
 // are applied, and a dispatcher whose commit failed is discarded.
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
-	d.freeByPool, d.fleetLimits = nil, nil
+	d.freeByPool = nil
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.handleEvent(now, e, &c)...)
 	}
-	d.freeByPool, d.fleetLimits = nil, nil
+	d.freeByPool = nil
 	d.startDueOccurrences(&c)
 	d.groupJobsByPool()
 	d.expireLeases(now, &c)
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -104,7 +104,7 @@
 		case l == nil || j.Unreleased():
 		case j.LongRunning():
 			d.findUnplaceable(now, l, j)
-			l.longRunningWaits = l.longRunningWaits || hasWaitingTask(j)
+			l.longRunningWaits = l.longRunningWaits || d.hasWaitingTask(j)
 		default:
 			d.findUnplaceable(now, l, j)
 			d.addNeed(l, j)
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -370,6 +370,7 @@
 // handleListing ends the maintenance of VMs that no longer exist, and of VMs that are up again without a worker.
 func (d *Dispatcher) handleListing(l Listing, c *recorder.Changes) {
 	d.lending.update(l)
+	d.fleetLimits = nil
 	d.logUnread(&l)
 	for _, id := range d.waves() {
 		wave := d.State.Waves[id]
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -64,17 +64,17 @@
 func (d *Dispatcher) readyPools() map[manager.PoolID]bool {
 	ready := map[manager.PoolID]bool{}
 	for p, jobs := range d.jobsByPool {
-		if slices.ContainsFunc(jobs, hasWaitingTask) {
+		if slices.ContainsFunc(jobs, d.hasWaitingTask) {
 			ready[p] = true
 		}
 	}
 	return ready
 }
 
-// hasWaitingTask reports whether a task of a job is ready and has no worker.
-func hasWaitingTask(j *recorder.Job) bool {
+// hasWaitingTask reports whether a task of a job is ready, has no worker and can run on some VM.
+func (d *Dispatcher) hasWaitingTask(j *recorder.Job) bool {
 	for s := range j.Steps {
-		if j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) {
+		if j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) && d.runnable(&j.Steps[s]) {
 			return true
 		}
 	}
@@ -132,7 +132,7 @@
 
 func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, all []*candidate, unmet *shortage, c *recorder.Changes) {
 	for s, step := range j.Steps {
-		if j.Remaining(s) == 0 || !j.StepReady(s) {
+		if j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
 			continue
 		}
 		list := d.permittedCandidates(now, j, s, all)
--- a/pkg/manager/dispatcher/runnable.go
+++ b/pkg/manager/dispatcher/runnable.go
@@ -11,7 +11,7 @@
 	labels   map[manager.Label]bool
 }
 
-// limits returns the limits of the known VMs, computed once in a cycle.
+// limits returns the limits of the known VMs.
 func (d *Dispatcher) limits() *fleetLimits {
 	if d.fleetLimits != nil {
 		return d.fleetLimits
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -90,6 +90,9 @@
 	if r.Draining && !w.latest.Draining {
 		d.log(manager.LogWorkerDraining, "Worker", w.instance.Worker, "RemainingMs", r.RemainingMs)
 	}
+	if w.latest.Capacity != r.Capacity || !slices.Equal(w.latest.Labels, r.Labels) {
+		d.fleetLimits = nil
+	}
 	d.updateDirect(now, w, e.Forwarded)
 	w.latest, w.heardAt = r, now
 	w.call, w.polling, w.pollStartedAt, w.ordersChanged = call, true, now, true
@@ -289,6 +292,7 @@
 }
 
 func (d *Dispatcher) removeWorker(w *worker) {
+	d.fleetLimits = nil
 	if d.workers[w.instance.Worker] == w {
 		d.removeDirect(w)
 		delete(d.workers, w.instance.Worker)
