--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -44,9 +44,12 @@
 
 	inbox   eventBox
 	limiter orderLimiter
-	calls   map[dispatcher.CallID]chan outcome
-	current *dispatcher.Dispatcher
-	term    manager.Term
+	// listFailures and adviceFailures bound the log lines about calls that fail again and again.
+	listFailures   failureNotes
+	adviceFailures failureNotes
+	calls          map[dispatcher.CallID]chan outcome
+	current        *dispatcher.Dispatcher
+	term           manager.Term
 	// startAt is when a dispatcher may start again after a commit that failed.
 	startAt manager.Time
 	stop    chan struct{}
@@ -155,6 +158,10 @@
 	defer cancel()
 	start := l.Clock.Now()
 	err = l.Store.ProposeEntry(ctx, data)
+	if manager.IsErrInvalid(err) {
+		// No caller of the cycle is at fault, and nothing was proposed.
+		err = manager.ErrUnavailable{Component: "log", Reason: err.Error()}
+	}
 	meter.CommitSeconds().Update(l.Clock.Now().Sub(start).Std().Seconds())
 	return err
 }
@@ -192,7 +199,7 @@
 }
 
 func (l *Leader) takeEvents() []dispatcher.Event {
-	list := l.inbox.take()
+	list := l.inbox.takeCycle()
 	events := make([]dispatcher.Event, len(list))
 	for i, e := range list {
 		events[i] = e.event
--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -32,7 +32,7 @@
 
 // Learn takes over the view of another node.
 func (f *Finder) Learn(v View) {
-	if v.Leader != "" && v.AgeMs <= maxViewAge {
+	if v.Leader != "" && v.AgeMs <= maxViewAge && v.Term <= maxTerm {
 		f.merge(v)
 	}
 }
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -28,6 +28,8 @@
 	maxViewAge = 3 * manager.Second
 	// freshAge is the age up to which a view ends a search; a leader that has answered is asked more often.
 	freshAge = 1500 * manager.Millisecond
+	// maxTerm limits the term of a view: no later one could follow a term near the maximum.
+	maxTerm manager.Term = 1 << 48
 	// maxViewBytes limits the size of an answer.
 	maxViewBytes = 64 << 10
 )
@@ -280,5 +282,8 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxViewBytes)).Decode(&v); err != nil {
 		return View{}, fmt.Errorf("decode view of %s: %w", r.URL.Host, err)
 	}
+	if v.Term > maxTerm {
+		return View{}, eris.Errorf("view of %s has term %d, which is out of range", r.URL.Host, v.Term)
+	}
 	return v, nil
 }
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -25,9 +25,15 @@
 		d.backlog[d.poolOf(j)] = true
 		return
 	}
+	starts := make([]recorder.Start, len(places))
+	for i, w := range places {
+		starts[i] = d.start(j, s, i, run, w)
+	}
+	if !d.addStarts(starts, c) {
+		return
+	}
 	for i, w := range places {
 		w.assign(j.Steps[s], &j.Tasks[s][i], nil)
-		c.Start = append(c.Start, d.start(j, s, i, run, w))
 	}
 }
 
@@ -87,7 +93,7 @@
 // cycle.
 func (d *Dispatcher) gangBlocksPool(now manager.Time, j *recorder.Job, c *recorder.Changes) bool {
 	for s, step := range j.Steps {
-		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 {
+		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 || !d.runnable(&j.Steps[s]) {
 			continue
 		}
 		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -62,6 +62,12 @@
 	// AskedAt is when the list was requested; its content is not older.
 	AskedAt manager.Time
 	VMs     map[manager.VMID]ListedVM
+	// Unread holds, for each VM whose entry could not be used, the reason. Such a VM exists.
+	Unread map[manager.VMID]string
+	// Unnamed counts the entries that name no VM, and UnnamedReason is what is wrong with the first of them. Each may
+	// stand for any VM.
+	Unnamed       int
+	UnnamedReason string
 }
 
 // ListedVM is a VM of the list.
@@ -128,6 +134,9 @@
 	down := d.trackOrdered(now, wave, c)
 	rate := d.requiredEvacuations(now, wave)
 	for _, vm := range d.maintenanceQueue(now, wave) {
+		if len(c.Maintenance) >= maxMaintenanceChanges {
+			return
+		}
 		w := d.byVM[vm]
 		if w == nil {
 			d.maintenance.listingNeeded = true
@@ -166,7 +175,7 @@
 			if d.maintenance.startedAt[vm] == 0 {
 				d.maintenance.startedAt[vm] = now
 			}
-			if w := d.byVM[vm]; w != nil && d.hasReturned(now, w, wave.InstanceStart[vm]) {
+			if w := d.byVM[vm]; w != nil && len(c.Maintenance) < maxMaintenanceChanges && d.hasReturned(now, w, wave.InstanceStart[vm]) {
 				c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: wave.Wave, VM: vm, State: recorder.MaintenanceDone})
 				d.log(manager.LogMaintenanceDone, "VM", vm, "Wave", wave.Wave, "Worker", w.instance.Worker)
 				continue
@@ -361,16 +370,18 @@
 // handleListing ends the maintenance of VMs that no longer exist, and of VMs that are up again without a worker.
 func (d *Dispatcher) handleListing(l Listing, c *recorder.Changes) {
 	d.lending.update(l)
+	d.fleetLimits = nil
+	d.logUnread(&l)
 	for _, id := range d.waves() {
 		wave := d.State.Waves[id]
 		for _, vm := range wave.VMs {
-			if wave.State[vm] == recorder.MaintenanceDone || d.byVM[vm] != nil {
+			if wave.State[vm] == recorder.MaintenanceDone || d.byVM[vm] != nil || len(c.Maintenance) >= maxMaintenanceChanges {
 				continue
 			}
 			listed, ok := l.VMs[vm]
 			begun := d.maintenance.startedAt[vm]
 			back := wave.State[vm] == recorder.MaintenanceStarted && listed.Up && begun != 0 && l.AskedAt > begun
-			if ok && !back {
+			if ok && !back || !ok && l.mayHold(vm) {
 				continue
 			}
 			c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: id, VM: vm, State: recorder.MaintenanceDone})
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -39,7 +39,7 @@
 
 // place proposes starts of ready tasks, by pool and in the order of their jobs.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
-	d.backlog = map[manager.PoolID]bool{}
+	d.backlog, d.startBytes = map[manager.PoolID]bool{}, 0
 	ready := d.readyPools()
 	if len(ready) == 0 {
 		return
@@ -67,17 +67,17 @@
 func (d *Dispatcher) readyPools() map[manager.PoolID]bool {
 	ready := map[manager.PoolID]bool{}
 	for p, jobs := range d.jobsByPool {
-		if slices.ContainsFunc(jobs, hasWaitingTask) {
+		if slices.ContainsFunc(jobs, d.hasWaitingTask) {
 			ready[p] = true
 		}
 	}
 	return ready
 }
 
-// hasWaitingTask reports whether a task of a job is ready and has no worker.
-func hasWaitingTask(j *recorder.Job) bool {
+// hasWaitingTask reports whether a task of a job is ready, has no worker and can run on some VM.
+func (d *Dispatcher) hasWaitingTask(j *recorder.Job) bool {
 	for s := range j.Steps {
-		if j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) {
+		if j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) && d.runnable(&j.Steps[s]) {
 			return true
 		}
 	}
@@ -135,7 +135,7 @@
 
 func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, all []*candidate, unmet *shortage, c *recorder.Changes) {
 	for s, step := range j.Steps {
-		if j.Remaining(s) == 0 || !j.StepReady(s) {
+		if j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
 			continue
 		}
 		list := d.permittedCandidates(now, j, s, all)
@@ -161,8 +161,10 @@
 		}
 		best := unmet.choose(now, &j.Steps[s], t, perWorker, list, open)
 		if best != nil {
+			if !d.addStart(d.start(j, s, i, t.LastRun+1, best), c) {
+				return
+			}
 			best.assign(j.Steps[s], t, perWorker)
-			c.Start = append(c.Start, d.start(j, s, i, t.LastRun+1, best))
 			continue
 		}
 		d.backlog[d.poolOf(j)] = true
--- a/pkg/manager/dispatcher/schedule.go
+++ b/pkg/manager/dispatcher/schedule.go
@@ -13,6 +13,10 @@
 	wallWindow = 10 * manager.Second
 	// wallSlotCount is the number of slots of the window.
 	wallSlotCount = 10
+	// maxClockAhead is how far a worker's wall clock may be ahead of the dispatcher's.
+	maxClockAhead = 1 * manager.Hour
+	// maxOpenTasks limits the tasks of the unfinished occurrences of a job, which are kept in memory.
+	maxOpenTasks = 16_384
 	// maxOccurrences limits the occurrences that start in one cycle, and with them the size of the log entry.
 	maxOccurrences = 32
 )
@@ -47,11 +51,17 @@
 	s.wall = now.Add(lowest)
 }
 
+// startsAhead reports whether a worker instance claims a start in the future, after which no later instance could be
+// known.
+func (d *Dispatcher) startsAhead(r manager.WorkerReport) bool {
+	return d.schedule.offsets != nil && r.Instance.StartedAt > d.schedule.wall.Add(maxClockAhead)
+}
+
 // startDueOccurrences starts the occurrences that are due.
 func (d *Dispatcher) startDueOccurrences(c *recorder.Changes) {
 	var due []recorder.Occurrence
 	for id, j := range d.State.Active() {
-		for k := j.Occurred; k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k); k++ {
+		for k := j.Occurred; k < j.Repeat.Count && d.schedule.wall >= j.Repeat.DueAt(k) && mayOverlap(j, k-j.Occurred); k++ {
 			due = append(due, recorder.Occurrence{Graph: id, Number: k})
 		}
 	}
@@ -63,3 +73,14 @@
 		d.logMinor(manager.LogOccurrenceStarted, "RequestID", o.Graph, "Occurrence", o.Number, "WallTime", d.schedule.wall)
 	}
 }
+
+// mayOverlap reports whether another occurrence of a job may start beside the unfinished ones and some that start in this
+// cycle.
+func mayOverlap(j *recorder.Job, starting int) bool {
+	tasks := 0
+	for _, s := range j.Steps {
+		tasks += s.Count
+	}
+	open := j.Unfinished + starting
+	return open == 0 || (open+1)*tasks <= maxOpenTasks
+}
--- a/pkg/manager/dispatcher/throttling.go
+++ b/pkg/manager/dispatcher/throttling.go
@@ -22,8 +22,9 @@
 	var tasks []manager.TaskID
 	worst := manager.Percent(0)
 	for id, r := range w.running {
-		j := d.State.Jobs[id.Graph]
-		if j == nil || j.State.Ended() {
+		// Another writer's report may name a task that the job does not have.
+		j, t := d.State.Task(id)
+		if t == nil || j.State.Ended() {
 			continue
 		}
 		s := j.Steps[id.Step]
@@ -31,7 +32,7 @@
 		case s.BestEffort:
 			tasks = append(tasks, id)
 		case s.TailTargetMs > 0:
-			worst = max(worst, manager.Percent(r.Gauge*100/int64(s.TailTargetMs)))
+			worst = max(worst, manager.Percent(min(r.Gauge, int64(s.TailTargetMs))*100/int64(s.TailTargetMs)))
 		}
 	}
 	slices.SortFunc(tasks, compareTasks)
--- a/pkg/manager/dispatcher/withdrawal.go
+++ b/pkg/manager/dispatcher/withdrawal.go
@@ -18,6 +18,7 @@
 		free = free.Sub(d.taskResources(id))
 	}
 	var list []manager.StartOrder
+	payloads := 0
 	for _, id := range sortedTasks(runs) {
 		r := runs[id]
 		j, t := d.State.Task(id)
@@ -29,6 +30,10 @@
 			d.withdraw(w, id, r.Number)
 			continue
 		}
+		payloads += len(j.Payload) + len(t.Saved) + manager.StartBytes
+		if payloads > maxPayloadBytes && len(list) > 0 {
+			break
+		}
 		free = free.Sub(need)
 		list = append(list, manager.StartOrder{Task: id, Run: r.Number, Payload: j.Payload, Saved: t.Saved, Permit: r.Permit})
 	}
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -81,6 +81,9 @@
 	if d.superseded(r) {
 		return stale
 	}
+	if err := d.checkDisplacing(r); err != nil {
+		return []Answer{{Call: call, Err: err}}
+	}
 	if w == nil || w.instance != r.Instance {
 		w = d.addWorker(now, r, c)
 	}
@@ -91,6 +94,9 @@
 	if r.Draining && !w.latest.Draining {
 		d.log(manager.LogWorkerDraining, "Worker", w.instance.Worker, "RemainingMs", r.RemainingMs)
 	}
+	if w.latest.Capacity != r.Capacity || !slices.Equal(w.latest.Labels, r.Labels) {
+		d.fleetLimits = nil
+	}
 	d.updateDirect(now, w, e.Forwarded)
 	w.latest, w.heardAt = r, now
 	w.call, w.polling, w.pollStartedAt, w.ordersChanged = call, true, now, true
@@ -113,6 +119,32 @@
 	return false
 }
 
+// checkDisplacing returns an ErrInvalid for a report that would replace a worker instance although no worker of this fleet
+// sends such a report.
+func (d *Dispatcher) checkDisplacing(r manager.WorkerReport) error {
+	if !d.displaces(r) {
+		return nil
+	}
+	if d.startsAhead(r) {
+		return manager.ErrInvalid{Field: "Born", Reason: "is in the future, and another instance is known"}
+	}
+	if f := d.State.Configuration; f != nil && !f.HasPool(r.Pool) {
+		return manager.ErrInvalid{Field: "Pool", Reason: "is not configured, and another instance is known"}
+	}
+	return nil
+}
+
+// displaces reports whether a report would replace a worker instance: one of the same worker, on its VM or at its
+// address.
+func (d *Dispatcher) displaces(r manager.WorkerReport) bool {
+	for _, o := range []*worker{d.workers[r.Instance.Worker], d.byVM[r.VM], d.byAddress[r.Address]} {
+		if o != nil && o.instance != r.Instance {
+			return true
+		}
+	}
+	return false
+}
+
 // addWorker adds a new worker instance and ends the runs of older instances of the worker, on its VM and at its
 // address.
 func (d *Dispatcher) addWorker(now manager.Time, r manager.WorkerReport, c *recorder.Changes) *worker {
@@ -176,6 +208,10 @@
 // endLostRuns ends the open runs of a worker instance that is gone.
 func (d *Dispatcher) endLostRuns(now manager.Time, l manager.WorkerInstance, reason lossReason, c *recorder.Changes) {
 	for _, id := range sortedTasks(d.State.Runs(l)) {
+		if len(c.End) >= maxEnds {
+			// The others end in a later cycle, as their lease has expired too.
+			return
+		}
 		r := d.State.Runs(l)[id]
 		if slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number }) {
 			continue
@@ -251,6 +287,7 @@
 }
 
 func (d *Dispatcher) removeWorker(w *worker) {
+	d.fleetLimits = nil
 	if d.workers[w.instance.Worker] == w {
 		d.removeDirect(w)
 		delete(d.workers, w.instance.Worker)
@@ -283,7 +320,7 @@
 
 func (d *Dispatcher) taskResources(id manager.TaskID) manager.Resources {
 	j := d.State.Jobs[id.Graph]
-	if j == nil {
+	if j == nil || id.Step >= len(j.Steps) {
 		return manager.Resources{}
 	}
 	return stepResources(j.Steps[id.Step])
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -34,6 +34,7 @@
 	LogCallRefused                   = "Call refused"
 	LogLeaderFound                   = "Leader found"
 	LogLeaderNotFound                = "Leader not found"
+	LogListEntryNotUsed              = "List entry not used"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
 	LogNodeFailed                    = "Node failed"
@@ -65,6 +66,7 @@
 	LogRunStalled                    = "Run stalled"
 	LogRunStopped                    = "Run stopped"
 	LogRunWithdrawn                  = "Run withdrawn"
+	LogSeedNotUsed                   = "Seed not used"
 	LogSeedsChanged                  = "Seeds changed"
 	LogReloadingSettings             = "Reloading settings"
 	LogSettingsRejected              = "Settings rejected, keeping the previous ones"
@@ -94,7 +96,7 @@
 	return []LogMessage{
 		{LogAdviceAnswered, "Leader", "The advisor service answered which workers may run a step. If Failed is set, it is asked again."},
 		{LogAdviceAsked, "Leader", "The advisor service is asked which workers may run a step, among those with the most free resources."},
-		{LogAdviceFailed, "Leader", "A call to the advisor service failed; Reason is the error."},
+		{LogAdviceFailed, "Leader", "A call to the advisor service failed; Reason is the error. While calls fail, one in a minute is logged; Skipped counts the others."},
 		{LogAnswerNotEncoded, "Any", "An answer could not be encoded, because of a bug in the program."},
 		{LogCallNotAnswered, "Any", "No leader replied before the call timed out. Sent means that one may have accepted the call, Isolated that none has answered this node for longer than an election takes."},
 		{LogChangesNotCommitted, "Leader", "A commit failed. Its callers get no definite answer, and the dispatcher restarts."},
@@ -105,7 +107,7 @@
 		{LogDispatcherStarted, "Leader", "This node starts dispatching, with Token as its fencing token."},
 		{LogElectionNotWon, "Replica", "This replica has sought votes for ForMs without a winner. Granted, Refused and Unheard are the voters by their latest answer."},
 		{LogGroupCreated, "Replica", "The replica group was bootstrapped, which happens once in the lifetime of the system."},
-		{LogHeartbeatRefused, "Any", "A heartbeat could not be read and is ignored."},
+		{LogHeartbeatRefused, "Any", "A heartbeat names no usable worker and is answered with 400. Each worker is logged once in ten minutes."},
 		{LogJobAccepted, "Leader", "A job is being committed."},
 		{LogJobCancelled, "Leader", "The cancellation of a job is being committed."},
 		{LogJobEnded, "Leader", "A job has ended; InTime tells whether it met its objective, and WaitedMs how long its first task waited."},
@@ -115,6 +117,7 @@
 		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code."},
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
 		{LogLeaderNotFound, "Any", "No node has named a leader for ForMs; the search goes on. Unreached nodes did not answer, Unaware ones know no leader."},
+		{LogListEntryNotUsed, "Leader", "An entry of the platform's list of VMs is unusable for Reason. Its VM keeps its place in waves and is not lent; without a VM, no VM counts as gone. The first entries with each reason are logged."},
 		{LogListenerFailed, "Any", "A listener stopped unexpectedly."},
 		{LogNodeDidNotStopCleanly, "Any", "Work was still running when the grace period ended."},
 		{LogNodeFailed, "Any", "A part of the node has ended for good. The process stops what is in flight and exits with an error, to be restarted."},
@@ -131,7 +134,7 @@
 		{LogShutdownStarted, "Any", "A signal requested a shutdown."},
 		{LogPlatformAnswered, "Leader", "The platform answered an order for a VM; Outcome is the result."},
 		{LogPlatformDidNotAnswer, "Leader", "An order got no answer and may have been accepted; it is repeated."},
-		{LogPlatformListNotRead, "Leader", "The list of VMs could not be read; it is read again later."},
+		{LogPlatformListNotRead, "Leader", "The list of VMs could not be read; it is read again later. While that fails, one failure in a minute is logged; Skipped counts the others."},
 		{LogPlatformRefusalNotRead, "Leader", "The reason of a refusal could not be read, so the VM is treated as busy."},
 		{LogPoolLoad, "Leader", "The load and the VMs of a pool, once a second while it has work."},
 		{LogReplicaAdded, "Leader", "A disk was added to the group as a replica, without a vote at first."},
@@ -146,6 +149,7 @@
 		{LogRunStalled, "Leader", "A run makes no progress and is to be started on another worker."},
 		{LogRunStopped, "Leader", "A worker is told to stop a run."},
 		{LogRunWithdrawn, "Leader", "A run that has not begun no longer fits, as the worker's capacity has shrunk; its task is placed again."},
+		{LogSeedNotUsed, "Any", "An entry of the seeds holds no IP address; the others are used. It is looked at again when the settings change."},
 		{LogSeedsChanged, "Any", "The settings list other seeds."},
 		{LogReloadingSettings, "Any", "A signal was received or the settings file changed."},
 		{LogSettingsRejected, "Any", "The changed settings are invalid."},
