Blame a task that crashes its workers some time after its start

Cause: a run counted as starting for one report only.

A task under which two workers have crashed counts as starting for 1.5 s, so it starts alone and is a suspect of the next crash. If it is the only one, its job is given up after five crashes, whether it was a suspect of the first ones or not.

--- a/pkg/manager/dispatcher/crash.go
+++ b/pkg/manager/dispatcher/crash.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -16,6 +17,10 @@
 	maxCrashes = 5
 	// startTime is the least age of a run, when its worker reports it, that shows that its start did not crash the worker.
 	startTime = 100 * manager.Millisecond
+	// repeatedCrashes is the number of crashes from which that age is repeatedStartTime, as a task may crash its workers
+	// some time after its start.
+	repeatedCrashes   = 2
+	repeatedStartTime = 1500 * manager.Millisecond
 )
 
 // victim is a task that was running on a worker that crashed.
@@ -136,11 +141,11 @@
 	if w == nil {
 		return d.initialStateAt.Sub(r.At) < 2*d.leaseTimeout()
 	}
-	return w.isStarting(id, r)
-}
-
-func (w *worker) isStarting(id manager.TaskID, r *recorder.Run) bool {
-	return w.running[id].Run != r.Number || w.heardAt.Sub(r.At) < startTime
+	least := startTime
+	if _, t := d.State.Task(id); t != nil && t.Crashes >= repeatedCrashes {
+		least = repeatedStartTime
+	}
+	return w.running[id].Run != r.Number || w.heardAt.Sub(r.At) < least
 }
 
 // addVM returns a list that also contains a VM, and leaves the original unchanged.
@@ -163,16 +168,21 @@
 	if len(list) > 0 {
 		return list
 	}
-	top := slices.MaxFunc(victims, func(a, b victim) int { return a.suspected - b.suspected })
-	if !top.suspect || top.suspected < blamedCrashes || len(top.vms) < blamedVMs {
+	top := slices.MaxFunc(victims, func(a, b victim) int { return cmp.Or(a.suspected-b.suspected, a.crashes-b.crashes) })
+	if !top.suspect {
 		return nil
 	}
+	highest := true
 	for _, v := range victims {
-		if v.id.Graph != top.id.Graph && (v.suspect || v.crashes >= top.crashes) {
+		if v.id.Graph != top.id.Graph && v.suspect {
 			return nil
 		}
+		highest = highest && (v.id.Graph == top.id.Graph || v.crashes < top.crashes)
 	}
-	return []victim{top}
+	if top.crashes >= maxCrashes || highest && top.suspected >= blamedCrashes && len(top.vms) >= blamedVMs {
+		return []victim{top}
+	}
+	return nil
 }
 
 // recordOlderInstances ends the runs of the earlier instances of a worker and of its VM, and counts their crashes.
--- a/pkg/manager/dispatcher/crash_test.go
+++ b/pkg/manager/dispatcher/crash_test.go
@@ -320,3 +320,39 @@
 		})
 	}
 }
+
+// requireLateCulpritGivenUp plays a task that crashes its worker some time after its start, while other tasks start.
+func requireLateCulpritGivenUp(t *testing.T, after manager.Duration, seed uint64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 9))
+	f := crashFleet(t, 5, "bad")
+	f.deadlyAfter = after
+	for _, w := range f.workers {
+		w.taskTime = 2400
+	}
+	f.submit("bad", task(500, 1))
+	for i := range 200 {
+		if rng.IntN(2) == 0 {
+			f.submit(manager.GraphID(fmt.Sprintf("good%d", i)), task(300, 1+rng.IntN(2)))
+		}
+		f.run(300)
+	}
+	f.run(20 * manager.Second)
+	f.requireGivenUp("bad")
+}
+
+// The tasks that were just starting were blamed instead, as the culprit had been reported as running.
+func TestTaskThatCrashesWorkersSoonAfterItsStartIsGivenUp(t *testing.T) {
+	for _, after := range []manager.Duration{200, 500, 1000} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("after=%d/seed=%d", after, seed), func(t *testing.T) { requireLateCulpritGivenUp(t, after, seed) })
+		}
+	}
+}
+
+// A task that runs for longer before it crashes its worker was never told from the tasks that started meanwhile.
+func TestTaskThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { requireLateCulpritGivenUp(t, 2*manager.Second, seed) })
+	}
+}
--- a/pkg/manager/dispatcher/holding.go
+++ b/pkg/manager/dispatcher/holding.go
@@ -36,7 +36,7 @@
 		h.free = h.free.Sub(d.taskResources(id))
 		j, t := d.State.Task(id)
 		if t != nil {
-			h.exposure.count(&j.Steps[id.Step], t, w.isStarting(id, r))
+			h.exposure.count(&j.Steps[id.Step], t, d.isStarting(w, id, r))
 		}
 		if j != nil && j.Steps[id.Step].LongRunning {
 			h.longRunning = h.longRunning.Add(stepResources(j.Steps[id.Step]))
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -34,8 +34,9 @@
 	platformOrders []dispatcher.PlatformOrder
 	acceptOrders   bool
 	// deadly tells which tasks crash a worker that starts them, and crashes counts the workers that crashed under each.
-	deadly  func(manager.TaskID) bool
-	crashes map[manager.TaskID]int
+	deadly      func(manager.TaskID) bool
+	deadlyAfter manager.Duration
+	crashes     map[manager.TaskID]int
 	// brokenGangs holds the latest run in which a worker of a gang crashed, by the gang's first task.
 	brokenGangs map[manager.TaskID]manager.RunNumber
 }
@@ -169,6 +170,16 @@
 	w.call, w.nextReportAt = 0, w.f.now
 }
 
+// crashIfDeadly crashes the worker if one of its tasks has run for deadlyAfter and crashes workers.
+func (w *fakeWorker) crashIfDeadly() {
+	for id, at := range w.runs {
+		if w.f.deadly != nil && w.f.deadly(id) && w.f.now.Sub(at) >= w.f.deadlyAfter {
+			w.crash()
+			return
+		}
+	}
+}
+
 // crash ends the worker with everything that runs on it; it is back after downTime.
 func (w *fakeWorker) crash() {
 	for id := range w.runs {
@@ -215,6 +226,7 @@
 			w.report.Instance.Worker += "'"
 		}
 	}
+	w.crashIfDeadly()
 	if w.silent {
 		return
 	}
@@ -280,11 +292,9 @@
 			w.end(s.Task, manager.RunGangIncomplete)
 		}
 	}
-	for _, s := range a.Orders.Start {
-		if w.f.deadly != nil && w.f.deadly(s.Task) {
-			w.crash()
-			return
-		}
+	w.crashIfDeadly()
+	if w.silent {
+		return
 	}
 	for _, s := range a.Orders.Stop {
 		if _, ok := w.runs[s.Task]; ok {
