Remember expired runs for a minute, as a worker may be down for longer than CrashWindow

A task that crashes its workers was started without end when they are down for over 15 s: at a lease of 4.2 s no more than four of its expired runs are in the window that limits its starts, and a worker that is back later was not counted as crashed at all.

TestTaskWhoseWorkersAreDownForLongIsNotStartedWithoutEnd failed before (a task with five starts allowed, in 180 s):

down=10000: starts 5, state failed down=14000: starts 5, state failed down=16000: "45" is not less than or equal to "5" down=20000: "44" is not less than or equal to "5" down=30000: "44" is not less than or equal to "5"

Expired runs are now kept, counted and recognized for ExpiredRetention; the runs themselves must still have been just starting when the lease expired, so a worker that is cut off while it works adds none. After the change all five have five starts and the job fails.

--- a/pkg/manager/dispatcher/crash.go
+++ b/pkg/manager/dispatcher/crash.go
@@ -63,7 +63,7 @@
 }
 
 // victims returns the tasks that a crash counts against, in order: those with runs on the worker instance that began
-// within CrashWindow, unless the platform was ordered to end the instance or it was about to leave. The suspects are
+// within CrashWindow or expired within ExpiredRetention, unless the platform was ordered to end the instance or it was about to leave. The suspects are
 // those that were just starting, or all if none was.
 func (d *Dispatcher) victims(now manager.Time, l manager.WorkerInstance, vm manager.VMID, c *recorder.Changes) []victim {
 	w := d.workerOf(l)
@@ -71,19 +71,19 @@
 		return nil
 	}
 	var list []victim
-	add := func(id manager.TaskID, began manager.Time, starting bool) {
-		if now.Sub(began) <= recorder.CrashWindow && (vm == "" || !d.State.OrderedSince(vm, began)) {
+	add := func(id manager.TaskID, began manager.Time, starting bool, window manager.Duration) {
+		if now.Sub(began) <= window && (vm == "" || !d.State.OrderedSince(vm, began)) {
 			list = d.addVictim(list, id, l, starting, c)
 		}
 	}
 	for id, r := range d.State.Runs(l) {
 		ended := slices.ContainsFunc(c.End, func(e recorder.End) bool { return e.Task == id && e.Run == r.Number })
 		if !ended && d.wasOrdered(w, r) {
-			add(id, r.At, d.isStarting(w, id, r))
+			add(id, r.At, d.isStarting(w, id, r), recorder.CrashWindow)
 		}
 	}
 	for id, e := range d.State.Expired(l) {
-		add(id, e.At, true)
+		add(id, e.At, true, recorder.ExpiredRetention)
 	}
 	slices.SortFunc(list, func(a, b victim) int { return compareTasks(a.id, b.id) })
 	all := !slices.ContainsFunc(list, func(v victim) bool { return v.suspect })
--- a/pkg/manager/dispatcher/crash_test.go
+++ b/pkg/manager/dispatcher/crash_test.go
@@ -355,3 +355,18 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { requireLateCulpritGivenUp(t, 2*manager.Second, seed) })
 	}
 }
+
+// Workers that are down for long leave only expired leases of the task's runs.
+func TestTaskWhoseWorkersAreDownForLongIsNotStartedWithoutEnd(t *testing.T) {
+	for _, down := range []manager.Duration{10_000, 14_000, 16_000, 20_000, 30_000} {
+		t.Run(fmt.Sprintf("down=%d", down), func(t *testing.T) {
+			f := crashFleet(t, 12, "bad")
+			for _, w := range f.workers {
+				w.downTime = down
+			}
+			f.submit("bad", task(500, 1))
+			f.run(180 * manager.Second)
+			f.requireGivenUp("bad")
+		})
+	}
+}
--- a/pkg/manager/dispatcher/isolation.go
+++ b/pkg/manager/dispatcher/isolation.go
@@ -51,7 +51,7 @@
 	if t.Suspicion() == 0 {
 		return w.exposure.suspects > 0
 	}
-	if t.Suspected+t.ExpiredSince(now.Add(-recorder.CrashWindow)) >= maxCrashes {
+	if t.Suspected+t.ExpiredSince(now.Add(-recorder.ExpiredRetention)) >= maxCrashes {
 		// Some of these workers may have crashed too.
 		return true
 	}
--- a/pkg/manager/recorder/crash.go
+++ b/pkg/manager/recorder/crash.go
@@ -9,6 +9,9 @@
 // CrashWindow is the time after the start of a run within which a crash of its worker counts against the task.
 const CrashWindow = 15 * manager.Second
 
+// ExpiredRetention is how long an expired run is remembered, as its worker may still be down.
+const ExpiredRetention = 1 * manager.Minute
+
 // maxExpired limits the expired runs that are remembered of a task.
 const maxExpired = 5
 
@@ -71,9 +74,9 @@
 	}
 }
 
-// dropOldExpired forgets the expired runs of a task that are older than CrashWindow.
+// dropOldExpired forgets the expired runs of a task that are older than ExpiredRetention.
 func (st *State) dropOldExpired(id manager.TaskID, j *Job, t *Task) {
-	for len(t.Expired) > 0 && st.At.Sub(t.Expired[0].At) > CrashWindow {
+	for len(t.Expired) > 0 && st.At.Sub(t.Expired[0].At) > ExpiredRetention {
 		st.removeExpired(id, j, t, t.Expired[0].Instance)
 	}
 }
