Let a gang that waits for the reports of its workers not block its pool

A gang that may have crashed five workers waits until those of them that are down report, and after a second of waiting it kept all other jobs of its pool from starting, as a gang that waits for capacity does.

TestGangThatWaitsForReportsBlocksNoJobs failed before:

down=40000: "31000" is not less than or equal to "5000" (good22)

Such a gang no longer counts as one that waits for capacity. The test passes after the change.

--- a/pkg/manager/dispatcher/crash_test.go
+++ b/pkg/manager/dispatcher/crash_test.go
@@ -370,3 +370,29 @@
 		})
 	}
 }
+
+// A gang that may have crashed too many workers waits for their reports, and the capacity beside it is free meanwhile.
+func TestGangThatWaitsForReportsBlocksNoJobs(t *testing.T) {
+	for _, down := range []manager.Duration{14_000, 40_000} {
+		t.Run(fmt.Sprintf("down=%d", down), func(t *testing.T) {
+			f := crashFleet(t, 12, "bad")
+			for _, w := range f.workers {
+				w.downTime = down
+			}
+			gang := task(500, 3)
+			gang.Gang, gang.MaxPerWorker = true, 1
+			f.submit("bad", gang)
+			f.run(300)
+			for i := range 60 {
+				f.submit(manager.GraphID(fmt.Sprintf("good%d", i)), task(500, 1))
+				f.run(1 * manager.Second)
+			}
+			for id, j := range f.state.Jobs {
+				if id != "bad" && j.Accepted < f.now.Add(-5000) {
+					require.LessOrEqual(t, j.EndedAt.Sub(j.Accepted), 5*manager.Second, id)
+					require.True(t, j.State.Ended(), id)
+				}
+			}
+		})
+	}
+}
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -98,6 +98,10 @@
 		}
 		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
 		since := j.ReleaseTime()
+		if slices.ContainsFunc(j.Tasks[s], func(t recorder.Task) bool { return mayReachLimit(now, &t) }) {
+			// It waits for reports, not for capacity.
+			continue
+		}
 		for i := range j.Tasks[s] {
 			since = max(since, j.Tasks[s][i].EndedAt)
 		}
--- a/pkg/manager/dispatcher/isolation.go
+++ b/pkg/manager/dispatcher/isolation.go
@@ -51,8 +51,7 @@
 	if t.Suspicion() == 0 {
 		return w.exposure.suspects > 0
 	}
-	if t.Suspected+t.ExpiredSince(now.Add(-recorder.ExpiredRetention)) >= maxCrashes {
-		// Some of these workers may have crashed too.
+	if mayReachLimit(now, t) {
 		return true
 	}
 	waited := now.Sub(t.EndedAt)
@@ -63,6 +62,12 @@
 	return shared && t.Suspicion() >= isolatedCrashes && waited < isolationDelay
 }
 
+// mayReachLimit reports whether a task has maxCrashes, with the workers that have not reported since, as some of these may
+// have crashed too. It waits for them.
+func mayReachLimit(now manager.Time, t *recorder.Task) bool {
+	return t.Suspected+t.ExpiredSince(now.Add(-recorder.ExpiredRetention)) >= maxCrashes
+}
+
 // isolationScore makes a suspect of a crash prefer workers on which another crash would do little harm.
 func (w *candidate) isolationScore(t *recorder.Task) float64 {
 	if t.Suspicion() == 0 {
