--- a/internal/finder/announce.go
+++ b/internal/finder/announce.go
@@ -22,7 +22,7 @@
 	replicaAnnouncePeriod = 600 * manager.Millisecond
 )
 
-// announcer remembers what a node has told its seeds.
+// announcer remembers what a node has told others.
 type announcer struct {
 	term   manager.Term
 	leader manager.Address
@@ -37,7 +37,7 @@
 	}
 }
 
-// announce tells seeds who leads. A seed without a replica knows only what others tell it, and after a restart of all
+// announce tells seeds, members and silent callers who leads. A seed without a replica knows only what others tell it, and after a restart of all
 // nodes those that ask it know no more.
 func (f *Finder) announce(ctx context.Context) {
 	v := f.View()
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -133,7 +133,7 @@
 	return v
 }
 
-// Update looks for the leader and tells seeds who leads.
+// Update looks for the leader and tells others who leads.
 func (f *Finder) Update(ctx context.Context) {
 	f.look(ctx)
 	f.announce(ctx)
