review: case 1, a disk lost right after a planned replacement ends the system for good

Cause sought: which votes count between the end of a replaced machine and its successor's promotion. Ruled out: more than one machine lost at a time (the successor has run for 12 s). Nothing is fixed.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -298,3 +299,72 @@
 	}
 	return held, nil
 }
+
+const (
+	// catchUp is how long a new machine counts as lost.
+	catchUp = 4 * time.Second
+	// recovery is the time after which the system has to serve again, whatever was lost within the tolerance.
+	recovery = 12 * time.Second
+)
+
+// repair replaces a machine of the core as planned; after that another one loses its disk.
+func repair(s *stage) (int, error) {
+	const id = "5c0e7a21d94b36f8"
+	s.addMinions(service, 6, 16000, lasting)
+	s.bootMinions()
+	if err := s.client.configure(1, service); err != nil {
+		return unable, err
+	}
+	time.Sleep(2 * time.Second)
+	if err := s.client.submit(service, id, map[string]any{"count": 3, "cpu": 1000, "memMb": 256, "estimatedMs": 500, "perpetual": true}); err != nil {
+		return unable, err
+	}
+	if err := wait(15*time.Second, "three tasks run", func() bool { return len(s.ledger.running()) == 3 }); err != nil {
+		return unable, err
+	}
+	pause := time.Second
+	if d, err := time.ParseDuration(os.Getenv("PAUSE")); err == nil {
+		pause = d
+	}
+	second, third := s.nodes.list[1], s.nodes.list[2]
+	s.record.add("a machine with an empty disk is added: front-5")
+	if _, err := s.nodes.add("front-5"); err != nil {
+		return unable, err
+	}
+	time.Sleep(3 * catchUp)
+	s.record.add("SIGTERM to %s, which is removed for good", third.name)
+	s.nodes.remove(third)
+	s.record.add("%s has ended", third.name)
+	if s.trouble {
+		time.Sleep(pause)
+		s.record.add("%s loses its disk", second.name)
+		second.kill()
+		if err := os.RemoveAll(second.disk); err != nil {
+			return unable, err
+		}
+		time.Sleep(time.Second)
+		if err := s.nodes.start(second, false); err != nil {
+			return unable, err
+		}
+		s.record.add("%s is back at its address with an empty disk", second.name)
+	}
+	time.Sleep(catchUp + recovery)
+	return s.readBack(id), nil
+}
+
+// readBack asks every node for the manifest and a job, again and again.
+func (s *stage) readBack(id string) int {
+	_, manifest, err := s.client.every(controlPort, http.MethodGet, "/config", nil, 20*time.Second, 200)
+	if err != nil {
+		s.record.add("CONFIG: the manifest doesn't come: %v", err)
+	} else {
+		s.record.add("GET /config is answered 200 with %d bytes", len(manifest))
+	}
+	state := s.client.state(service, id)
+	s.record.add("runs under way: %d", len(s.ledger.running()))
+	if state != "running" || err != nil {
+		s.record.add("LOST: job %s gets no answer in time, or isn't known", id)
+		return broken
+	}
+	return held
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,7 +38,7 @@
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	keep := flag.String("keep", "", "folder for the nodes' logs; a temporary one if empty")
 	flag.Parse()
-	cases := map[string]func(*stage) (int, error){"foreign": foreignBeat, "leave": lostLeave, "crashes": crashes, "route": droppedRoute, "mixed": mixedJob}
+	cases := map[string]func(*stage) (int, error){"foreign": foreignBeat, "leave": lostLeave, "crashes": crashes, "route": droppedRoute, "mixed": mixedJob, "repair": repair}
 	play := cases[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", flag.Arg(0))
--- a/review/stand/nodes.go
+++ b/review/stand/nodes.go
@@ -8,7 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
 	"syscall"
+	"time"
 )
 
 // Ports of every node; each node has a loopback address of its own.
@@ -20,6 +24,9 @@
 	controlPort = 8623
 )
 
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 6 * time.Second
+
 // node is one process of the system.
 type node struct {
 	name    string
@@ -114,6 +121,31 @@
 	return n.command.Start()
 }
 
+// add starts a machine with an empty disk that was not there before.
+func (s *nodes) add(name string) (*node, error) {
+	last := s.list[len(s.list)-1].address
+	i := strings.LastIndexByte(last, '.')
+	host, err := strconv.Atoi(last[i+1:])
+	if err != nil {
+		return nil, err
+	}
+	n := &node{name: name, address: fmt.Sprintf("%s.%d", last[:i], host+1)}
+	n.disk = filepath.Join(s.folder, "data-"+n.name)
+	s.list = append(s.list, n)
+	return n, s.start(n, false)
+}
+
+// remove takes a machine away for good: SIGTERM, and SIGKILL after the grace.
+func (s *nodes) remove(n *node) {
+	_ = n.command.Process.Signal(syscall.SIGTERM)
+	late := time.AfterFunc(grace, func() { _ = n.command.Process.Kill() })
+	_ = n.command.Wait()
+	late.Stop()
+	n.log.Close()
+	n.command = nil
+	s.list = slices.DeleteFunc(s.list, func(o *node) bool { return o == n })
+}
+
 // kill ends a node's process at once.
 func (n *node) kill() {
 	if n.command != nil && n.command.Process != nil {
