replicator: pass the vote of a replica that stops or is gone to a learner at once

What callers saw: a core node is replaced as planned, and 1 s after the old one has ended another one loses its disk.

Cause: a learner beside an odd number of voters was promoted only when a voter had been silent for 5 s, also when that one had stopped as planned. Until then the group counted on a vote that never came back, while a replica with the whole log had none.

Change: a replica that is stopping says so in its answers (Stopping), and one that misses three heartbeats which others answer counts as gone. The leader promotes a learner that has caught up and then makes the other a learner, one committed change after the other, and only if the voters that are up are a quorum after it. A new leader counts the silence of its predecessor from when it last heard it. A voter gets the change that takes its vote only once it is committed. The process waits for the hand-over at the end of its stop, within its grace.

Why it works: successive members differ in one vote, so their quorums share a replica, and votes are with replicas that are up before the next one is lost.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -251,6 +251,9 @@
 	for _, h := range f.servers {
 		failures = append(failures, h.Shutdown(ctx))
 	}
+	if f.store != nil {
+		f.store.AwaitHandOver(ctx)
+	}
 	f.cancel()
 	f.work.Wait()
 	if f.leader != nil {
--- a/internal/soaker/disk_test.go
+++ b/internal/soaker/disk_test.go
@@ -113,11 +113,7 @@
 // removeLearner cuts the learner off until it is removed, gives it time to come back, and returns the group as it was
 // without the learner.
 func (s *soak) removeLearner() Group {
-	var g Group
-	require.True(s.t, s.watch.await(patience, func() bool {
-		g = s.fleet.Group()
-		return g.Leader != nil && len(g.Voters) == 3 && len(g.Learners) == 1
-	}), "not three voters and a learner: %+v", &g)
+	g := s.groupWithLearner()
 	learner := g.Learners[0]
 	s.isolate(learner, true)
 	const minimum, limit = 6 * time.Second, 12 * time.Second
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -371,6 +371,20 @@
 	}
 }
 
+// AwaitHandOver waits until a learner has taken the vote of a replica that is stopping, so that the group doesn't count on a
+// replica that may never return. It returns early when there is no learner or ctx ends.
+func (r *Replicated) AwaitHandOver(ctx context.Context) {
+	const poll = 20 * time.Millisecond
+	for ctx.Err() == nil {
+		s := r.Status()
+		voters, learners := splitMembers(s.Members)
+		if !slices.Contains(voters, s.Replica) || len(learners) == 0 {
+			return
+		}
+		time.Sleep(poll)
+	}
+}
+
 func (r *Replicated) stepDownReplica(now manager.Time) {
 	if r.replica != nil {
 		r.replica.StepDown(now)
--- a/pkg/manager/consensus.go
+++ b/pkg/manager/consensus.go
@@ -103,6 +103,8 @@
 	// Refused rejects the message; Hint is the last entry after which the sender of the answer could continue.
 	Refused bool  `json:",omitempty"`
 	Hint    Index `json:",omitempty"`
+	// Stopping marks append answers of a replica whose process is about to stop.
+	Stopping bool `json:",omitempty"`
 	// Transfer marks vote requests of an election that the leader itself asked for.
 	Transfer bool `json:",omitempty"`
 	// Restarted marks a pre-vote granted by a voter that may have answered a leader just before its restart.
--- a/pkg/manager/replicator/append.go
+++ b/pkg/manager/replicator/append.go
@@ -27,13 +27,13 @@
 	case stateSnapshot:
 		r.sendSnapshotPiece(now, p)
 	case stateProbe:
-		if now >= p.retryAt && p.next <= r.log.last() {
-			r.sendAppend(p, r.log.batch(p.next, r.Options.MaxBatchBytes))
+		if last := r.lastEntryFor(p.replica); now >= p.retryAt && p.next <= last {
+			r.sendAppend(p, r.log.batch(p.next, last, r.Options.MaxBatchBytes))
 			p.retryAt = now.Add(r.Options.HeartbeatPeriod)
 		}
 	case statePipeline:
-		for p.next <= r.log.last() && p.inFlight < r.Options.MaxInFlight {
-			entries := r.log.batch(p.next, r.Options.MaxBatchBytes)
+		for last := r.lastEntryFor(p.replica); p.next <= last && p.inFlight < r.Options.MaxInFlight; {
+			entries := r.log.batch(p.next, last, r.Options.MaxBatchBytes)
 			r.sendAppend(p, entries)
 			p.next += manager.Index(len(entries))
 			p.inFlight++
@@ -57,7 +57,7 @@
 	if r.role != RoleFollower || r.leader != leader {
 		r.becomeFollower(now, r.hardState.Term, leader)
 	}
-	r.heardAt, r.everHeard, r.attempts = now, true, 0
+	r.heardAt, r.heardLeader, r.everHeard, r.attempts = now, leader, true, 0
 	r.resetElectionTimer(now)
 }
 
@@ -66,7 +66,7 @@
 		return
 	}
 	r.followLeader(now, m.From)
-	answer := manager.ReplicaMessage{Kind: manager.MessageAppendAnswer, To: m.From, Round: m.Round, Index: m.Index}
+	answer := manager.ReplicaMessage{Kind: manager.MessageAppendAnswer, To: m.From, Round: m.Round, Index: m.Index, Stopping: r.stopping}
 	m = r.skipCompacted(m)
 	if m.Index >= r.log.base && !r.log.matches(m.Index, m.LogTerm) {
 		answer.Refused = true
@@ -141,7 +141,7 @@
 	if p.replica == 0 {
 		return
 	}
-	p.heardAt = now
+	p.heardAt, p.stopping = now, m.Stopping
 	p.round = max(p.round, m.Round)
 	if m.Refused {
 		r.handleAppendRefused(p, m)
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -186,6 +186,10 @@
 	r.attempts = 0
 	r.lead = &leaderState{quorumCheckAt: now.Add(r.Options.ElectionTimeout), termStart: r.log.last() + 1}
 	r.updateProgress(now)
+	if r.everHeard {
+		// The former leader may be why there was an election.
+		r.lead.progressOf(r.heardLeader).heardAt = r.heardAt
+	}
 	r.lead.progressOf(r.ID).match = r.log.stable
 	r.appendEntry(manager.Entry{Kind: manager.EntryTerm})
 	r.startRound(now)
--- a/pkg/manager/replicator/faults_test.go
+++ b/pkg/manager/replicator/faults_test.go
@@ -210,9 +210,9 @@
 	require.NoError(f.t, f.linearizable())
 }
 
-func runFaults(n int) func(*rapid.T) {
+func runFaults(n int, tune func(*replicator.Options)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		f := &faults{sim: newSim(rapid.Uint64().Draw(t, "seed"), n), t: t}
+		f := &faults{sim: newTunedSim(rapid.Uint64().Draw(t, "seed"), n, tune), t: t}
 		f.run(3_000)
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			f.step()
@@ -225,7 +225,55 @@
 func TestReplicasUnderFaults(t *testing.T) {
 	for _, n := range []int{1, 3, 5} {
 		t.Run(map[int]string{1: "one", 3: "three", 5: "five"}[n], func(t *testing.T) {
-			rapid.Check(t, runFaults(n))
+			rapid.Check(t, runFaults(n, nil))
 		})
 	}
 }
+
+// TestReplicasThatPassVotesUnderFaults plays the same with votes that pass between voters and learners.
+func TestReplicasThatPassVotesUnderFaults(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		t.Run(map[int]string{3: "three", 5: "five"}[n], func(t *testing.T) {
+			rapid.Check(t, runFaults(n, fleetOptions))
+		})
+	}
+}
+
+// TestLeasesWhileVotesPass checks that a leader which a quorum has confirmed within an election timeout is the only one,
+// while replicas with sound clocks are cut off, stop, crash and pass their votes.
+func TestLeasesWhileVotesPass(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &faults{sim: newTunedSim(rapid.Uint64().Draw(t, "seed"), 3, fleetOptions), t: t}
+		f.run(3_000)
+		for range 2 {
+			f.changeMembers()
+			f.run(1_000)
+		}
+		actions := []func(){f.operate, f.crashOne, f.restart, f.partition, f.oneWay, f.healNetwork, f.healNetwork, f.stepDown, f.transferLeader, f.toggleDiskHang}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			rapid.SampledFrom(actions).Draw(t, "action")()
+			for range rapid.IntRange(1, 60).Draw(t, "pause") {
+				f.run(30)
+				f.checkLeases()
+			}
+			require.NoError(t, f.failure)
+		}
+	})
+}
+
+// checkLeases fails if a leader holds a lease while another one leads in a later term.
+func (f *faults) checkLeases() {
+	for _, id := range f.order {
+		n := f.nodes[id]
+		if !n.up {
+			continue
+		}
+		at, confirmed := n.replica.ConfirmedAt()
+		if !confirmed || f.clock(n).Sub(at) >= n.replica.Options.ElectionTimeout {
+			continue
+		}
+		if l := f.leader(); l != n && l.replica.Status().Term > n.replica.Status().Term {
+			f.fail("leader %d holds a lease, confirmed at %d, while %d leads", n.id, at, l.id)
+		}
+	}
+}
--- a/pkg/manager/replicator/leadership.go
+++ b/pkg/manager/replicator/leadership.go
@@ -30,8 +30,10 @@
 	heardAt   manager.Time
 	round     uint64
 	sentRound uint64
-	snapshot  manager.SnapshotMeta
-	offset    int64
+	// stopping means that the follower's process is about to stop.
+	stopping bool
+	snapshot manager.SnapshotMeta
+	offset   int64
 }
 
 // leaderState is what a leader keeps for the length of its term.
@@ -91,7 +93,7 @@
 	if now.Sub(r.lead.roundAt) >= r.Options.HeartbeatPeriod {
 		r.startRound(now)
 	}
-	r.promoteLearner(now)
+	r.adjustVoters(now)
 }
 
 // quorumActive reports whether a quorum answered within the election timeout; without one the leader steps
--- a/pkg/manager/replicator/log.go
+++ b/pkg/manager/replicator/log.go
@@ -63,10 +63,10 @@
 	return append([]manager.Entry(nil), l.entries[first-l.base-1:last-l.base]...)
 }
 
-// batch returns entries from first on, up to limit bytes but at least one entry.
-func (l *raftLog) batch(first manager.Index, limit int) []manager.Entry {
+// batch returns entries from first to end, up to limit bytes but at least one entry.
+func (l *raftLog) batch(first, end manager.Index, limit int) []manager.Entry {
 	bytes, last := 0, first-1
-	for i := first; i <= l.last(); i++ {
+	for i := first; i <= end; i++ {
 		bytes += entryBytes(l.entries[i-l.base-1])
 		if bytes > limit && last >= first {
 			break
--- a/pkg/manager/replicator/members.go
+++ b/pkg/manager/replicator/members.go
@@ -110,39 +110,6 @@
 	r.updateProgress(now)
 }
 
-// promoteLearner makes a learner that holds all committed entries a voter.
-func (r *Replica) promoteLearner(now manager.Time) {
-	if r.voterCount() >= MaxVoters || r.checkMemberChange() != nil {
-		return
-	}
-	ready := r.readyLearners(now)
-	if len(ready) == 0 || len(ready) == 1 && r.Options.OddVoters && r.voterCount()%2 == 1 && !r.anyVoterSilent(now) {
-		return
-	}
-	list := slices.Clone(r.members.List)
-	i := slices.IndexFunc(list, func(m manager.ReplicaMember) bool { return m.Replica == ready[0] })
-	list[i].Learner = false
-	r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
-}
-
-// readyLearners returns the learners that were heard within the election timeout and hold all committed
-// entries.
-func (r *Replica) readyLearners(now manager.Time) []manager.ReplicaID {
-	var ready []manager.ReplicaID
-	for _, m := range r.members.List {
-		p := r.lead.progressOf(m.Replica)
-		if m.Learner && p.match >= r.commit && now.Sub(p.heardAt) < r.Options.ElectionTimeout {
-			ready = append(ready, m.Replica)
-		}
-	}
-	return ready
-}
-
-// anyVoterSilent reports whether a voter may have failed, so that a learner should replace it.
-func (r *Replica) anyVoterSilent(now manager.Time) bool {
-	return slices.ContainsFunc(r.Silent(now), r.isVoter)
-}
-
 // stepDownIfRemoved makes a leader step down once its own removal is committed.
 func (r *Replica) stepDownIfRemoved(now manager.Time) {
 	if _, ok := r.member(r.ID); !ok && !r.memberChangePending() {
@@ -150,8 +117,8 @@
 	}
 }
 
-// TransferLeadership starts a transfer of leadership to the active voter that holds most of the log;
-// proposals are refused meanwhile.
+// TransferLeadership starts a transfer of leadership to the active voter that holds most of the log and is not about to
+// stop; proposals are refused meanwhile.
 func (r *Replica) TransferLeadership(now manager.Time) {
 	if r.role != RoleLeader || r.transfer.target != 0 {
 		return
@@ -159,7 +126,7 @@
 	var best *progress
 	for _, p := range r.lead.followers {
 		alive := now.Sub(p.heardAt) < r.Options.ElectionTimeout
-		if p.replica != r.ID && r.isVoter(p.replica) && alive && (best == nil || p.match > best.match) {
+		if p.replica != r.ID && r.isVoter(p.replica) && alive && !p.stopping && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -26,8 +26,9 @@
 	// election; the actual time is drawn between it and one and a half times as long. It must span several
 	// heartbeats, or one lost message deposes a leader.
 	ElectionTimeout manager.Duration
-	// OddVoters keeps a single learner from being promoted beside an odd number of voters: an even number
-	// tolerates no more failures, and a network partition into halves leaves it without a quorum.
+	// OddVoters keeps a single learner from being promoted beside an odd number of voters that are up: an even number
+	// tolerates no more failures, and a network partition into halves leaves it without a quorum. A voter that is gone
+	// gives its vote to a learner.
 	OddVoters bool
 	// MaxBatchBytes limits the entries in one message.
 	MaxBatchBytes int
@@ -98,8 +99,10 @@
 	commit           manager.Index
 	delivered        manager.Index
 	electionAt       manager.Time
-	heardAt          manager.Time
-	everHeard        bool
+	// heardAt is when the latest message of a leader, heardLeader, came.
+	heardAt     manager.Time
+	heardLeader manager.ReplicaID
+	everHeard   bool
 	// priorLeaseUntil is the time until which a leader may hold a lease from an answer that this replica
 	// gave before its start.
 	priorLeaseUntil manager.Time
--- a/pkg/manager/replicator/sim_test.go
+++ b/pkg/manager/replicator/sim_test.go
@@ -40,31 +40,6 @@
 	return true, m.Value
 }
 
-// disk is what survives a crash.
-type disk struct {
-	id       manager.DiskID
-	hard     manager.HardState
-	snapshot replicator.Snapshot
-	entries  []manager.Entry
-}
-
-func (d *disk) write(r replicator.Ready) {
-	if r.HardState != nil {
-		d.hard = *r.HardState
-	}
-	if r.Snapshot != nil {
-		d.snapshot, d.entries = *r.Snapshot, nil
-	}
-	if len(r.Entries) > 0 {
-		first := r.Entries[0].Index
-		keep := slices.IndexFunc(d.entries, func(e manager.Entry) bool { return e.Index >= first })
-		if keep >= 0 {
-			d.entries = d.entries[:keep:keep]
-		}
-		d.entries = append(d.entries, r.Entries...)
-	}
-}
-
 type simNode struct {
 	id        manager.ReplicaID
 	replica   *replicator.Replica
@@ -122,13 +97,18 @@
 	sentBytes    int
 	countBytes   bool
 	installs     int
+	// tune, if set, changes the options of each replica that starts.
+	tune func(*replicator.Options)
 }
 
 const simStep = 10 * manager.Millisecond
 
-func newSim(seed uint64, n int) *sim {
+func newSim(seed uint64, n int) *sim { return newTunedSim(seed, n, nil) }
+
+func newTunedSim(seed uint64, n int, tune func(*replicator.Options)) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 7)), nodes: map[manager.ReplicaID]*simNode{}, blocked: map[[2]manager.ReplicaID]bool{},
+		tune: tune,
+		rng:  rand.New(rand.NewPCG(seed, 7)), nodes: map[manager.ReplicaID]*simNode{}, blocked: map[[2]manager.ReplicaID]bool{},
 		leaders: map[manager.Term]manager.ReplicaID{}, committed: map[manager.Index]manager.Entry{},
 		hashes: map[manager.Index]uint64{}, history: &history{}, firstApplied: map[int]firstApply{}, snapshotEvery: 40, delay: 20,
 	}
@@ -159,6 +139,9 @@
 		Group: "group", ID: n.id, Disk: n.disk.id, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
 		Options: replicator.Options{MaxBatchBytes: 400, PieceBytes: 16, MaxInFlight: 3},
 	}
+	if s.tune != nil {
+		s.tune(&n.replica.Options)
+	}
 	n.register = register{}
 	if n.disk.snapshot.Meta.Index > 0 {
 		_ = json.Unmarshal(n.disk.snapshot.Data, &n.register)
@@ -369,19 +352,6 @@
 	}
 }
 
-// fillPiece reads a snapshot piece from the sender's disk.
-func fillPiece(n *simNode, m *manager.ReplicaMessage) bool {
-	p := *m.Snapshot
-	if n.disk.snapshot.Meta.Index != p.Meta.Index {
-		return false
-	}
-	const piece = 16
-	end := min(p.Offset+piece, int64(len(n.disk.snapshot.Data)))
-	p.Data = n.disk.snapshot.Data[p.Offset:end]
-	m.Snapshot = &p
-	return true
-}
-
 func (s *sim) chance(percent int) int {
 	if s.rng.IntN(100) < percent {
 		return 1
--- a/pkg/manager/replicator/voters_test.go
+++ b/pkg/manager/replicator/voters_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
 // addLearner adds a replica with an empty disk and returns it.
@@ -29,10 +30,7 @@
 }
 
 func newOddVotersSim(seed uint64) *sim {
-	s := newSim(seed, 3)
-	for _, n := range s.nodes {
-		n.replica.Options.OddVoters = true
-	}
+	s := newTunedSim(seed, 3, func(o *replicator.Options) { o.OddVoters = true })
 	s.run(4 * manager.Second)
 	return s
 }
