--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -87,6 +87,8 @@
 	// shrinks draws the capacities that shrink; shrunk counts them.
 	shrinks *rand.Rand
 	shrunk  int
+	// foreign draws what another writer sends.
+	foreign *rand.Rand
 	// refused tells that some disk refused writes.
 	refused bool
 	// plain is the number of nodes without a disk; 0 stands for that of the flag.
@@ -122,7 +124,7 @@
 func (s *soak) start(seed uint64, core int) {
 	t := s.t
 	s.rng, s.extra, s.busy = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 7)), map[*Node]bool{}
-	s.shrinks = rand.New(rand.NewPCG(seed, 9))
+	s.shrinks, s.foreign = rand.New(rand.NewPCG(seed, 9)), rand.New(rand.NewPCG(seed, 13))
 	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: cmp.Or(s.plain, *big), WorkerCount: 5, Seed: seed}
 	require.NoError(t, s.fleet.Start())
 	s.watch = newWatch(s.fleet, seed)
@@ -158,6 +160,7 @@
 		s.fault(time.Duration(300+s.rng.IntN(2500)) * time.Millisecond)
 		s.addedFault(time.Duration(300+s.extra.IntN(2700)) * time.Millisecond)
 		s.shrinkWorker()
+		s.writeForeignBeat()
 		time.Sleep(time.Duration(100+s.rng.IntN(600)) * time.Millisecond)
 	}
 }
--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -102,6 +102,37 @@
 	require.NotNil(t, f.answers[call].Orders, "the pool may be in a configuration that comes later")
 }
 
+// Guards against tasks that run twice: a new dispatcher knows no worker yet, so that an odd report which comes before those of
+// the workers ended the runs of an earlier instance.
+func TestOddReportAfterAnElectionEndsNoRuns(t *testing.T) {
+	for name, change := range map[string]func(r *manager.WorkerReport, now manager.Time){
+		"pool of no configuration": func(r *manager.WorkerReport, _ manager.Time) { r.Pool = "elsewhere" },
+		"start in the future":      func(r *manager.WorkerReport, now manager.Time) { r.Instance.StartedAt = now.Add(2 * manager.Hour) },
+	} {
+		for _, id := range []manager.WorkerID{"w1", "odd"} {
+			t.Run(name+" of "+string(id), func(t *testing.T) {
+				f := newFleet(t)
+				w := f.worker("w1", pool, 4000)
+				w.taskTime = manager.Minute
+				f.run(200)
+				f.submit("a", task(1000, 1))
+				f.run(500)
+				require.Len(t, f.state.Runs(w.report.Instance), 1)
+				f.startDispatcher(2)
+				f.d.SetWall(f.now, f.now)
+				odd := w.report
+				odd.Instance, odd.Sequence = manager.WorkerInstance{Worker: id, StartedAt: f.now}, 1
+				change(&odd, f.now)
+				call := f.send(dispatcher.Event{Report: &odd})
+				f.runCycle()
+				require.True(t, manager.IsErrInvalid(f.answers[call].Err), "%+v", f.answers[call])
+				f.run(manager.Second)
+				require.Len(t, f.state.Runs(w.report.Instance), 1)
+			})
+		}
+	}
+}
+
 // An objective beyond all times must not count as one that is long past.
 func TestObjectiveBeyondAllTimesIsNoReasonToRefuse(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -138,14 +138,14 @@
 }
 
 // displaces reports whether a report would replace a worker instance: one of the same worker, on its VM or at its
-// address.
+// address. A new dispatcher knows only those with runs.
 func (d *Dispatcher) displaces(r manager.WorkerReport) bool {
 	for _, o := range []*worker{d.workers[r.Instance.Worker], d.byVM[r.VM], d.byAddress[r.Address]} {
 		if o != nil && o.instance != r.Instance {
 			return true
 		}
 	}
-	return false
+	return d.workerOf(r.Instance) == nil && len(d.olderInstances(r)) > 0
 }
 
 // addWorker adds a new worker instance and ends the runs of older instances of the worker, on its VM and at its
--- a/pkg/manager/workervalidate.go
+++ b/pkg/manager/workervalidate.go
@@ -35,8 +35,11 @@
 	if err := validateID("Pool", string(r.Pool)); err != nil {
 		return err
 	}
-	if len(r.VM) > MaxIDBytes || len(r.Zone) > MaxIDBytes {
-		return ErrInvalid{Field: "VM", Reason: fmt.Sprintf("or zone has more than %d bytes", MaxIDBytes)}
+	if err := validateID("VM", string(r.VM)); err != nil {
+		return err
+	}
+	if len(r.Zone) > MaxIDBytes {
+		return ErrInvalid{Field: "Zone", Reason: fmt.Sprintf("has more than %d bytes", MaxIDBytes)}
 	}
 	if len(r.Labels) > MaxLabels {
 		return ErrInvalid{Field: "Labels", Reason: fmt.Sprintf("has %d entries: expected at most %d", len(r.Labels), MaxLabels)}
