dispatcher: treat jobs with finite and long-running steps step by step

Cause: recorder.Job.LongRunning looked at the first step and stood for the whole job. Failures of a long-running task behind a finite step counted against MaxAttempts; finite tasks beside a long-running first step had no limit at all. Rank, admission, demand and load of such jobs were wrong for the same reason.

Change: each place looks at the step of the task. A job with both kinds of steps has a rank for each kind in its pool, and the expected duration of a long-running task is 0.

The tests that asked Job.LongRunning now ask whether the job has long-running steps, or look at the step of the task; for the jobs of these tests, all of one kind, that is the same.

Why it works: the limit belongs to a task, and the step says which kind of task it is.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -56,7 +56,7 @@
 			delete(d.refusedUntil, id)
 		}
 	}
-	if g.Steps[0].LongRunning || g.Repeat.Count > 0 || now.Sub(d.StartedAt) < warmUpTime {
+	if !g.HasSteps(false) || g.Repeat.Count > 0 || now.Sub(d.StartedAt) < warmUpTime {
 		return 0
 	}
 	free := d.freeCapacity(now, q.Pool)
@@ -67,7 +67,7 @@
 	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.graphCriticalPath(g)
 	var backlog work
 	for _, j := range d.State.Active() {
-		if !j.LongRunning() && !j.Unreleased() && d.poolOf(j) == q.Pool {
+		if !j.Unreleased() && d.poolOf(j) == q.Pool {
 			backlog.plus(d.runnableWork(j, max(slack, 0)))
 		}
 	}
--- a/pkg/manager/dispatcher/estimator.go
+++ b/pkg/manager/dispatcher/estimator.go
@@ -10,8 +10,11 @@
 	state *recorder.State
 }
 
-// task returns the expected duration of a task of the step.
+// task returns the expected duration of a task of the step. It is 0 for a long-running one, which does not end.
 func (e *estimator) task(q manager.QueueID, s manager.GraphStep) manager.Duration {
+	if s.LongRunning {
+		return 0
+	}
 	return e.state.Times[q].Estimate(s)
 }
 
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -31,7 +31,7 @@
 
 // recordDemand adds an accepted job to the demand of its pool.
 func (d *Dispatcher) recordDemand(now manager.Time, p manager.PoolID, g manager.Graph) {
-	if g.Steps[0].LongRunning {
+	if !g.HasSteps(false) {
 		return
 	}
 	if d.lending.demand == nil {
@@ -100,24 +100,21 @@
 	}
 	for _, j := range d.State.Active() {
 		l := findLoad(list, d.poolOf(j))
-		switch {
-		case l == nil || j.Unreleased():
-		case j.LongRunning():
-			d.findUnplaceable(now, l, j)
-			l.longRunningWaits = l.longRunningWaits || d.hasWaitingTask(j)
-		default:
-			d.findUnplaceable(now, l, j)
-			d.addNeed(l, j)
+		if l == nil || j.Unreleased() {
+			continue
 		}
+		d.findUnplaceable(now, l, j)
+		l.longRunningWaits = l.longRunningWaits || d.hasWaitingLongRunning(j)
+		d.addNeed(l, j)
 	}
 	return list
 }
 
-// addNeed adds the capacity that a job's running tasks use, and the capacity that its ready tasks need to be worked off
-// within the horizon.
+// addNeed adds the capacity that a job's running finite tasks use, and the capacity that the ready ones need to be worked
+// off within the horizon.
 func (d *Dispatcher) addNeed(l *poolLoad, j *recorder.Job) {
 	for s, step := range j.Steps {
-		if j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
+		if step.LongRunning || j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
 			// Tasks that are not ready will use the capacity of those that they depend on.
 			continue
 		}
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -268,7 +268,7 @@
 			}
 			continue
 		}
-		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.LongRunning()) {
+		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.Steps[id.Step].LongRunning) {
 			how := manager.RunDone
 			if w.fails {
 				how = manager.RunFailed
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -26,11 +26,13 @@
 // overdueFactor times its objective is the age at which a late job has lost its value.
 const overdueFactor = 3
 
-// jobRank decides in which order the jobs of a pool get workers.
+// jobRank decides in which order the jobs of a pool get workers. A job with both kinds of steps has a rank for each kind.
 type jobRank struct {
-	job      *recorder.Job
-	class    class
-	priority int
+	job *recorder.Job
+	// longRunning ranks the long-running steps of the job, and the finite ones otherwise.
+	longRunning bool
+	class       class
+	priority    int
 	// latestStart is the latest time at which the rest of the job, run without a pause, still meets its objective.
 	latestStart manager.Time
 	// duration is how long the remaining work takes on the whole pool.
@@ -41,11 +43,14 @@
 func (d *Dispatcher) rankedJobs(now manager.Time, p manager.PoolID) []jobRank {
 	var list []jobRank
 	for _, j := range d.jobsByPool[p] {
-		list = append(list, d.rankJob(now, j))
+		list = d.appendRanks(list, now, j)
 	}
 	slices.SortFunc(list, compareRanks)
 	free := d.freeCapacity(now, p)
 	for i := range list {
+		if list[i].longRunning {
+			continue
+		}
 		left := d.times.work(list[i].job)
 		list[i].duration = left.over(free)
 	}
@@ -59,12 +64,20 @@
 		cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.job.Graph.Graph, b.job.Graph.Graph))
 }
 
-func (d *Dispatcher) rankJob(now manager.Time, j *recorder.Job) jobRank {
-	t := jobRank{job: j, priority: d.queue(j).Priority}
-	if j.LongRunning() {
-		t.class = classLongRunning
-		return t
+// appendRanks appends the ranks of a job's long-running and finite steps.
+func (d *Dispatcher) appendRanks(list []jobRank, now manager.Time, j *recorder.Job) []jobRank {
+	if j.HasSteps(true) {
+		list = append(list, jobRank{job: j, longRunning: true, class: classLongRunning, priority: d.queue(j).Priority})
+	}
+	if j.HasSteps(false) {
+		list = append(list, d.rankFinite(now, j))
 	}
+	return list
+}
+
+// rankFinite ranks the finite steps of a job.
+func (d *Dispatcher) rankFinite(now manager.Time, j *recorder.Job) jobRank {
+	t := jobRank{job: j, priority: d.queue(j).Priority}
 	objective := d.objective(j)
 	t.latestStart = objective.Add(-d.times.criticalPath(j))
 	switch {
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -54,8 +54,8 @@
 		jobs := d.rankedJobs(now, p)
 		suspectsFirst(jobs)
 		for _, t := range jobs {
-			d.placeJob(now, t.job, pools[p], &unmet, c)
-			if d.gangBlocksPool(now, t.job, c) {
+			d.placeSteps(now, &t, pools[p], &unmet, c)
+			if !t.longRunning && d.gangBlocksPool(now, t.job, c) {
 				// Smaller tasks would take the capacity that the gang waits for.
 				break
 			}
@@ -77,13 +77,27 @@
 // hasWaitingTask reports whether a task of a job is ready, has no worker and can run on some VM.
 func (d *Dispatcher) hasWaitingTask(j *recorder.Job) bool {
 	for s := range j.Steps {
-		if j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) && d.runnable(&j.Steps[s]) {
+		if d.stepWaits(j, s) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasWaitingLongRunning is hasWaitingTask for the long-running steps of a job.
+func (d *Dispatcher) hasWaitingLongRunning(j *recorder.Job) bool {
+	for s := range j.Steps {
+		if j.Steps[s].LongRunning && d.stepWaits(j, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) stepWaits(j *recorder.Job, s int) bool {
+	return j.Remaining(s) > j.OpenRunsIn(s) && j.StepReady(s) && d.runnable(&j.Steps[s])
+}
+
 // candidates returns the workers that may get tasks, by pool.
 func (d *Dispatcher) candidates(now manager.Time, ready map[manager.PoolID]bool) map[manager.PoolID][]*candidate {
 	pools := map[manager.PoolID][]*candidate{}
@@ -133,9 +147,11 @@
 	return step.Requires == "" && step.MaxPerWorker == 0 && !step.LongRunning && t.FailedOn == "" && t.Suspicion() == 0
 }
 
-func (d *Dispatcher) placeJob(now manager.Time, j *recorder.Job, all []*candidate, unmet *shortage, c *recorder.Changes) {
+// placeSteps proposes starts of the steps of a job that a rank stands for.
+func (d *Dispatcher) placeSteps(now manager.Time, t *jobRank, all []*candidate, unmet *shortage, c *recorder.Changes) {
+	j := t.job
 	for s, step := range j.Steps {
-		if j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
+		if step.LongRunning != t.longRunning || j.Remaining(s) == 0 || !j.StepReady(s) || !d.runnable(&j.Steps[s]) {
 			continue
 		}
 		list := d.permittedCandidates(now, j, s, all)
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -134,6 +135,11 @@
 	Repeat  Repeat `json:",omitzero"`
 }
 
+// HasSteps reports whether the job has long-running steps, or finite ones.
+func (g *Graph) HasSteps(longRunning bool) bool {
+	return slices.ContainsFunc(g.Steps, func(s GraphStep) bool { return s.LongRunning == longRunning })
+}
+
 // GraphState is the state of a job graph.
 type GraphState string
 
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -172,16 +172,16 @@
 		t.Failures++
 		t.FailedOn = instance.Worker
 	}
-	st.checkJobEnd(j, t)
+	st.checkJobEnd(j, e.Task.Step, t)
 }
 
-// checkJobEnd ends a job when all its tasks are done or a task has used up its attempts.
-func (st *State) checkJobEnd(j *Job, t *Task) {
+// checkJobEnd ends a job when all its tasks are done or a finite task, whose run has ended, has used up its attempts.
+func (st *State) checkJobEnd(j *Job, step int, t *Task) {
 	if j.State.Ended() {
 		st.dropTasks(j)
 		return
 	}
-	if !j.LongRunning() && !t.Done && t.Failures >= st.maxAttempts(j.Queue) {
+	if !j.Steps[step].LongRunning && !t.Done && t.Failures >= st.maxAttempts(j.Queue) {
 		st.endJob(j, manager.GraphFailed)
 		return
 	}
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -258,6 +258,3 @@
 
 // HasSuspects reports whether a task of the job may have crashed a worker.
 func (j *Job) HasSuspects() bool { return j.suspects > 0 }
-
-// LongRunning reports whether the job runs until it is cancelled.
-func (j *Job) LongRunning() bool { return j.Steps[0].LongRunning }
