dispatcher: refuse a report that changes the VM, pool or address of its instance

Another writer that uses the id and start of a working worker, with another pool, VM or address and a higher sequence, replaces what is known of the worker; its own reports count as late ones, so that its leases expire and its tasks are ended and started again.

Cause: a report under a known instance was compared by its sequence only.

Change: such a report is refused. An instance keeps the three for its life: a VM that moves gets a new one.

Evidence: the three cases of TestReportThatChangesItsInstanceIsRefused fail before (the task is started again) and pass after.

Why it works: the instance's own reports stay the latest ones.

--- a/pkg/manager/dispatcher/odd_test.go
+++ b/pkg/manager/dispatcher/odd_test.go
@@ -133,6 +133,34 @@
 	}
 }
 
+// Guards against runs that end with their lease: a report of another writer under the instance of a worker, with a higher
+// sequence, made the worker's own reports count as late ones.
+func TestReportThatChangesItsInstanceIsRefused(t *testing.T) {
+	for name, change := range map[string]func(r *manager.WorkerReport){
+		"pool":    func(r *manager.WorkerReport) { r.Pool = "elsewhere" },
+		"VM":      func(r *manager.WorkerReport) { r.VM = "vm-other" },
+		"address": func(r *manager.WorkerReport) { r.Address = "10.0.0.99:80" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			w := f.worker("w1", pool, 4000)
+			w.leased = true
+			f.run(200)
+			f.submit("a", longRunning(1000, 1, 1))
+			f.run(500)
+			odd := w.report
+			odd.Sequence = 1000
+			change(&odd)
+			call := f.send(dispatcher.Event{Report: &odd})
+			f.runCycle()
+			require.True(t, manager.IsErrInvalid(f.answers[call].Err), "%+v", f.answers[call])
+			f.runAlone(2 * leaseTimeout)
+			require.Len(t, w.runs, 1)
+			require.Len(t, w.started, 1)
+		})
+	}
+}
+
 // An objective beyond all times must not count as one that is long past.
 func TestObjectiveBeyondAllTimesIsNoReasonToRefuse(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -83,7 +83,7 @@
 	if d.superseded(r) {
 		return stale
 	}
-	if err := d.checkDisplacing(r); err != nil {
+	if err := cmp.Or(checkUnchanged(w, r), d.checkDisplacing(r)); err != nil {
 		return []Answer{{Call: call, Err: err}}
 	}
 	if w == nil || w.instance != r.Instance {
@@ -122,6 +122,24 @@
 	return false
 }
 
+// checkUnchanged returns an ErrInvalid for a report that names another VM, pool or address than the earlier ones of its
+// instance, as an instance keeps them for its life.
+func checkUnchanged(w *worker, r manager.WorkerReport) error {
+	if w == nil || w.instance != r.Instance {
+		return nil
+	}
+	const reason = "is not that of the instance's earlier reports"
+	switch {
+	case w.latest.VM != r.VM:
+		return manager.ErrInvalid{Field: "VM", Reason: reason}
+	case w.latest.Pool != r.Pool:
+		return manager.ErrInvalid{Field: "Pool", Reason: reason}
+	case w.latest.Address != r.Address:
+		return manager.ErrInvalid{Field: "Address", Reason: reason}
+	}
+	return nil
+}
+
 // checkDisplacing returns an ErrInvalid for a report that would replace a worker instance although no worker of this fleet
 // sends such a report.
 func (d *Dispatcher) checkDisplacing(r manager.WorkerReport) error {
