Name the kinds of steps of a job, and share the loss of a disk in the soak

Graph.HasSteps(true) and HasSteps(false) are HasLongRunning and HasFinite: the argument didn't say what it asked. The two tests of the soak that lose a disk after a replacement share how they do so. No behaviour changes.

--- a/internal/soaker/handover_test.go
+++ b/internal/soaker/handover_test.go
@@ -37,12 +37,7 @@
 						require.NoError(t, s.fleet.Kill(gone))
 						time.Sleep(noticed)
 					}
-					require.NoError(t, s.fleet.Kill(next))
-					require.NoError(t, s.fleet.Wipe(next))
-					time.Sleep(time.Second)
-					require.NoError(t, s.fleet.Launch(next, false))
-					s.serves("after " + gone.Name + " was removed and " + next.Name + " lost its disk")
-					s.settle("at the end")
+					s.loseNextDisk(next, gone)
 				})
 			}
 		}
@@ -76,16 +71,21 @@
 			}
 			require.NoError(t, s.fleet.Launch(successor, false))
 			time.Sleep(catchUp)
-			require.NoError(t, s.fleet.Kill(next))
-			require.NoError(t, s.fleet.Wipe(next))
-			time.Sleep(time.Second)
-			require.NoError(t, s.fleet.Launch(next, false))
-			s.serves("after " + gone.Name + " was replaced and " + next.Name + " lost its disk")
-			s.settle("at the end")
+			s.loseNextDisk(next, gone)
 		})
 	}
 }
 
+// loseNextDisk lets a node lose its disk after another one was removed, and requires that the rest serve and end all work.
+func (s *soak) loseNextDisk(n, gone *Node) {
+	require.NoError(s.t, s.fleet.Kill(n))
+	require.NoError(s.t, s.fleet.Wipe(n))
+	time.Sleep(time.Second)
+	require.NoError(s.t, s.fleet.Launch(n, false))
+	s.serves("after " + gone.Name + " was removed and " + n.Name + " lost its disk")
+	s.settle("at the end")
+}
+
 // groupWithLearner waits for a group of three voters and a learner.
 func (s *soak) groupWithLearner() Group {
 	var g Group
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -56,7 +56,7 @@
 			delete(d.refusedUntil, id)
 		}
 	}
-	if !g.HasSteps(false) || g.Repeat.Count > 0 || now.Sub(d.StartedAt) < warmUpTime {
+	if !g.HasFinite() || g.Repeat.Count > 0 || now.Sub(d.StartedAt) < warmUpTime {
 		return 0
 	}
 	free := d.freeCapacity(now, q.Pool)
--- a/pkg/manager/dispatcher/crash_test.go
+++ b/pkg/manager/dispatcher/crash_test.go
@@ -51,7 +51,7 @@
 		job, _ := id.Split()
 		if !slices.Contains(deadly, job) {
 			require.NotEqual(f.t, manager.GraphFailed, j.State, "job %s is sound", id)
-			require.True(f.t, j.HasSteps(true) || j.State == manager.GraphCompleted, "job %s is %s", id, j.State)
+			require.True(f.t, j.HasLongRunning() || j.State == manager.GraphCompleted, "job %s is %s", id, j.State)
 			continue
 		}
 		require.LessOrEqual(f.t, f.starts(manager.TaskID{Graph: id}), maxStarts, id)
--- a/pkg/manager/dispatcher/leaving_test.go
+++ b/pkg/manager/dispatcher/leaving_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// beginLeave lets a worker leave, one after the other.
+// beginLeave lets a worker leave, unless two others are leaving.
 func (m *model) beginLeave(w *fakeWorker) {
 	if w.silent || w.report.Draining || len(m.leaves) > 1 {
 		return
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -31,7 +31,7 @@
 
 // recordDemand adds an accepted job to the demand of its pool.
 func (d *Dispatcher) recordDemand(now manager.Time, p manager.PoolID, g manager.Graph) {
-	if !g.HasSteps(false) {
+	if !g.HasFinite() {
 		return
 	}
 	if d.lending.demand == nil {
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -66,10 +66,10 @@
 
 // appendRanks appends the ranks of a job's long-running and finite steps.
 func (d *Dispatcher) appendRanks(list []jobRank, now manager.Time, j *recorder.Job) []jobRank {
-	if j.HasSteps(true) {
+	if j.HasLongRunning() {
 		list = append(list, jobRank{job: j, longRunning: true, class: classLongRunning, priority: d.queue(j).Priority})
 	}
-	if j.HasSteps(false) {
+	if j.HasFinite() {
 		list = append(list, d.rankFinite(now, j))
 	}
 	return list
--- a/pkg/manager/dispatcher/shrink_property_test.go
+++ b/pkg/manager/dispatcher/shrink_property_test.go
@@ -84,7 +84,7 @@
 		case s.cancelled[id]:
 		case j.State == manager.GraphFailed:
 			require.GreaterOrEqual(s.t, s.crashesUnder(id), givenUpCrashes, id)
-		case j.HasSteps(true):
+		case j.HasLongRunning():
 			require.Zero(s.t, s.notRunning(id), id)
 		default:
 			require.Equal(s.t, manager.GraphCompleted, j.State, id)
@@ -197,7 +197,7 @@
 func (s *shrinkModel) longRunningJobs() int {
 	n := 0
 	for _, j := range s.state.Active() {
-		if j.HasSteps(true) {
+		if j.HasLongRunning() {
 			n++
 		}
 	}
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -135,9 +135,14 @@
 	Repeat  Repeat `json:",omitzero"`
 }
 
-// HasSteps reports whether the job has long-running steps, or finite ones.
-func (g *Graph) HasSteps(longRunning bool) bool {
-	return slices.ContainsFunc(g.Steps, func(s GraphStep) bool { return s.LongRunning == longRunning })
+// HasLongRunning reports whether the job has a step that runs until it is cancelled.
+func (g *Graph) HasLongRunning() bool {
+	return slices.ContainsFunc(g.Steps, func(s GraphStep) bool { return s.LongRunning })
+}
+
+// HasFinite reports whether the job has a step that ends by itself.
+func (g *Graph) HasFinite() bool {
+	return slices.ContainsFunc(g.Steps, func(s GraphStep) bool { return !s.LongRunning })
 }
 
 // GraphState is the state of a job graph.
