dispatcher: keep workers that left from coming back in the model of leaving workers

The model's fault that ends a worker's silence also revived workers that had left, as the same instance, before their restart; such a worker got tasks and its restart counted as a crash. It now comes back as a new instance only.

--- a/pkg/manager/dispatcher/model_test.go
+++ b/pkg/manager/dispatcher/model_test.go
@@ -120,7 +120,8 @@
 	case 4:
 		w.silent = true
 	case 5, 6:
-		w.silent = false
+		// A worker that has left comes back as a new instance only.
+		w.silent = w.backAt != 0
 	case 7:
 		w.restart()
 	case 8:
