--- a/internal/soaker/handover_test.go
+++ b/internal/soaker/handover_test.go
@@ -13,6 +13,7 @@
 // removed one stopped as planned, else when its loss can have been noticed.
 func TestGroupSurvivesLostDiskAfterReplacement(t *testing.T) {
 	t.Parallel()
+	// noticed covers an election and the heartbeats that a voter misses before it counts as gone.
 	const noticed = 3 * time.Second
 	for _, planned := range []bool{true, false} {
 		for i, removed := range []string{"leader", "follower"} {
