Customers with API keys in the configuration, checked at each call

Cause: neither the configuration nor a call knew keys. The document's customers are now decoded and checked as a whole; a call carries the digest of its key to the leader, which looks it up in the configuration in force. A document without customers asks for no keys, as before. A job belongs to the customer that submitted it. Keys are hashed when a call is read, so that no log or message between nodes holds one.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
 // Call answers a call on the replica that leads.
@@ -51,16 +52,26 @@
 	var queue manager.QueueSettings
 	var id manager.GraphID
 	var err error
-	l.Store.Inspect(func() { queue, id, err = locate(l.State.Configuration, c.Host, c.Path) })
+	var customer manager.CustomerID
+	l.Store.Inspect(func() {
+		queue, id, err = locate(l.State.Configuration, c.Host, c.Path)
+		if err == nil {
+			customer, err = l.State.Configuration.Authorize(queue, c.Key)
+		}
+	})
 	if err != nil {
 		return manager.FleetReply{}, err
 	}
 	switch c.Kind {
 	case manager.CallSubmit:
 		g := *c.Graph
-		g.Graph, g.Queue = id, queue.Queue
+		g.Graph, g.Queue, g.Customer = id, queue.Queue, customer
 		return l.await(ctx, dispatcher.Event{Submit: &g})
 	case manager.CallCancel:
+		l.Store.Inspect(func() { _, err = l.job(id, queue, customer) })
+		if err != nil {
+			return l.checked(manager.FleetReply{}, err)
+		}
 		return l.await(ctx, dispatcher.Event{Cancel: &id})
 	}
 	var reply manager.FleetReply
@@ -69,16 +80,24 @@
 			reply.Pending = l.State.Pending(queue.Queue)
 			return
 		}
-		j := l.State.Jobs[id]
-		if j == nil {
-			err = manager.ErrNotExist{Kind: "job", Name: string(id)}
-			return
+		var j *recorder.Job
+		if j, err = l.job(id, queue, customer); err == nil {
+			reply.State = j.State
 		}
-		reply.State = j.State
 	})
 	return l.checked(reply, err)
 }
 
+// job returns a job that a customer may see. The jobs of other customers don't exist for it, except on queues that anyone
+// may call.
+func (l *Leader) job(id manager.GraphID, queue manager.QueueSettings, customer manager.CustomerID) (*recorder.Job, error) {
+	j := l.State.Jobs[id]
+	if j == nil || j.Customer != "" && j.Customer != customer && l.State.Configuration.RequiresKeys && !queue.AllowsAnonymous {
+		return nil, manager.ErrNotExist{Kind: "job", Name: string(id)}
+	}
+	return j, nil
+}
+
 // read answers from the replicated state.
 func (l *Leader) read(c manager.FleetCall) (manager.FleetReply, error) {
 	var reply manager.FleetReply
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -159,7 +159,7 @@
 // final reports whether an error is the leader's own answer.
 func final(err error) bool {
 	return manager.IsErrInvalid(err) || manager.IsErrNotExist(err) || manager.IsErrConflict(err) ||
-		manager.IsErrOverloaded(err) || manager.IsErrUnavailable(err)
+		manager.IsErrOverloaded(err) || manager.IsErrUnavailable(err) || manager.IsErrUnauthorized(err)
 }
 
 // try makes one attempt; reached says that the call may have been taken: a call for which no connection was obtained has
--- a/internal/translator/errors.go
+++ b/internal/translator/errors.go
@@ -26,7 +26,9 @@
 	CodeUnknown       Code = "OutcomeUnknown"
 	CodeOverloaded    Code = "Overloaded"
 	CodeUnauthorized  Code = "Unauthorized"
-	CodeInternal      Code = "Internal"
+	// CodeNoCustomer is for a caller whose API key stands for no customer.
+	CodeNoCustomer Code = "NoCustomer"
+	CodeInternal   Code = "Internal"
 )
 
 // maxErrorBytes bounds the error body that is read from another process.
@@ -101,6 +103,10 @@
 		b.Code, b.Kind, b.Name, b.Reason = CodeConflict, e.Kind, e.Name, e.Reason
 		return http.StatusConflict, true
 	}
+	if e, ok := errors.AsType[manager.ErrUnauthorized](err); ok {
+		b.Code, b.Reason = CodeNoCustomer, e.Reason
+		return http.StatusUnauthorized, true
+	}
 	if e, ok := errors.AsType[manager.ErrCommandReused](err); ok {
 		b.Code, b.Command = CodeCommandReused, e.Command
 		return http.StatusConflict, true
@@ -129,6 +135,8 @@
 		return manager.ErrOverloaded{RetryAfterMs: b.RetryAfterMs}
 	case CodeUnauthorized:
 		return ErrUnauthorized
+	case CodeNoCustomer:
+		return manager.ErrUnauthorized{Reason: b.Reason}
 	default:
 		return eris.Wrap(ErrUnexpected, b.Message)
 	}
--- a/pkg/manager/errors.go
+++ b/pkg/manager/errors.go
@@ -27,6 +27,16 @@
 // IsErrNotExist reports whether err is an ErrNotExist.
 func IsErrNotExist(err error) bool { return is[ErrNotExist](err) }
 
+// ErrUnauthorized reports a caller without a valid API key.
+type ErrUnauthorized struct {
+	Reason string
+}
+
+func (e ErrUnauthorized) Error() string { return "unauthorized: " + e.Reason }
+
+// IsErrUnauthorized reports whether err is an ErrUnauthorized.
+func IsErrUnauthorized(err error) bool { return is[ErrUnauthorized](err) }
+
 // ErrConflict reports a change that conflicts with a concurrent change or with the current state.
 type ErrConflict struct {
 	Kind   string
--- a/pkg/manager/fleetapi.go
+++ b/pkg/manager/fleetapi.go
@@ -26,6 +26,8 @@
 	// the job ID.
 	Host string `json:",omitempty"`
 	Path string `json:",omitempty"`
+	// Key is the digest of the caller's API key.
+	Key KeyDigest `json:",omitempty"`
 	// Graph is sent without its ID and queue.
 	Graph         *Graph              `json:",omitempty"`
 	Report        *WorkerReport       `json:",omitempty"`
@@ -67,7 +69,7 @@
 }
 
 // FleetAPI accepts calls on any node and passes them to the dispatcher on the leader. ErrOverloaded,
-// ErrNotExist, ErrInvalid and ErrUnavailable mean that nothing was done, ErrOutcomeUnknown that the call
+// ErrNotExist, ErrInvalid, ErrUnauthorized and ErrUnavailable mean that nothing was done, ErrOutcomeUnknown that the call
 // may have taken effect.
 type FleetAPI interface {
 	Call(ctx context.Context, c FleetCall) (FleetReply, error)
--- a/pkg/manager/fleetvalidate.go
+++ b/pkg/manager/fleetvalidate.go
@@ -1,6 +1,10 @@
 package manager
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"slices"
+)
 
 // Validate returns an ErrInvalid for the first invalid value of the configuration, or nil.
 func (c *FleetConfiguration) Validate() error {
@@ -35,6 +39,43 @@
 		}
 		routes[route], names[q.Queue] = true, true
 	}
+	return c.validateCustomers()
+}
+
+func (c *FleetConfiguration) validateCustomers() error {
+	names, owners := map[CustomerID]bool{}, map[KeyDigest]CustomerID{}
+	for i, s := range c.Customers {
+		field := fmt.Sprintf("Customers[%d]", i)
+		if s.Customer == "" || names[s.Customer] {
+			return ErrInvalid{Field: field + ".Customer", Reason: fmt.Sprintf("%.*q is empty or a duplicate", maxQuotedBytes, s.Customer)}
+		}
+		names[s.Customer] = true
+		for k, key := range s.Keys {
+			if owner, ok := owners[key]; ok && owner != s.Customer {
+				return ErrInvalid{Field: fmt.Sprintf("%s.Keys[%d]", field, k), Reason: fmt.Sprintf("is also a key of customer %q", owner)}
+			}
+			owners[key] = s.Customer
+		}
+		if err := s.validate(field); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s CustomerSettings) validate(field string) error {
+	if len(s.Customer) > MaxIDBytes {
+		return ErrInvalid{Field: field + ".Customer", Reason: fmt.Sprintf("has more than %d bytes", MaxIDBytes)}
+	}
+	if i := slices.Index(s.Keys, ""); i >= 0 {
+		return ErrInvalid{Field: fmt.Sprintf("%s.Keys[%d]", field, i), Reason: "is empty"}
+	}
+	if s.Weight < 0 || math.IsNaN(s.Weight) || math.IsInf(s.Weight, 0) {
+		return ErrInvalid{Field: field + ".Weight", Reason: fmt.Sprintf("is %g: expected a number of jobs per second", s.Weight)}
+	}
+	if r := s.Cap; r.ProcessorMilliCores < 0 || r.MemoryMegaBytes < 0 || r.Accelerators < 0 {
+		return ErrInvalid{Field: field + ".Cap", Reason: "has a negative limit"}
+	}
 	return nil
 }
 
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -113,6 +113,15 @@
 	PreferSameRack bool `json:"OneRack,omitempty"`
 }
 
+// Reserved returns what a task of the step uses of a worker's capacity.
+func (s GraphStep) Reserved() Resources {
+	r := s.PerTask
+	if s.BestEffort {
+		r.ProcessorMilliCores = 0
+	}
+	return r
+}
+
 // Repeat makes a job run its steps repeatedly, at scheduled wall-clock times.
 type Repeat struct {
 	// Count is the number of occurrences; 0 means that the job runs once, immediately.
@@ -129,6 +138,8 @@
 type Graph struct {
 	Graph GraphID
 	Queue QueueID
+	// Customer is the customer that submitted the job, or empty for a call without a key.
+	Customer CustomerID `json:",omitempty"`
 	// Payload is passed to each task.
 	Payload string
 	Steps   []GraphStep
--- a/pkg/manager/profile.go
+++ b/pkg/manager/profile.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// Times returns r multiplied by n.
+func (r Resources) Times(n int64) Resources {
+	return Resources{
+		ProcessorMilliCores: r.ProcessorMilliCores * MilliCores(n),
+		MemoryMegaBytes:     r.MemoryMegaBytes * MegaBytes(n),
+		Accelerators:        r.Accelerators * Accelerators(n),
+	}
+}
+
 // Fits reports whether o is at most r in every dimension.
 func (r Resources) Fits(o Resources) bool {
 	return o.ProcessorMilliCores <= r.ProcessorMilliCores &&
--- a/pkg/manager/workerreport.go
+++ b/pkg/manager/workerreport.go
@@ -100,6 +100,8 @@
 	MaxAttempts int
 	// Advice is set if an external service decides which workers may run a step.
 	Advice AdviceSettings `json:",omitzero"`
+	// AllowsAnonymous means that calls on the queue need no key.
+	AllowsAnonymous bool `json:",omitempty"`
 }
 
 // AdviceSettings describes the external service that decides which workers may run the steps of a queue.
@@ -128,19 +130,31 @@
 	Version Version
 	Queues  []QueueSettings
 	Pools   []PoolSettings
+	// RequiresKeys means that callers need the key of a customer, except on queues that allow anonymous calls.
+	RequiresKeys bool               `json:",omitempty"`
+	Customers    []CustomerSettings `json:",omitempty"`
 	// Document is the configuration as the operator sent it.
 	Document []byte
 
-	byID map[QueueID]int
+	byID       map[QueueID]int
+	byKey      map[KeyDigest]int
+	byCustomer map[CustomerID]int
 }
 
-// Index builds the lookup table of Queue. It is called once, before the configuration is shared between
+// Index builds the lookup tables. It is called once, before the configuration is shared between
 // goroutines.
 func (c *FleetConfiguration) Index() {
 	c.byID = make(map[QueueID]int, len(c.Queues))
 	for i, q := range c.Queues {
 		c.byID[q.Queue] = i
 	}
+	c.byKey, c.byCustomer = map[KeyDigest]int{}, make(map[CustomerID]int, len(c.Customers))
+	for i, s := range c.Customers {
+		c.byCustomer[s.Customer] = i
+		for _, k := range s.Keys {
+			c.byKey[k] = i
+		}
+	}
 }
 
 // Queue returns the settings of a queue.
