Keep what a customer runs within its cap

The replicated state sums up the open runs of each customer, until their ends are recorded; the dispatcher proposes no start beyond the cap. A customer that has left keeps its last cap while it has jobs.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -19,7 +19,10 @@
 // handleSubmit accepts a job, or refuses it at once if it can't be served in time.
 func (d *Dispatcher) handleSubmit(now manager.Time, call CallID, g manager.Graph, c *recorder.Changes) []Answer {
 	refuse := func(err error) []Answer { return []Answer{{Call: call, Err: err}} }
-	if d.State.Jobs[g.Graph] != nil {
+	if j := d.State.Jobs[g.Graph]; j != nil {
+		if j.Customer != g.Customer {
+			return refuse(manager.ErrConflict{Kind: "job", Name: string(g.Graph), Reason: "belongs to another customer"})
+		}
 		return []Answer{{Call: call}}
 	}
 	if at, ok := d.refusedUntil[g.Graph]; ok && now < at {
@@ -35,6 +38,9 @@
 	if err := g.Validate(); err != nil {
 		return refuse(err)
 	}
+	if err := d.checkCustomer(g, c); err != nil {
+		return refuse(err)
+	}
 	if wait := d.overloadDelay(now, g, q); wait > 0 {
 		d.refusedUntil[g.Graph] = now.Add(wait)
 		d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run",
--- a/pkg/manager/dispatcher/bounds.go
+++ b/pkg/manager/dispatcher/bounds.go
@@ -33,6 +33,9 @@
 		return false
 	}
 	d.startBytes += size
+	for _, s := range list {
+		d.recordStartedUse(s)
+	}
 	c.Start = append(c.Start, list...)
 	return true
 }
--- /dev/null
+++ b/pkg/manager/dispatcher/customer.go
@@ -0,0 +1,86 @@
+package dispatcher
+
+import (
+	"cmp"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+// checkCustomer returns an error for a job whose customer has left the configuration since the call was authorized, and for a
+// gang that the cap of its customer never lets start.
+func (d *Dispatcher) checkCustomer(g manager.Graph, c *recorder.Changes) error {
+	if g.Customer == "" {
+		return nil
+	}
+	configuration := cmp.Or(c.Configure, d.State.Configuration)
+	settings, ok := configuration.Customer(g.Customer)
+	if !ok {
+		return manager.ErrUnauthorized{Reason: "the customer has left the configuration"}
+	}
+	for _, s := range g.Steps {
+		if s.Gang && !within(s.Reserved().Times(int64(s.Count-1)), settings.Cap) {
+			d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "Customer", g.Customer, "RetryAfterMs", maxRetryAfter,
+				"Outcome", "not-run", "Reason", "a gang is wider than the customer's cap")
+			return manager.ErrOverloaded{RetryAfterMs: maxRetryAfter}
+		}
+	}
+	return nil
+}
+
+// customerUse is what the tasks of a customer use during a cycle.
+type customerUse struct {
+	// started is what the starts of this cycle add to the recorded use.
+	started manager.Resources
+	// reserved means that the rest of the cap is kept for a task that is larger than what is left of it.
+	reserved bool
+}
+
+// useOf returns what the runs of a customer use, with those that this cycle starts. A run that ends in this cycle still
+// counts as used, as does one that is being stopped.
+func (d *Dispatcher) useOf(c manager.CustomerID) manager.Resources {
+	return d.State.InUse(c).Add(d.customers[c].started)
+}
+
+// fitsCap reports whether the customer of a job may start n tasks of a step together. Tasks that are larger than the cap start
+// while nothing else of the customer is open: workers may begin the starts of several cycles in any order, and each of
+// them must keep the cap with one task more.
+func (d *Dispatcher) fitsCap(j *recorder.Job, s, n int) bool {
+	if j.Customer == "" {
+		return true
+	}
+	settings, ok := d.State.Customer(j.Customer)
+	if !ok {
+		return true
+	}
+	use, need := d.useOf(j.Customer), j.Steps[s].Reserved()
+	fits := within(use.Add(need.Times(int64(n))), settings.Cap)
+	switch {
+	case d.customers[j.Customer].reserved:
+		return false
+	case !fits && use == (manager.Resources{}):
+		return within(need.Times(int64(n-1)), settings.Cap)
+	case !fits && within(use.Times(2), settings.Cap):
+		// Later jobs would otherwise keep taking what this one needs.
+		d.customers[j.Customer] = customerUse{started: d.customers[j.Customer].started, reserved: true}
+	}
+	return fits
+}
+
+// within reports whether a use stays within a cap, of which a resource of 0 is not limited.
+func within(use, limit manager.Resources) bool {
+	return (limit.ProcessorMilliCores == 0 || use.ProcessorMilliCores <= limit.ProcessorMilliCores) &&
+		(limit.MemoryMegaBytes == 0 || use.MemoryMegaBytes <= limit.MemoryMegaBytes) &&
+		(limit.Accelerators == 0 || use.Accelerators <= limit.Accelerators)
+}
+
+// recordStartedUse adds a proposed start to the use of its customer.
+func (d *Dispatcher) recordStartedUse(s recorder.Start) {
+	j := d.State.Jobs[s.Task.Graph]
+	if j == nil || j.Customer == "" {
+		return
+	}
+	use := d.customers[j.Customer]
+	use.started = use.started.Add(j.Steps[s.Task.Step].Reserved())
+	d.customers[j.Customer] = use
+}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -108,6 +108,8 @@
 	leasesCheckedAt manager.Time
 	// freeByPool caches the free capacity of each pool during a cycle.
 	freeByPool map[manager.PoolID]manager.Resources
+	// customers holds the use of customers during a cycle.
+	customers map[manager.CustomerID]customerUse
 	// startBytes is the estimated size of the starts of a cycle.
 	startBytes int
 	// fleetLimits caches the limits of the known VMs until one of them changes.
@@ -172,6 +174,7 @@
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
 	d.freeByPool, d.recorded = nil, nil
+	d.customers = map[manager.CustomerID]customerUse{}
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.handleEvent(now, e, &c)...)
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -17,7 +17,7 @@
 // left to other jobs.
 func (d *Dispatcher) placeGang(now manager.Time, j *recorder.Job, s int, list []*candidate, c *recorder.Changes) {
 	run := j.NextGangRun(s)
-	if run == 0 {
+	if run == 0 || !d.fitsCap(j, s, j.Steps[s].Count) {
 		return
 	}
 	places := d.gangPlaces(now, j, s, list)
@@ -70,7 +70,7 @@
 func fitGang(now manager.Time, step manager.GraphStep, tasks []recorder.Task, list []*candidate) []*candidate {
 	var places []*candidate
 	counts := map[manager.WorkerInstance]int{}
-	need := stepResources(step)
+	need := step.Reserved()
 	for i := range tasks {
 		w := chooseWorker(now, step, &tasks[i], counts, list)
 		if w == nil {
@@ -93,7 +93,8 @@
 // cycle.
 func (d *Dispatcher) gangBlocksPool(now manager.Time, j *recorder.Job, c *recorder.Changes) bool {
 	for s, step := range j.Steps {
-		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 || !d.runnable(&j.Steps[s]) {
+		if !step.Gang || j.Remaining(s) == 0 || !j.StepReady(s) || j.NextGangRun(s) == 0 || !d.runnable(&j.Steps[s]) ||
+			!d.fitsCap(j, s, step.Count) {
 			continue
 		}
 		started := slices.ContainsFunc(c.Start, func(o recorder.Start) bool { return o.Task.Graph == j.Graph.Graph && o.Task.Step == s })
--- a/pkg/manager/dispatcher/holding.go
+++ b/pkg/manager/dispatcher/holding.go
@@ -39,7 +39,7 @@
 			h.exposure.count(&j.Steps[id.Step], t, d.isStarting(w, id, r))
 		}
 		if j != nil && j.Steps[id.Step].LongRunning {
-			h.longRunning = h.longRunning.Add(stepResources(j.Steps[id.Step]))
+			h.longRunning = h.longRunning.Add(j.Steps[id.Step].Reserved())
 		} else {
 			h.finite = true
 		}
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -160,7 +160,7 @@
 		vms++
 		for id := range d.State.Runs(w.instance) {
 			if j := d.State.Jobs[id.Graph]; j != nil && !j.Steps[id.Step].LongRunning {
-				used = used.Add(stepResources(j.Steps[id.Step]))
+				used = used.Add(j.Steps[id.Step].Reserved())
 			}
 		}
 	}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -175,6 +175,9 @@
 		if t.Done || t.Open != nil {
 			continue
 		}
+		if !d.fitsCap(j, s, 1) {
+			return
+		}
 		best := unmet.choose(now, &j.Steps[s], t, perWorker, list, open)
 		if best != nil {
 			if !d.addStart(d.start(j, s, i, t.LastRun+1, best), c) {
@@ -202,22 +205,22 @@
 // means that every worker of the pool may run the step.
 func (s *shortage) choose(now manager.Time, step *manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerInstance]int, list []*candidate, open bool) *candidate {
 	onlyCapacity := open && unconstrained(step, t)
-	if onlyCapacity && s.covers(stepResources(*step)) {
+	if onlyCapacity && s.covers(step.Reserved()) {
 		return nil
 	}
 	best := chooseWorker(now, *step, t, perWorker, list)
 	if best == nil && onlyCapacity {
-		*s = append(*s, stepResources(*step))
+		*s = append(*s, step.Reserved())
 	}
 	return best
 }
 
 // assign subtracts a task of a step from the worker's free capacity.
 func (w *candidate) assign(step manager.GraphStep, t *recorder.Task, perWorker map[manager.WorkerInstance]int) {
-	w.free = w.free.Sub(stepResources(step))
+	w.free = w.free.Sub(step.Reserved())
 	w.exposure.count(&step, t, true)
 	if step.LongRunning {
-		w.longRunning = w.longRunning.Add(stepResources(step))
+		w.longRunning = w.longRunning.Add(step.Reserved())
 	}
 	if perWorker != nil {
 		perWorker[w.instance]++
@@ -267,14 +270,14 @@
 	}
 	// Finite tasks wait for a worker whose report is held, so that they start at once. Gang tasks would wait forever:
 	// the reports of a pool with a backlog are answered one by one. Gang tasks that start early wait for the others.
-	return (w.polling || step.LongRunning || step.Gang) && w.free.Fits(stepResources(step))
+	return (w.polling || step.LongRunning || step.Gang) && w.free.Fits(step.Reserved())
 }
 
 // score ranks the workers that may run a task.
 func (w *candidate) score(step manager.GraphStep, t *recorder.Task) float64 {
-	score := w.bestFit(stepResources(step))
+	score := w.bestFit(step.Reserved())
 	if step.LongRunning {
-		score = w.pack(stepResources(step))
+		score = w.pack(step.Reserved())
 	}
 	if step.DataRack != "" && slices.Contains(w.latest.Labels, step.DataRack) {
 		score++
--- a/pkg/manager/dispatcher/runnable.go
+++ b/pkg/manager/dispatcher/runnable.go
@@ -40,7 +40,7 @@
 	if l.capacity == (manager.Resources{}) {
 		return true
 	}
-	return l.capacity.Fits(stepResources(*step)) && (step.Requires == "" || l.labels[step.Requires])
+	return l.capacity.Fits(step.Reserved()) && (step.Requires == "" || l.labels[step.Requires])
 }
 
 // runnableWork returns the remaining work of a job that some VM can do. A task counts with at most limit, as it uses no
--- a/pkg/manager/dispatcher/unplaceable.go
+++ b/pkg/manager/dispatcher/unplaceable.go
@@ -91,7 +91,7 @@
 
 // maxTasks returns how many tasks of a step fit into a capacity.
 func maxTasks(free manager.Resources, step *manager.GraphStep) int {
-	need, n := stepResources(*step), step.Count
+	need, n := step.Reserved(), step.Count
 	if step.MaxPerWorker > 0 {
 		n = min(n, step.MaxPerWorker)
 	}
--- a/pkg/manager/dispatcher/work.go
+++ b/pkg/manager/dispatcher/work.go
@@ -11,7 +11,7 @@
 
 // add adds tasks of a step that run for the given time in total.
 func (w *work) add(s manager.GraphStep, ms float64) {
-	r := stepResources(s)
+	r := s.Reserved()
 	w.processors += float64(r.ProcessorMilliCores) * ms
 	w.memory += float64(r.MemoryMegaBytes) * ms
 	w.accelerators += float64(r.Accelerators) * ms
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -315,14 +315,5 @@
 	if j == nil || id.Step >= len(j.Steps) {
 		return manager.Resources{}
 	}
-	return stepResources(j.Steps[id.Step])
-}
-
-// stepResources returns what a task of the step uses of a worker's capacity.
-func stepResources(s manager.GraphStep) manager.Resources {
-	r := s.PerTask
-	if s.BestEffort {
-		r.ProcessorMilliCores = 0
-	}
-	return r
+	return j.Steps[id.Step].Reserved()
 }
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -65,6 +65,9 @@
 	for _, s := range c.Start {
 		st.startRun(s)
 	}
+	if c.Configure != nil {
+		st.dropDeparted()
+	}
 	st.dropExpired()
 }
 
@@ -94,8 +97,9 @@
 
 func (st *State) configure(c *manager.FleetConfiguration) {
 	if c != nil && (st.Configuration == nil || c.Version > st.Configuration.Version) {
-		st.Configuration = c
 		c.Index()
+		st.depart(c)
+		st.Configuration = c
 	}
 }
 
@@ -133,6 +137,7 @@
 	j.openRuns++
 	j.openByStep[s.Task.Step]++
 	st.addRun(s.Task, t.Open)
+	st.addUse(j, s.Task.Step)
 	if !j.Started {
 		j.Started, j.State, j.WaitedMs = true, manager.GraphRunning, st.At.Sub(j.Accepted)
 		if !j.isOccurrence() {
@@ -154,6 +159,7 @@
 	if len(st.runs[instance]) == 0 {
 		delete(st.runs, instance)
 	}
+	st.removeUse(j, e.Task.Step)
 	t.Open, t.EndedAt = nil, st.At
 	j.openRuns--
 	j.openByStep[e.Task.Step]--
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -26,11 +26,14 @@
 	Times map[manager.QueueID]*QueueTimes `json:",omitempty"`
 	// Ended lists the ended jobs, oldest first.
 	Ended []manager.GraphID
+	// Departed holds the latest settings of the customers that have left the configuration while they had jobs.
+	Departed map[manager.CustomerID]manager.CustomerSettings `json:",omitempty"`
 
 	active  map[manager.GraphID]*Job
 	runs    map[manager.WorkerInstance]map[manager.TaskID]*Run
 	expired map[manager.WorkerInstance]map[manager.TaskID]ExpiredRun
 	pending map[manager.QueueID]int
+	inUse   map[manager.CustomerID]manager.Resources
 }
 
 // Job is a job and its progress.
@@ -145,6 +148,7 @@
 	st.runs = map[manager.WorkerInstance]map[manager.TaskID]*Run{}
 	st.expired = map[manager.WorkerInstance]map[manager.TaskID]ExpiredRun{}
 	st.pending = map[manager.QueueID]int{}
+	st.inUse = map[manager.CustomerID]manager.Resources{}
 	if st.Configuration != nil {
 		st.Configuration.Index()
 	}
@@ -180,6 +184,7 @@
 		j.openRuns++
 		j.openByStep[id.Step]++
 		st.addRun(id, t.Open)
+		st.addUse(j, id.Step)
 	}
 }
 
