Serve a customer's jobs beyond its weight with what nobody else needs

Load: one customer sends several times its weight while the queues of others burst. Its jobs took the capacity of jobs that others were entitled to.

A token bucket for each customer marks a job as within the share or as surplus when it is submitted. Surplus comes after late jobs within shares, borrows no VMs and is refused at once when the pool can't finish it in its objective; the pause that is sent spreads the callers. A job is also refused when the cap of its customer can't serve it in time.

Measured: TestFloodDelaysNoOtherCustomer, jobs of the other customer in time 40 and 40 of 40, without shares 14 and 10. A cycle with 10,000 waiting tasks takes 1.3 ms without customers and with 20, 200 and 1,000.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/retrier"
 )
 
 const (
@@ -16,6 +17,12 @@
 	maxRetryAfter = 10 * manager.Second
 )
 
+// refusal is a job that was refused. Until its time a delayed duplicate of its submit is refused too.
+type refusal struct {
+	until   manager.Time
+	surplus bool
+}
+
 // handleSubmit accepts a job, or refuses it at once if it can't be served in time.
 func (d *Dispatcher) handleSubmit(now manager.Time, call CallID, g manager.Graph, c *recorder.Changes) []Answer {
 	refuse := func(err error) []Answer { return []Answer{{Call: call, Err: err}} }
@@ -25,8 +32,8 @@
 		}
 		return []Answer{{Call: call}}
 	}
-	if at, ok := d.refusedUntil[g.Graph]; ok && now < at {
-		return refuse(manager.ErrOverloaded{RetryAfterMs: at.Sub(now)})
+	if r, ok := d.refused[g.Graph]; ok && now < r.until {
+		return refuse(manager.ErrOverloaded{RetryAfterMs: r.until.Sub(now)})
 	}
 	if d.State.Configuration == nil {
 		return refuse(manager.ErrUnavailable{Component: "configuration", Reason: "no configuration received yet"})
@@ -41,25 +48,26 @@
 	if err := d.checkCustomer(g, c); err != nil {
 		return refuse(err)
 	}
-	if wait := d.overloadDelay(now, g, q); wait > 0 {
-		d.refusedUntil[g.Graph] = now.Add(wait)
-		d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run",
+	g.Surplus = d.isSurplus(now, g, c)
+	if wait := d.overloadDelay(now, g, q, c); wait > 0 {
+		d.refused[g.Graph] = refusal{until: now.Add(wait), surplus: g.Surplus}
+		d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run", "Surplus", g.Surplus,
 			"Load", d.lending.loads[q.Pool], "LoadAgeMs", now.Sub(d.lending.balancedAt), "ConfigurationVersion", d.State.Configuration.Version)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
-	if g.Repeat.Count == 0 {
+	if g.Repeat.Count == 0 && !g.Surplus {
 		d.recordDemand(now, q.Pool, g)
 	}
-	d.log(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.State.Configuration.Version)
+	d.log(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "Surplus", g.Surplus, "ConfigurationVersion", d.State.Configuration.Version)
 	return d.awaitCommit(call)
 }
 
 // overloadDelay returns how long the caller of a job that can't be served in time should wait before it retries, or 0.
-func (d *Dispatcher) overloadDelay(now manager.Time, g manager.Graph, q manager.QueueSettings) manager.Duration {
-	for id, at := range d.refusedUntil {
-		if now.Sub(at) > refusalRetention {
-			delete(d.refusedUntil, id)
+func (d *Dispatcher) overloadDelay(now manager.Time, g manager.Graph, q manager.QueueSettings, c *recorder.Changes) manager.Duration {
+	for id, r := range d.refused {
+		if now.Sub(r.until) > refusalRetention {
+			delete(d.refused, id)
 		}
 	}
 	if !g.HasFinite() || g.Repeat.Count > 0 || now.Sub(d.StartedAt) < warmUpTime {
@@ -69,19 +77,31 @@
 	if free == (manager.Resources{}) {
 		return 0
 	}
-	probe := &recorder.Job{Graph: g, Accepted: now}
-	slack := overdueFactor*d.objective(probe).Sub(now) - d.times.graphCriticalPath(g)
+	shortest := max(d.times.graphCriticalPath(g), d.shortestWithinCap(g))
+	objective := manager.DurationOf(q.Stretch*float64(shortest)) + q.SlackMs
+	slack, capacity := overdueFactor*objective-shortest, free.Add(d.lending.lendable)
+	if g.Surplus {
+		// Late surplus would only take capacity that its customer is entitled to a moment later.
+		slack, capacity = objective-shortest, free
+	}
 	var backlog work
 	for _, j := range d.State.Active() {
-		if !j.Unreleased() && d.poolOf(j) == q.Pool {
+		if !j.Unreleased() && d.poolOf(j) == q.Pool && (g.Surplus || !j.Surplus) {
 			backlog.plus(d.runnableWork(j, max(slack, 0)))
 		}
 	}
-	wait := manager.DurationOf(backlog.over(free.Add(d.lending.lendable)))
+	wait := max(manager.DurationOf(backlog.over(capacity)), d.capWait(g, c)-shortest)
 	if wait <= slack {
 		return 0
 	}
-	return min(maxRetryAfter, max(minRetryAfter, wait-slack))
+	pause := wait - slack
+	if g.Surplus {
+		pause = max(pause, d.Options.Shares.ReturnAfter(now, g.Customer, d.weight(g.Customer, c)))
+		if pause > maxRetryAfter {
+			return retrier.Spread(maxRetryAfter/2, maxRetryAfter, string(g.Graph))
+		}
+	}
+	return min(maxRetryAfter, max(minRetryAfter, pause))
 }
 
 // freeCapacity returns the capacity of a pool's available workers that long-running tasks don't use.
--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -7,6 +7,10 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
+// usableCapShare is the share of a cap that admission counts on. The rest is idle between the recorded end of a run and the start
+// of the next one, some 0.2 s for each second of work.
+const usableCapShare = 0.8
+
 // checkCustomer returns an error for a job whose customer has left the configuration since the call was authorized, and for a
 // gang that the cap of its customer never lets start.
 func (d *Dispatcher) checkCustomer(g manager.Graph, c *recorder.Changes) error {
@@ -28,6 +32,25 @@
 	return nil
 }
 
+// weight returns the weight of a customer in the configuration that is in force after this cycle.
+func (d *Dispatcher) weight(id manager.CustomerID, c *recorder.Changes) float64 {
+	s, _ := cmp.Or(c.Configure, d.State.Configuration).Customer(id)
+	return s.Weight
+}
+
+// isSurplus reports whether a job is beyond the share of its customer. A job that was refused keeps what it was, so that
+// retries use up no share. Long-running and repeating jobs always count as within the share, as their tasks must be kept
+// running.
+func (d *Dispatcher) isSurplus(now manager.Time, g manager.Graph, c *recorder.Changes) bool {
+	if g.Customer == "" || g.HasLongRunning() || g.Repeat.Count > 0 {
+		return false
+	}
+	if r, ok := d.refused[g.Graph]; ok {
+		return r.surplus
+	}
+	return !d.Options.Shares.Take(now, g.Customer, d.weight(g.Customer, c))
+}
+
 // customerUse is what the tasks of a customer use during a cycle.
 type customerUse struct {
 	// started is what the starts of this cycle add to the recorded use.
@@ -46,25 +69,80 @@
 // while nothing else of the customer is open: workers may begin the starts of several cycles in any order, and each of
 // them must keep the cap with one task more.
 func (d *Dispatcher) fitsCap(j *recorder.Job, s, n int) bool {
-	if j.Customer == "" {
-		return true
-	}
-	settings, ok := d.State.Customer(j.Customer)
+	limit, ok := d.capOf(j.Customer)
 	if !ok {
 		return true
 	}
-	use, need := d.useOf(j.Customer), j.Steps[s].Reserved()
-	fits := within(use.Add(need.Times(int64(n))), settings.Cap)
-	switch {
-	case d.customers[j.Customer].reserved:
+	if d.customers[j.Customer].reserved {
 		return false
-	case !fits && use == (manager.Resources{}):
-		return within(need.Times(int64(n-1)), settings.Cap)
-	case !fits && within(use.Times(2), settings.Cap):
-		// Later jobs would otherwise keep taking what this one needs.
-		d.customers[j.Customer] = customerUse{started: d.customers[j.Customer].started, reserved: true}
 	}
-	return fits
+	use, need := d.useOf(j.Customer), j.Steps[s].Reserved()
+	if use == (manager.Resources{}) {
+		return within(need.Times(int64(n-1)), limit)
+	}
+	return within(use.Add(need.Times(int64(n))), limit)
+}
+
+// capOf returns the cap of a customer, if it has one.
+func (d *Dispatcher) capOf(id manager.CustomerID) (manager.Resources, bool) {
+	if id == "" {
+		return manager.Resources{}, false
+	}
+	s, _ := d.State.Customer(id)
+	return s.Cap, s.Cap != (manager.Resources{})
+}
+
+// reserveCap keeps the rest of a customer's cap for a step that does not fit into it although less than half of it is used.
+// Later jobs of the customer would otherwise keep taking what the step needs.
+func (d *Dispatcher) reserveCap(j *recorder.Job) {
+	limit, ok := d.capOf(j.Customer)
+	if !ok || !within(d.useOf(j.Customer).Times(2), limit) {
+		return
+	}
+	use := d.customers[j.Customer]
+	use.reserved = true
+	d.customers[j.Customer] = use
+}
+
+// shortestWithinCap returns the time that a job takes at least within the cap of its customer.
+func (d *Dispatcher) shortestWithinCap(g manager.Graph) manager.Duration {
+	limit, ok := d.capOf(g.Customer)
+	if !ok {
+		return 0
+	}
+	own := d.graphWork(g)
+	return manager.DurationOf(own.overCap(limit))
+}
+
+// capWait returns when a new job of a customer would be done within its cap, after the jobs that are accepted already.
+func (d *Dispatcher) capWait(g manager.Graph, c *recorder.Changes) manager.Duration {
+	limit, ok := d.capOf(g.Customer)
+	if !ok {
+		return 0
+	}
+	total := d.graphWork(g)
+	for _, j := range d.State.Active() {
+		if j.Customer == g.Customer && !j.Unreleased() {
+			total.plus(d.runnableWork(j, maxTaskLoad))
+		}
+	}
+	for _, o := range c.Submit {
+		if o.Customer == g.Customer {
+			total.plus(d.graphWork(o))
+		}
+	}
+	return manager.DurationOf(total.overCap(limit) / usableCapShare)
+}
+
+// graphWork returns the work of a job that is not accepted yet.
+func (d *Dispatcher) graphWork(g manager.Graph) work {
+	var total work
+	for i, s := range g.Steps {
+		if d.runnable(&g.Steps[i]) {
+			total.add(s, float64(s.Count)*float64(min(maxTaskLoad, d.times.task(g.Queue, s))))
+		}
+	}
+	return total
 }
 
 // within reports whether a use stays within a cap, of which a resource of 0 is not limited.
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/sharer"
 )
 
 // CallID identifies a caller that waits for an answer.
@@ -55,6 +56,8 @@
 	// MaxDirect limits the number of workers that are asked to report to this node directly. The others report through
 	// any node, and their reports are answered without waiting for orders. 0 means no limit.
 	MaxDirect int
+	// Shares decides which jobs are within the shares of their customers; nil stands for token buckets.
+	Shares manager.ShareMeter
 }
 
 // Defaults of Options.
@@ -83,9 +86,7 @@
 	// byAddress holds the latest worker instance at each address.
 	byAddress      map[manager.Address]*worker
 	awaitingCommit []waitingCaller
-	// refusedUntil is when a refused job may be submitted again. Until then a delayed duplicate of its submit is
-	// refused too.
-	refusedUntil   map[manager.GraphID]manager.Time
+	refused        map[manager.GraphID]refusal
 	times          estimator
 	maintenance    maintenanceState
 	logLines       []LogLine
@@ -153,10 +154,13 @@
 	setDefault(&o.NextMs, DefaultNext)
 	setDefault(&o.StopMs, DefaultStop)
 	setDefault(&o.OrderGapMs, DefaultOrderGap)
+	if o.Shares == nil {
+		o.Shares = sharer.NewBuckets()
+	}
 	return &Dispatcher{
 		State: state, Token: token, Options: o, StartedAt: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
-		byAddress: map[manager.Address]*worker{}, refusedUntil: map[manager.GraphID]manager.Time{},
+		byAddress: map[manager.Address]*worker{}, refused: map[manager.GraphID]refusal{},
 		times: estimator{state: state}, initialStateAt: state.At, unresolved: unresolvedOrders(state),
 		incompleteGangs: map[StepID]manager.RunNumber{},
 	}
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -17,7 +17,11 @@
 // left to other jobs.
 func (d *Dispatcher) placeGang(now manager.Time, j *recorder.Job, s int, list []*candidate, c *recorder.Changes) {
 	run := j.NextGangRun(s)
-	if run == 0 || !d.fitsCap(j, s, j.Steps[s].Count) {
+	if run == 0 {
+		return
+	}
+	if !d.fitsCap(j, s, j.Steps[s].Count) {
+		d.reserveCap(j)
 		return
 	}
 	places := d.gangPlaces(now, j, s, list)
--- a/pkg/manager/dispatcher/load.go
+++ b/pkg/manager/dispatcher/load.go
@@ -40,13 +40,7 @@
 	if d.lending.demand[p] == nil {
 		d.lending.demand[p] = &demand{at: now}
 	}
-	var in work
-	for i, s := range g.Steps {
-		if d.runnable(&g.Steps[i]) {
-			in.add(s, float64(s.Count)*float64(min(maxTaskLoad, d.times.task(g.Queue, s))))
-		}
-	}
-	d.lending.demand[p].add(now, in)
+	d.lending.demand[p].add(now, d.graphWork(g))
 }
 
 // poolLoad is what a pool needs and has.
@@ -55,6 +49,9 @@
 	// need is the capacity for ready tasks and incoming work; running is the capacity for running tasks.
 	need    work
 	running work
+	// surplus is the capacity for waiting tasks beyond the shares of their customers. It keeps VMs in the pool and borrows
+	// none.
+	surplus work
 	// free is the capacity that long-running tasks don't use, with that of VMs that are moving to the pool.
 	free manager.Resources
 	// unplaceable is a step whose tasks find no worker in the pool, or nil.
@@ -69,6 +66,13 @@
 	return max(p.need.over(capacity), p.running.over(capacity))
 }
 
+// loadWithSurplus is load, with the tasks that wait beyond the shares of their customers.
+func (p *poolLoad) loadWithSurplus(gain manager.Resources) float64 {
+	all := p.need
+	all.plus(p.surplus)
+	return max(all.over(p.free.Add(gain)), p.load(gain))
+}
+
 func findLoad(loads []*poolLoad, p manager.PoolID) *poolLoad {
 	for _, l := range loads {
 		if l.pool == p {
@@ -126,7 +130,15 @@
 		}
 		// A running task is half done on average.
 		left := float64(j.Remaining(s)) - float64(running)/2
-		l.need.add(step, left*float64(min(maxTaskLoad, d.times.task(j.Queue, step)))/float64(loadHorizon))
+		if !d.fitsCap(j, s, 1) {
+			// The others wait for the cap of their customer, whatever capacity the pool has.
+			left = float64(running) / 2
+		}
+		need := &l.need
+		if j.Surplus {
+			need = &l.surplus
+		}
+		need.add(step, left*float64(min(maxTaskLoad, d.times.task(j.Queue, step)))/float64(loadHorizon))
 		l.running.add(step, float64(running))
 	}
 }
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -19,6 +19,8 @@
 	classOnTime
 	// classLate is for jobs that miss their objective but still have value.
 	classLate
+	// classSurplus is for jobs beyond the share of their customer.
+	classSurplus
 	// classOverdue is for jobs that are so late that no caller waits for them.
 	classOverdue
 )
@@ -81,6 +83,8 @@
 	objective := d.objective(j)
 	t.latestStart = objective.Add(-d.times.criticalPath(j))
 	switch {
+	case j.Surplus:
+		t.class = classSurplus
 	case now <= t.latestStart:
 		t.class = classOnTime
 	case now.Sub(j.ReleaseTime()) < overdueFactor*objective.Sub(j.ReleaseTime()):
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -176,6 +176,7 @@
 			continue
 		}
 		if !d.fitsCap(j, s, 1) {
+			d.reserveCap(j)
 			return
 		}
 		best := unmet.choose(now, &j.Steps[s], t, perWorker, list, open)
--- a/pkg/manager/dispatcher/surplus.go
+++ b/pkg/manager/dispatcher/surplus.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		if l := findLoad(loads, vm.pool); l != nil {
-			if l.load(manager.Resources{}.Sub(vm.capacity)) > surplusLoad {
+			if l.loadWithSurplus(manager.Resources{}.Sub(vm.capacity)) > surplusLoad {
 				continue
 			}
 			l.free = l.free.Sub(vm.capacity)
--- a/pkg/manager/dispatcher/work.go
+++ b/pkg/manager/dispatcher/work.go
@@ -38,6 +38,24 @@
 	)
 }
 
+// overCap returns the time that the work takes within a cap, of which a resource of 0 is not limited.
+func (w *work) overCap(limit manager.Resources) float64 {
+	longest := 0.0
+	for _, r := range []struct {
+		work  float64
+		limit int64
+	}{
+		{w.processors, int64(limit.ProcessorMilliCores)},
+		{w.memory, int64(limit.MemoryMegaBytes)},
+		{w.accelerators, int64(limit.Accelerators)},
+	} {
+		if r.limit > 0 {
+			longest = max(longest, r.work/float64(r.limit))
+		}
+	}
+	return longest
+}
+
 // ratio divides an amount by a capacity. A capacity of zero counts as one unit, so that work without capacity takes
 // very long.
 func ratio(amount, capacity float64) float64 {
--- a/pkg/manager/jobgraph.go
+++ b/pkg/manager/jobgraph.go
@@ -140,6 +140,8 @@
 	Queue QueueID
 	// Customer is the customer that submitted the job, or empty for a call without a key.
 	Customer CustomerID `json:",omitempty"`
+	// Surplus means that the customer submitted the job beyond its share.
+	Surplus bool `json:",omitempty"`
 	// Payload is passed to each task.
 	Payload string
 	Steps   []GraphStep
--- a/pkg/manager/retrier/outage.go
+++ b/pkg/manager/retrier/outage.go
@@ -26,9 +26,18 @@
 	return max(minOutagePause, manager.Duration(pause))
 }
 
+// Spread returns a pause between two limits that differs by caller, so that callers refused together do not return together.
+func Spread(least, most manager.Duration, caller string) manager.Duration {
+	return least + manager.Duration(float64(most-least)*fraction(caller))
+}
+
 // fraction returns a number from 0 to 1 that differs by caller.
 func fraction(caller string) float64 {
-	h := fnv.New32a()
+	h := fnv.New64a()
 	_, _ = h.Write([]byte(caller))
-	return float64(h.Sum32()) / float64(^uint32(0))
+	// The high bits of the hash hardly depend on the last characters, which is where the names of callers differ.
+	mixed := h.Sum64()
+	mixed = (mixed ^ mixed>>33) * 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	return float64(mixed) / float64(^uint64(0))
 }
