commander: config check takes the document of PUT /config

Operators learned of a mistake in a document once it was in force. `config check` checked settings files of the program only.

It exits with 0 if nothing was found, 1 for warnings and 2 for errors and for every failure of the check itself, so that no script takes one for a mere warning. For that, flags that exclude each other are now an error of usage (2, was 1), also for `explain`.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -24,6 +24,7 @@
 		{"missing argument", []string{"wave", "status"}, ExitUsage, "accepts 1 arg"},
 		{"missing flag", []string{"wave", "approve", "w1"}, ExitUsage, "plan-version"},
 		{"missing settings", []string{"serve"}, ExitUsage, "config"},
+		{"missing subject", []string{"explain"}, ExitUsage, "at least one of the flags"},
 		{"wrong output", []string{"status", "--output", "xml"}, ExitUsage, "--output"},
 		{"broken settings", []string{"config", "check", broken}, ExitUsage, "Node: expected string, found number"},
 		{"good settings", []string{"config", "check", "../../configs/qirsh/gateway.json"}, ExitOK, ""},
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -9,28 +9,23 @@
 )
 
 func newConfig(o *options) *cobra.Command {
-	var fleet bool
-	check := &cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a settings file",
-		Args:  exactly(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			if fleet {
-				s, err := configurer.ReadFleetNode(args[0])
-				if err != nil {
-					return errUsage{err}
-				}
-				fmt.Fprintf(o.out, "%s: node %s, replica %t: fine\n", args[0], s.Node, s.DataFolder != "")
-				return nil
-			}
-			s, err := configurer.Read(args[0])
-			if err != nil {
-				return errUsage{err}
-			}
-			fmt.Fprintf(o.out, "%s: node %s, services %v: fine\n", args[0], s.Node, s.Services)
-			return nil
-		},
+	return newGroup("config", "Work on settings files and configuration documents", newConfigCheck(o))
+}
+
+// checkSettings checks a settings file of the program.
+func checkSettings(o *options, file string, fleet bool) error {
+	if fleet {
+		s, err := configurer.ReadFleetNode(file)
+		if err != nil {
+			return errUsage{err}
+		}
+		fmt.Fprintf(o.out, "%s: node %s, replica %t: fine\n", file, s.Node, s.DataFolder != "")
+		return nil
+	}
+	s, err := configurer.Read(file)
+	if err != nil {
+		return errUsage{err}
 	}
-	check.Flags().BoolVar(&fleet, "fleet", false, "the file is for the command fleet")
-	return newGroup("config", "Work on settings files", check)
+	fmt.Fprintf(o.out, "%s: node %s, services %v: fine\n", file, s.Node, s.Services)
+	return nil
 }
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -58,6 +58,9 @@
 	if err == nil {
 		return ExitOK
 	}
+	if found, ok := errors.AsType[errFindings](err); ok {
+		return found.code
+	}
 	fmt.Fprintln(errOut, "mulberryhaven:", err)
 	if _, ok := errors.AsType[errUsage](err); ok {
 		return ExitUsage
@@ -75,7 +78,7 @@
 		RunE:          group,
 		Args:          cobra.ArbitraryArgs,
 		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
-			if err := cmd.ValidateRequiredFlags(); err != nil {
+			if err := errors.Join(cmd.ValidateRequiredFlags(), cmd.ValidateFlagGroups()); err != nil {
 				return errUsage{err}
 			}
 			if o.output != outputText && o.output != outputJSON {
