Keep the settings of a queue that is removed while it has jobs

Cause: attempts, objective, priority and pool of a job were looked up by the queue's name in the configuration in force. Without an entry the attempts were one and there was no pool.

The state keeps the last settings of a removed queue while jobs of it have not ended, as for customers; new jobs are still refused.

--- a/pkg/manager/dispatcher/customer_test.go
+++ b/pkg/manager/dispatcher/customer_test.go
@@ -114,7 +114,7 @@
 	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
 	f.configureCustomers()
 	f.run(200)
-	require.Empty(t, f.state.Departed)
+	require.Empty(t, f.state.Departed.Customers)
 }
 
 func TestSubmitWithIDOfAnotherCustomerConflicts(t *testing.T) {
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -119,17 +119,15 @@
 	return heard && !leaving && !w.endsPending && !w.health.excluded(now) && !d.usageOf(w).unknownRuns
 }
 
-// poolOf returns the pool that runs a job, or "" while its queue is not configured.
+// poolOf returns the pool that runs a job, or "" if its queue is not known.
 func (d *Dispatcher) poolOf(j *recorder.Job) manager.PoolID {
 	return d.queue(j).Pool
 }
 
-// queue returns the settings of a job's queue. They are empty while the queue is not configured.
+// queue returns the settings of a job's queue. They are empty if it is not known, as in a snapshot of a version that kept no
+// removed queues.
 func (d *Dispatcher) queue(j *recorder.Job) manager.QueueSettings {
-	if d.State.Configuration == nil {
-		return manager.QueueSettings{}
-	}
-	q, _ := d.State.Configuration.Queue(j.Queue)
+	q, _ := d.State.Queue(j.Queue)
 	return q
 }
 
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -199,17 +199,10 @@
 	st.completeIfDone(j)
 }
 
-// maxAttempts returns the number of attempts that a queue allows its tasks. It is 1 for a queue that was removed from
-// the configuration.
-func (st *State) maxAttempts(q manager.QueueID) int {
-	if st.Configuration == nil {
-		return 1
-	}
-	s, ok := st.Configuration.Queue(q)
-	if !ok {
-		return 1
-	}
-	return max(1, s.MaxAttempts)
+// maxAttempts returns the number of attempts that a queue allows its tasks.
+func (st *State) maxAttempts(id manager.QueueID) int {
+	q, _ := st.Queue(id)
+	return max(1, q.MaxAttempts)
 }
 
 func (st *State) endJob(j *Job, s manager.GraphState) {
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -25,9 +25,8 @@
 	// Times holds the statistics of task durations, by queue.
 	Times map[manager.QueueID]*QueueTimes `json:",omitempty"`
 	// Ended lists the ended jobs, oldest first.
-	Ended []manager.GraphID
-	// Departed holds the latest settings of the customers that have left the configuration while they had jobs.
-	Departed map[manager.CustomerID]manager.CustomerSettings `json:",omitempty"`
+	Ended    []manager.GraphID
+	Departed Departed `json:",omitzero"`
 
 	active  map[manager.GraphID]*Job
 	runs    map[manager.WorkerInstance]map[manager.TaskID]*Run
--- a/pkg/manager/recorder/customer.go
+++ b/pkg/manager/recorder/customer.go
@@ -14,7 +14,7 @@
 			return s, true
 		}
 	}
-	s, ok := st.Departed[c]
+	s, ok := st.Departed.Customers[c]
 	return s, ok
 }
 
@@ -35,42 +35,3 @@
 	}
 	st.inUse[j.Customer] = left
 }
-
-// depart keeps the settings of the customers that the next configuration drops.
-func (st *State) depart(next *manager.FleetConfiguration) {
-	for _, s := range next.Customers {
-		delete(st.Departed, s.Customer)
-	}
-	if st.Configuration == nil {
-		return
-	}
-	for _, s := range st.Configuration.Customers {
-		if _, ok := next.Customer(s.Customer); ok {
-			continue
-		}
-		if st.Departed == nil {
-			st.Departed = map[manager.CustomerID]manager.CustomerSettings{}
-		}
-		s.Keys = nil
-		st.Departed[s.Customer] = s
-	}
-}
-
-// dropDeparted removes the settings of departed customers without jobs. It runs after the submits of the entry that changes the
-// configuration, as one of them may be of a customer that leaves.
-func (st *State) dropDeparted() {
-	if len(st.Departed) == 0 {
-		return
-	}
-	withJobs := map[manager.CustomerID]bool{}
-	for _, j := range st.Jobs {
-		if !j.State.Ended() || j.openRuns > 0 {
-			withJobs[j.Customer] = true
-		}
-	}
-	for id := range st.Departed {
-		if !withJobs[id] {
-			delete(st.Departed, id)
-		}
-	}
-}
