Count the crash of a rack against no long-running task

Cause: each crash counts against the tasks of its worker, so that a long-running job whose workers crash with their racks looks like one that crashes its workers.

--- a/pkg/manager/dispatcher/crash.go
+++ b/pkg/manager/dispatcher/crash.go
@@ -29,6 +29,8 @@
 	// crashes counts all crashes, suspected those of which the task was a suspect; both include the latest one.
 	crashes, suspected int
 	suspect            bool
+	// starting means that the worker had not shown yet that it runs the task.
+	starting bool
 	// restarted means that the task was started again since, as the lease of the worker had expired.
 	restarted bool
 	vms       []manager.VMID
@@ -36,8 +38,13 @@
 
 // recordCrash counts the crash of a worker instance, which a later one on its VM has shown, and gives up the job that it
 // is blamed on.
-func (d *Dispatcher) recordCrash(now manager.Time, l manager.WorkerInstance, vm manager.VMID, c *recorder.Changes) {
+func (d *Dispatcher) recordCrash(now manager.Time, l manager.WorkerInstance, r manager.WorkerReport, c *recorder.Changes) {
+	vm := r.VM
 	victims := d.victims(now, l, vm, c)
+	if d.sharesRackCrash(now, r, victims, c) && slices.ContainsFunc(victims, d.longRunningVictim) {
+		d.log(manager.LogRackCrashed, "Worker", l.Worker, "Born", l.StartedAt, "VM", vm, "Rack", r.Rack, "Tasks", len(victims), "Retracted", len(c.RetractCrash))
+		victims = slices.DeleteFunc(victims, d.longRunningVictim)
+	}
 	if len(victims) == 0 {
 		if len(d.State.Expired(l)) > 0 {
 			c.ForgetExpired = append(c.ForgetExpired, l)
@@ -52,6 +59,7 @@
 		}
 	}
 	c.Crash = append(c.Crash, crash)
+	d.noteRackCrash(now, r, crash, victims)
 	d.log(manager.LogWorkerCrashed, "Worker", l.Worker, "Born", l.StartedAt, "VM", vm, "Tasks", len(victims), "Suspects", len(crash.Suspects))
 	for _, v := range blamed(victims) {
 		if slices.Contains(c.GiveUp, v.id.Graph) {
@@ -102,7 +110,7 @@
 		return list
 	}
 	v := victim{
-		id: id, crashes: t.Crashes + 1, suspected: t.Suspected, suspect: starting, restarted: t.Open != nil && t.Open.Instance != l, vms: t.CrashedOn,
+		id: id, crashes: t.Crashes + 1, suspected: t.Suspected, suspect: starting, starting: starting, restarted: t.Open != nil && t.Open.Instance != l, vms: t.CrashedOn,
 	}
 	for _, other := range c.Crash {
 		if slices.Contains(other.Tasks, id) {
@@ -187,8 +195,13 @@
 
 // recordOlderInstances ends the runs of the earlier instances of a worker and of its VM, and counts their crashes.
 func (d *Dispatcher) recordOlderInstances(now manager.Time, r manager.WorkerReport, c *recorder.Changes) {
-	for _, l := range d.olderInstances(r) {
-		d.recordCrash(now, l, r.VM, c)
+	older := d.olderInstances(r)
+	if len(older) == 0 {
+		// A worker without runs shows, too, that its rack has crashed.
+		d.sharesRackCrash(now, r, nil, c)
+	}
+	for _, l := range older {
+		d.recordCrash(now, l, r, c)
 		d.endLostRuns(now, l, lossLaterInstance, c)
 	}
 }
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -97,10 +97,11 @@
 	initialStateAt manager.Time
 	unresolved     map[manager.VMID]bool
 	// backlog holds the pools in which a ready task found no worker in the latest cycle.
-	backlog  map[manager.PoolID]bool
-	lending  lending
-	schedule schedule
-	advice   advice
+	backlog     map[manager.PoolID]bool
+	rackCrashes []*rackCrash
+	lending     lending
+	schedule    schedule
+	advice      advice
 	// incompleteGangs holds the runs of gangs that lack a task from the start.
 	incompleteGangs map[StepID]manager.RunNumber
 	// direct counts the workers that report to this node directly.
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -85,6 +85,7 @@
 	LogWriteNotStored                = "Write not stored"
 	LogWritesStoredAgain             = "Writes stored again"
 	LogWorkerCrashed                 = "Worker crashed"
+	LogRackCrashed                   = "Rack crashed"
 	LogWorkerDraining                = "Worker drains"
 	LogWorkerLost                    = "Worker gone"
 	LogWorkerRegistered              = "Worker known"
@@ -167,6 +168,7 @@
 		{LogMaintenanceOrdered, "Leader", "The maintenance of a VM is recorded; the platform is called next."},
 		{LogVMMoveOrdered, "Leader", "A VM is to move to another pool because the load of that pool is the highest."},
 		{LogWaveAccepted, "Leader", "A maintenance wave is being committed."},
+		{LogRackCrashed, "Leader", "A worker crashed with Tasks tasks together with others of its rack; the crash counts against none of the long-running ones, and Retracted earlier crashes of the rack no longer count against those either."},
 		{LogWorkerCrashed, "Leader", "A later worker instance reported from the VM of one with open runs, which nobody had asked to end; the crash counts against Tasks tasks, of which Suspects may have caused it."},
 		{LogWorkerDraining, "Leader", "A worker reported that it will leave; it gets no more runs."},
 		{LogWorkerLost, "Leader", "A worker sent no report for longer than its lease and was removed."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -33,6 +33,9 @@
 	for _, crash := range c.Crash {
 		st.recordCrash(crash)
 	}
+	for _, crash := range c.RetractCrash {
+		st.retractCrash(crash)
+	}
 	for _, e := range c.End {
 		st.endRun(e)
 	}
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -8,7 +8,9 @@
 	At        manager.Time
 	Configure *manager.FleetConfiguration `json:",omitempty"`
 	Crash     []Crash                     `json:",omitempty"`
-	End       []End                       `json:",omitempty"`
+	// RetractCrash holds crashes that no longer count against their tasks.
+	RetractCrash []Crash `json:",omitempty"`
+	End          []End   `json:",omitempty"`
 	// ClearCrashes names tasks with a run that has outlasted CrashWindow.
 	ClearCrashes []manager.TaskID `json:",omitempty"`
 	// ForgetExpired names worker instances that have not crashed although their leases expired.
@@ -26,7 +28,7 @@
 
 // Empty reports whether there are no changes.
 func (c *Changes) Empty() bool {
-	return c.Configure == nil && len(c.Crash)+len(c.ClearCrashes)+len(c.ForgetExpired)+len(c.GiveUp) == 0 &&
+	return c.Configure == nil && len(c.Crash)+len(c.RetractCrash)+len(c.ClearCrashes)+len(c.ForgetExpired)+len(c.GiveUp) == 0 &&
 		len(c.End)+len(c.Cancel)+len(c.Submit)+len(c.Wave)+len(c.Maintenance)+len(c.Move)+len(c.Occur)+len(c.Start) == 0
 }
 
--- a/pkg/manager/recorder/crash.go
+++ b/pkg/manager/recorder/crash.go
@@ -51,6 +51,23 @@
 	st.forgetExpired(c.Instance)
 }
 
+// retractCrash takes back what a crash counted against its tasks. Their counts may have been cleared since.
+func (st *State) retractCrash(c Crash) {
+	for _, id := range c.Tasks {
+		j, t := st.Task(id)
+		if t == nil || t.Crashes == 0 {
+			continue
+		}
+		t.Crashes--
+		if slices.Contains(c.Suspects, id) && t.Suspected > 0 {
+			j.update(t, func() { t.Suspected-- })
+		}
+		if t.Suspected == 0 {
+			t.CrashedOn = nil
+		}
+	}
+}
+
 // clearCrashes resets the crashes of a task whose run has outlasted CrashWindow.
 func (st *State) clearCrashes(id manager.TaskID) {
 	if j, t := st.Task(id); t != nil {
