Keep the start of a maintenance by wave and VM

Some waves were completed while a VM of theirs was down.

Cause: the dispatcher kept the time at which a maintenance started by VM, and never cleared it. For the second wave that took a VM down this was the time of the first maintenance. A worker instance that started between the order and its acceptance, which the second maintenance ends too, therefore counted as the return from it, and so did a list of VMs that was requested before it. The wave then ordered its next VM while this one was down. Such instances are common where two waves have ordered one VM: the platform answers the second order as busy until the VM is back from the first.

Change: the time is kept by wave and VM and dropped once the maintenance is no longer in progress. A new leader starts with no such times and counts from its own start.

Nothing in the replicated state changed.

--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -88,8 +88,9 @@
 	retryAt  map[manager.VMID]manager.Time
 	// fenced holds the VMs for which a later dispatcher has sent an order.
 	fenced map[manager.VMID]bool
-	// startedAt is when this dispatcher first saw that the maintenance of a VM has started.
-	startedAt map[manager.VMID]manager.Time
+	// startedAt is when this dispatcher first saw that the maintenance of a VM for a wave has started. A VM of several
+	// waves goes through one maintenance for each.
+	startedAt map[waveVM]manager.Time
 	// evictions holds the runs that are to be stopped and started elsewhere.
 	evictions map[manager.TaskID]manager.RunNumber
 	// listedAt is when the list of VMs was last requested; listingNeeded requests it, as a wave misses a VM.
@@ -100,7 +101,7 @@
 func (u *maintenanceState) init() {
 	if u.inFlight == nil {
 		u.inFlight, u.retryAt = map[manager.VMID]bool{}, map[manager.VMID]manager.Time{}
-		u.startedAt = map[manager.VMID]manager.Time{}
+		u.startedAt = map[waveVM]manager.Time{}
 		u.fenced, u.evictions = map[manager.VMID]bool{}, map[manager.TaskID]manager.RunNumber{}
 	}
 }
@@ -109,6 +110,7 @@
 func (d *Dispatcher) updateMaintenance(now manager.Time, c *recorder.Changes) {
 	d.maintenance.init()
 	d.maintenance.listingNeeded = false
+	d.dropStartTimes()
 	for _, w := range d.workers {
 		w.evacuating = false
 	}
@@ -172,10 +174,8 @@
 				d.maintenance.listingNeeded = true
 			}
 		case recorder.MaintenanceStarted:
-			if d.maintenance.startedAt[vm] == 0 {
-				d.maintenance.startedAt[vm] = now
-			}
-			if w := d.byVM[vm]; w != nil && len(c.Maintenance) < maxMaintenanceChanges && d.hasReturned(now, w, wave.InstanceStart[vm]) {
+			d.recordStartTime(now, wave, vm)
+			if w := d.byVM[vm]; w != nil && len(c.Maintenance) < maxMaintenanceChanges && d.hasReturned(now, w, wave) {
 				c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: wave.Wave, VM: vm, State: recorder.MaintenanceDone})
 				d.log(manager.LogMaintenanceDone, "VM", vm, "Wave", wave.Wave, "Worker", w.instance.Worker)
 				continue
@@ -205,18 +205,6 @@
 // hasLowLoad reports whether a pool can do without a VM for a while.
 func (d *Dispatcher) hasLowLoad(p manager.PoolID) bool { return d.lending.loads[p] < lowLoad }
 
-// hasReturned reports whether a worker is an instance that started after the maintenance, and not one that the
-// maintenance ended: an instance that was first seen too early may have been ended too, as its order was delayed or its
-// last report was late. Such an instance counts only after the maintenance must be over.
-func (d *Dispatcher) hasReturned(now manager.Time, w *worker, ended manager.Time) bool {
-	began := d.maintenance.startedAt[w.latest.VM]
-	if w.instance.StartedAt <= ended {
-		return false
-	}
-	over := now.Sub(began) >= maintenanceTime && now.Sub(w.heardAt) <= d.maxReportAge()
-	return over || w.firstSeenAt.Sub(began) >= minMaintenanceTime
-}
-
 // blockStarts blocks new starts on a VM whose maintenance is ordered.
 func (d *Dispatcher) blockStarts(vm manager.VMID) {
 	if w := d.byVM[vm]; w != nil {
@@ -255,16 +243,6 @@
 	return list
 }
 
-// inOtherWave reports whether a VM is in the maintenance of another wave, so that the platform would refuse an order.
-func (d *Dispatcher) inOtherWave(wave *recorder.Wave, vm manager.VMID) bool {
-	for id, other := range d.State.Waves {
-		if s := other.State[vm]; id != wave.Wave && (s == recorder.MaintenanceOrdered || s == recorder.MaintenanceStarted) {
-			return true
-		}
-	}
-	return false
-}
-
 func (d *Dispatcher) orderMaintenance(wave *recorder.Wave, vm manager.VMID, born manager.Time, c *recorder.Changes) {
 	c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: wave.Wave, VM: vm, State: recorder.MaintenanceOrdered, InstanceStart: born})
 	d.log(manager.LogMaintenanceOrdered, "VM", vm, "Wave", wave.Wave, "Born", born)
@@ -379,7 +357,7 @@
 				continue
 			}
 			listed, ok := l.VMs[vm]
-			begun := d.maintenance.startedAt[vm]
+			begun := d.maintenance.startedAt[waveVM{id, vm}]
 			back := wave.State[vm] == recorder.MaintenanceStarted && listed.Up && begun != 0 && l.AskedAt > begun
 			if ok && !back || !ok && l.mayHold(vm) {
 				continue
