Order a VM for one wave at a time within a cycle too

Seen: two waves with a cap of 1 that name the same VM and are accepted together order it in one cycle. The platform carries out one of the orders and answers the other as busy until the VM is back. For this time the second wave uses its cap for a VM that it can't take down, although its other VMs are free.

Cause: a VM that another wave has ordered is left out, but by the replicated state only, which shows the orders of a cycle after their commit.

Change: the VMs ordered in the running cycle are left out as well, so a VM of several waves is maintained for one of them after the other.

TestWavesAcceptedTogetherKeepTheirCaps now asserts that no VM is ordered or in maintenance for two waves; this fails without the change.

--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -91,6 +91,8 @@
 	// startedAt is when this dispatcher first saw that the maintenance of a VM for a wave has started. A VM of several
 	// waves goes through one maintenance for each.
 	startedAt map[waveVM]manager.Time
+	// orderedNow holds the VMs whose maintenance is ordered in this cycle. The replicated state does not show it yet.
+	orderedNow map[manager.VMID]bool
 	// evictions holds the runs that are to be stopped and started elsewhere.
 	evictions map[manager.TaskID]manager.RunNumber
 	// listedAt is when the list of VMs was last requested; listingNeeded requests it, as a wave misses a VM.
@@ -101,7 +103,7 @@
 func (u *maintenanceState) init() {
 	if u.inFlight == nil {
 		u.inFlight, u.retryAt = map[manager.VMID]bool{}, map[manager.VMID]manager.Time{}
-		u.startedAt = map[waveVM]manager.Time{}
+		u.startedAt, u.orderedNow = map[waveVM]manager.Time{}, map[manager.VMID]bool{}
 		u.fenced, u.evictions = map[manager.VMID]bool{}, map[manager.TaskID]manager.RunNumber{}
 	}
 }
@@ -110,6 +112,7 @@
 func (d *Dispatcher) updateMaintenance(now manager.Time, c *recorder.Changes) {
 	d.maintenance.init()
 	d.maintenance.listingNeeded = false
+	clear(d.maintenance.orderedNow)
 	d.dropStartTimes()
 	for _, w := range d.workers {
 		w.evacuating = false
@@ -244,6 +247,7 @@
 }
 
 func (d *Dispatcher) orderMaintenance(wave *recorder.Wave, vm manager.VMID, born manager.Time, c *recorder.Changes) {
+	d.maintenance.orderedNow[vm] = true
 	c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: wave.Wave, VM: vm, State: recorder.MaintenanceOrdered, InstanceStart: born})
 	d.log(manager.LogMaintenanceOrdered, "VM", vm, "Wave", wave.Wave, "Born", born)
 }
--- a/pkg/manager/dispatcher/sharedwaves.go
+++ b/pkg/manager/dispatcher/sharedwaves.go
@@ -41,8 +41,13 @@
 	return over || w.firstSeenAt.Sub(began) >= minMaintenanceTime
 }
 
-// inOtherWave reports whether a VM is in the maintenance of another wave, so that the platform would refuse an order.
+// inOtherWave reports whether a VM is in the maintenance of another wave, or is ordered for it in this cycle. The platform
+// would refuse an order until the VM is back. A VM of several waves is maintained for one of them after the other, in the
+// order in which they get to it, so that at any time at most one maintenance of a VM can begin or end.
 func (d *Dispatcher) inOtherWave(wave *recorder.Wave, vm manager.VMID) bool {
+	if d.maintenance.orderedNow[vm] {
+		return true
+	}
 	for id, other := range d.State.Waves {
 		if s := other.State[vm]; id != wave.Wave && (s == recorder.MaintenanceOrdered || s == recorder.MaintenanceStarted) {
 			return true
--- a/pkg/manager/dispatcher/sharedwaves_test.go
+++ b/pkg/manager/dispatcher/sharedwaves_test.go
@@ -14,13 +14,31 @@
 	f.send(dispatcher.Event{Wave: &manager.MaintenanceRequest{Wave: id, VMs: vms, DurationMs: 30_000, Cap: 1}})
 }
 
+// requireOneWavePerVM asserts that no VM is ordered or in maintenance for two waves. The second order would be refused and
+// use a part of its wave's cap meanwhile.
+func requireOneWavePerVM(t require.TestingT, state *recorder.State) {
+	waveOf := map[manager.VMID]uint64{}
+	for id, w := range state.Waves {
+		for vm, s := range w.State {
+			if s != recorder.MaintenanceOrdered && s != recorder.MaintenanceStarted {
+				continue
+			}
+			require.Zero(t, waveOf[vm], "%s is in maintenance for wave %d too at %d", vm, id, state.At)
+			waveOf[vm] = id
+		}
+	}
+}
+
 // Two waves that are accepted together choose the same VM first. If both order it in one cycle, the second maintenance
 // begins when the VM is back from the first, and the return from the first must not end the second.
 func TestWavesAcceptedTogetherKeepTheirCaps(t *testing.T) {
 	f := newWaveFleet(t, "w1", "w2", "w3")
 	f.sendWave(1, "vm-w1", "vm-w2")
 	f.sendWave(2, "vm-w1", "vm-w3")
-	f.runWithPlatform(25*manager.Second, map[uint64]int{1: 1, 2: 1})
+	for range 500 {
+		f.runWithPlatform(50, map[uint64]int{1: 1, 2: 1})
+		requireOneWavePerVM(t, f.state)
+	}
 	require.True(t, f.state.Waves[1].Completed())
 	require.True(t, f.state.Waves[2].Completed())
 }
