Start tasks again on workers whose VMs can't be moved

Seen: a worker whose VM was ordered to another pool, and whose move the platform refuses for good (400), gets no start any more until the leader changes. A worker that was only chosen to move gets no finite tasks any more if the next list of VMs lacks its VM, as when the entry can't be read. Found by reading, in search of state that is kept by VM but belongs to a move.

Cause: the marks of a move on the worker are cleared at each pass of pool balancing, but only for VMs that are in the list, that were never refused and that can get orders. A refused VM is left out of all later passes, with its marks.

Change: the marks are cleared as well for workers whose VMs are left out for one of these reasons. Those of VMs that are moving stay, as the move would end their tasks, and those of VMs in maintenance stay as before.

Measured: TestWorkerOfRefusedMoveGetsTasks (0 of 3 workers get a task before, 3 after) and TestWorkerOfUnlistedVMGetsTasks fail without the change and pass with it.

--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -47,6 +47,7 @@
 	blocked := d.inMaintenance()
 	var on, off []lendableVM
 	spare := d.spareWorkers(loads)
+	d.releaseUnmovable(blocked)
 	for _, id := range sortedListedVMs(d.lending.vms) {
 		if _, moving := d.State.Moves[id]; moving || blocked[id] || d.lending.rejected[id] || d.maintenance.fenced[id] {
 			continue
@@ -69,6 +70,21 @@
 	return append(on, off...)
 }
 
+// releaseUnmovable lets the workers start tasks again that were chosen to move and whose VMs can't be moved any more: their
+// move was refused for good, or the list does not show them. They are in no later pass of pool balancing. VMs that are
+// moving or in maintenance stay blocked.
+func (d *Dispatcher) releaseUnmovable(blocked map[manager.VMID]bool) {
+	for _, w := range d.workers {
+		vm := w.latest.VM
+		if _, moving := d.State.Moves[vm]; moving || blocked[vm] {
+			continue
+		}
+		if _, listed := d.lending.vms[vm]; !listed || d.lending.rejected[vm] || d.maintenance.fenced[vm] {
+			w.movePending, w.moveOrdered = false, false
+		}
+	}
+}
+
 // inPool reports whether a listed VM has arrived in its pool. The list may have been read while the VM was moving.
 func (d *Dispatcher) inPool(now manager.Time, vm ListedVM) bool {
 	return vm.Up || vm.Moving && now.Sub(d.lending.listedAt) > moveTime
