Don't count workers with an ordered move as kept by their pool

Seen: a pool lends all of its VMs if the platform takes longer to answer an order than the 200 ms between two passes of pool balancing: in a trial with orders that stay without an answer, five of five VMs are ordered to the standby pool within 3 s. A pool should always keep two workers.

Cause: the number of workers that a pool may lend was computed from all its workers at each pass. Those whose move was ordered in an earlier pass counted as kept until the platform had accepted it.

Change: a worker whose VM is moving to another pool does not count. Moves that are accepted or refused before the next pass are decided as before, as the worker is removed or counts again then.

Measured: TestPoolKeepsItsWorkersWhileMovesAreUnanswered has 5 moves instead of 3 without the change.

--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -105,10 +105,13 @@
 
 // spareWorkers returns how many workers each pool may lend. A pool that has not had a job yet lends none, as its
 // long-running tasks may still arrive, and neither does one whose long-running tasks wait, as they may need every worker.
+// Workers whose move to another pool is ordered do not count, as the platform may not have answered yet.
 func (d *Dispatcher) spareWorkers(loads []*poolLoad) map[manager.PoolID]int {
 	spare := map[manager.PoolID]int{}
 	for _, w := range d.workers {
-		spare[w.latest.Pool]++
+		if to, moving := d.State.Moves[w.latest.VM]; !moving || to == w.latest.Pool {
+			spare[w.latest.Pool]++
+		}
 	}
 	used := map[manager.PoolID]bool{}
 	for _, j := range d.State.Jobs {
--- a/pkg/manager/dispatcher/refusedmove_test.go
+++ b/pkg/manager/dispatcher/refusedmove_test.go
@@ -74,3 +74,18 @@
 		require.Len(t, w.runs, 2, "worker %s", w.report.Instance.Worker)
 	}
 }
+
+// The platform may take longer to answer an order than the pause between two passes of pool balancing. VMs whose move is
+// ordered must not count as workers that a pool keeps: a pool lent all of its VMs.
+func TestPoolKeepsItsWorkersWhileMovesAreUnanswered(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []manager.WorkerID{"w1", "w2", "w3", "w4", "w5"} {
+		f.worker(id, pool, 4000)
+	}
+	f.run(4 * manager.Second)
+	f.submit("first", task(100, 1))
+	f.run(1 * manager.Second)
+	f.sendListing(map[manager.VMID]dispatcher.ListedVM{})
+	f.run(3 * manager.Second)
+	require.Len(t, f.state.Moves, 3, "a pool keeps two of its five workers")
+}
