--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -47,6 +47,7 @@
 	blocked := d.inMaintenance()
 	var on, off []lendableVM
 	spare := d.spareWorkers(loads)
+	d.releaseUnmovable(blocked)
 	for _, id := range sortedListedVMs(d.lending.vms) {
 		if _, moving := d.State.Moves[id]; moving || blocked[id] || d.lending.rejected[id] || d.maintenance.fenced[id] {
 			continue
@@ -69,6 +70,21 @@
 	return append(on, off...)
 }
 
+// releaseUnmovable lets the workers start tasks again that were chosen to move and whose VMs can't be moved any more: their
+// move was refused for good, or the list does not show them. They are in no later pass of pool balancing. VMs that are
+// moving or in maintenance stay blocked.
+func (d *Dispatcher) releaseUnmovable(blocked map[manager.VMID]bool) {
+	for _, w := range d.workers {
+		vm := w.latest.VM
+		if _, moving := d.State.Moves[vm]; moving || blocked[vm] {
+			continue
+		}
+		if _, listed := d.lending.vms[vm]; !listed || d.lending.rejected[vm] || d.maintenance.fenced[vm] {
+			w.movePending, w.moveOrdered = false, false
+		}
+	}
+}
+
 // inPool reports whether a listed VM has arrived in its pool. The list may have been read while the VM was moving.
 func (d *Dispatcher) inPool(now manager.Time, vm ListedVM) bool {
 	return vm.Up || vm.Moving && now.Sub(d.lending.listedAt) > moveTime
@@ -89,10 +105,13 @@
 
 // spareWorkers returns how many workers each pool may lend. A pool that has not had a job yet lends none, as its
 // long-running tasks may still arrive, and neither does one whose long-running tasks wait, as they may need every worker.
+// Workers whose move to another pool is ordered do not count, as the platform may not have answered yet.
 func (d *Dispatcher) spareWorkers(loads []*poolLoad) map[manager.PoolID]int {
 	spare := map[manager.PoolID]int{}
 	for _, w := range d.workers {
-		spare[w.latest.Pool]++
+		if to, moving := d.State.Moves[w.latest.VM]; !moving || to == w.latest.Pool {
+			spare[w.latest.Pool]++
+		}
 	}
 	used := map[manager.PoolID]bool{}
 	for _, j := range d.State.Jobs {
