coordinator: send waiting calls in the order of arrival once a leader is found

Cause: a call that had no answer paused apart from the finder, or went on waiting for a leader that stood still, while a later call was sent to the next leader as soon as the finder knew it.

Change: the calls of a node that wait form a line. The finder reports a leader that it finds; the first calls of the line are sent at that moment, and attempts at other nodes end and join the line. Calls that arrive while there is a line join its end. Two are sent at once at first, more with each answer. A call is not sent beside one that came more than 200 ms earlier and waits, or was sent less than 100 ms ago. Reports end in the line at reportPatience. While no leader answers, one call is retried at a time.

Why it works: the answer's version is that of the moment at which the leader gets the call, and calls get to it in the order of arrival, apart from those that came within 200 ms, which the platform allows.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -95,6 +95,7 @@
 	}
 	f.finder.Init()
 	f.node = &coordinator.Node{Clock: f.Clock, Finder: f.finder, HTTP: client, Own: s.Peer(), Control: s.Control}
+	f.finder.OnLeader = f.node.LeaderFound
 	if s.DataFolder != "" {
 		if err := f.startReplica(s, client); err != nil {
 			return fmt.Errorf("start replica: %w", err)
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -80,11 +80,16 @@
 func (n *Node) call(ctx context.Context, c manager.FleetCall) (manager.FleetReply, error) {
 	start, sent := n.Clock.Now(), false
 	n.calledAt.setOnce(start)
-	for {
-		reply, reached, err := n.attempt(ctx, start, c)
+	w, answered := n.waiters.join(start, c.Kind), false
+	defer func() { n.waiters.leave(w, answered) }()
+	var err error = manager.ErrNotLeader{}
+	for n.pause(ctx, start, c, w) {
+		var reply manager.FleetReply
+		var reached bool
+		reply, reached, err = n.attempt(ctx, start, c, w)
 		if err == nil || final(err) {
+			answered = true
 			n.servedAt.set(n.Clock.Now())
-			n.waiters.wake()
 			if sent && manager.IsErrUnavailable(err) {
 				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
 				n.noteUnanswered(c, sent, err)
@@ -92,19 +97,28 @@
 			}
 			return reply, err
 		}
+		if ctx.Err() == nil {
+			n.waiters.fail(w)
+		}
 		sent = sent || reached
-		if c.Kind == manager.CallReport && (reached || n.Clock.Now().Sub(start) > reportPatience) {
+		if c.Kind == manager.CallReport && reached {
 			return reply, err
 		}
 		n.Finder.Refresh()
-		if !n.pause(ctx, start) {
-			n.noteUnanswered(c, sent, err)
-			if sent {
-				return reply, manager.ErrOutcomeUnknown{}
-			}
-			return reply, manager.ErrUnavailable{Component: "leader", Reason: "none was reached in time"}
-		}
 	}
+	if c.Kind == manager.CallReport && ctx.Err() == nil && n.old(start, c) {
+		return manager.FleetReply{}, err
+	}
+	n.noteUnanswered(c, sent, err)
+	if sent {
+		return manager.FleetReply{}, manager.ErrOutcomeUnknown{}
+	}
+	return manager.FleetReply{}, manager.ErrUnavailable{Component: "leader", Reason: "none was reached in time"}
+}
+
+// old reports whether a call is a report that has waited too long to be sent.
+func (n *Node) old(start manager.Time, c manager.FleetCall) bool {
+	return c.Kind == manager.CallReport && n.Clock.Now().Sub(start) >= reportPatience
 }
 
 // addPause adds to a refusal when the caller should try again.
@@ -127,17 +141,66 @@
 }
 
 // attempt makes one try within a call's patience.
-func (n *Node) attempt(ctx context.Context, start manager.Time, c manager.FleetCall) (manager.FleetReply, bool, error) {
+func (n *Node) attempt(
+	ctx context.Context, start manager.Time, c manager.FleetCall, w *waitingCall,
+) (manager.FleetReply, bool, error) {
 	ctx, cancel := n.limit(ctx, start)
 	defer cancel()
-	return n.try(ctx, c)
+	generation := n.waiters.leaders()
+	// A look at the view may find a leader; the call then waits for its turn, as earlier ones may have joined the line.
+	leader := n.target()
+	if !n.waiters.begin(w, generation, leader, cancel) {
+		return manager.FleetReply{}, false, manager.ErrNotLeader{}
+	}
+	return n.try(ctx, leader, c)
+}
+
+// target returns the leader's address, which is empty if none is known.
+func (n *Node) target() manager.Address {
+	if n.leads() {
+		return n.Own
+	}
+	if leader := n.Finder.View().Leader; leader != n.Own {
+		return leader
+	}
+	return ""
+}
+
+// leads reports whether this node's replica answers calls.
+func (n *Node) leads() bool { return n.Leader != nil && n.Leader.Serving() }
+
+// LeaderFound sends the waiting calls to a leader; the finder calls it when it has found one.
+func (n *Node) LeaderFound(leader manager.Address) {
+	if leader != n.Own || n.Leader != nil {
+		n.waiters.found(leader)
+	}
 }
 
 // pause waits until the next try and returns false if the call should end without one.
-func (n *Node) pause(ctx context.Context, start manager.Time) bool {
-	limited, cancel := n.limit(ctx, start)
-	defer cancel()
-	return n.waiters.wait(limited) || ctx.Err() == nil && !n.isolated(n.Clock.Now())
+func (n *Node) pause(ctx context.Context, start manager.Time, c manager.FleetCall, w *waitingCall) bool {
+	for !n.old(start, c) {
+		limited, cancel := n.limit(ctx, start)
+		if c.Kind == manager.CallReport {
+			limited, cancel = n.limitReport(limited, cancel, start)
+		}
+		released := n.waiters.wait(limited, w)
+		cancel()
+		if released || ctx.Err() != nil {
+			return released
+		}
+		if n.isolated(n.Clock.Now()) {
+			return false
+		}
+	}
+	return false
+}
+
+// limitReport bounds ctx by the age up to which a report is sent; the function it returns also cancels ctx.
+func (n *Node) limitReport(
+	ctx context.Context, cancel context.CancelFunc, start manager.Time,
+) (context.Context, context.CancelFunc) {
+	limited, cancelLimited := context.WithTimeout(ctx, start.Add(reportPatience).Sub(n.Clock.Now()).Std())
+	return limited, func() { cancelLimited(); cancel() }
 }
 
 // limit bounds ctx by the patience of a call that came at start. On a node that is cut off it is short: without an
@@ -164,15 +227,16 @@
 
 // try makes one attempt; reached says that the call may have been taken: a call for which no connection was obtained has
 // not left this node.
-func (n *Node) try(ctx context.Context, c manager.FleetCall) (reply manager.FleetReply, reached bool, err error) {
-	if n.Leader != nil && n.Leader.Serving() {
+func (n *Node) try(
+	ctx context.Context, leader manager.Address, c manager.FleetCall,
+) (reply manager.FleetReply, reached bool, err error) {
+	if leader == "" {
+		return reply, false, manager.ErrNotLeader{}
+	}
+	if leader == n.Own {
 		reply, err = n.Leader.Call(ctx, c)
 		return reply, !manager.IsErrNotLeader(err), err
 	}
-	leader := n.Finder.View().Leader
-	if leader == "" || leader == n.Own {
-		return reply, false, manager.ErrNotLeader{}
-	}
 	limit := attemptTimeout
 	if c.Kind == manager.CallConfigure || c.Kind == manager.CallReadBack {
 		limit = documentTimeout
@@ -222,7 +286,7 @@
 
 // Ready returns why no call can be taken now, or nil.
 func (n *Node) Ready() error {
-	if n.Leader != nil && n.Leader.Serving() {
+	if n.leads() {
 		n.servedAt.set(n.Clock.Now())
 	}
 	if n.Clock.Now().Sub(n.answeredAt()) >= isolatedAge {
--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -2,53 +2,269 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
 
-// retryPause is the pause between two retries of all calls of a node together.
-const retryPause = 60 * time.Millisecond
+const (
+	// retryPause is the pause between two retries of all calls of a node together while no leader answers.
+	retryPause = 60 * time.Millisecond
+	// maxOvertaking is how much later than a call in the line another may have come that is sent beside it. Platforms allow
+	// 250 ms; the rest is for the ways from the callers to the node.
+	maxOvertaking = 200 * manager.Millisecond
+	// firstTries is how many calls a node sends at once when a leader is found: 300 nodes send it 600.
+	firstTries = 2
+	// quickTries is up to where each answer adds a call to those sent at once; beyond it, a whole round of answers does.
+	// 300 nodes then have 3,600 calls at the leader, which takes 4,096.
+	quickTries = 12
+	// holdTime is how long a call that was sent holds back others, unless it is answered earlier. The leader reads its
+	// configuration when a call arrives, but holds reports up to 0.6 s for an order, and commits are slow under load: a line
+	// that waits for them would grow faster than it is sent.
+	holdTime = 100 * time.Millisecond
+)
 
-// waiters are the calls of a node that no leader has answered. Together they retry as often as one call would, and all
-// retry as soon as one of them is answered: the retries of hundreds of calls on each node would overload a new leader.
+// waitingCall is a call on a node from its arrival to its answer.
+type waitingCall struct {
+	order   uint64
+	arrived manager.Time
+	// shows says that the answer depends on the configuration; later calls must not be answered by an older version.
+	shows    bool
+	released chan struct{}
+	// inLine says that the call has waited, or has been sent to a leader that was replaced.
+	inLine bool
+	// trying says that an attempt runs or may begin, counted that it counts among those sent at once and holds back later
+	// calls.
+	trying  bool
+	counted bool
+	tries   int
+	// generation and leader are those of the attempt, and cancel ends it.
+	generation uint64
+	leader     manager.Address
+	cancel     context.CancelFunc
+}
+
+// waiters are the calls of a node. A call is sent at once while none waits for a leader; otherwise it joins the line, which
+// is sent in the order of arrival, a few calls at once. While no leader answers, one call at a time is retried: the retries
+// of hundreds of calls on each node would overload a new leader.
 type waiters struct {
-	mu    sync.Mutex
-	count int
-	woken chan struct{}
+	mu   sync.Mutex
+	next uint64
+	// direct are the calls in their first attempt that found no line.
+	direct map[*waitingCall]struct{}
+	line   []*waitingCall
+	// generation counts the leaders found; a failure at an earlier one says nothing about the present one.
+	generation uint64
+	// open says that a leader was found or has answered, and no attempt has failed since.
+	open     bool
+	limit    int
+	answered int
+	probing  bool
 }
 
-// wait returns true when the call should be retried, and false once ctx has ended.
-func (w *waiters) wait(ctx context.Context) bool {
+// join adds a call that has arrived.
+func (w *waiters) join(now manager.Time, k manager.FleetCallKind) *waitingCall {
 	w.mu.Lock()
-	w.count++
-	if w.woken == nil {
-		w.woken = make(chan struct{})
+	defer w.mu.Unlock()
+	w.next++
+	c := &waitingCall{order: w.next, arrived: now, shows: showsConfiguration(k), released: make(chan struct{}, 1)}
+	if len(w.line) > 0 {
+		w.enqueue(c)
+		w.dispatch()
+		return c
+	}
+	if w.direct == nil {
+		w.direct = map[*waitingCall]struct{}{}
+	}
+	w.direct[c] = struct{}{}
+	c.trying = true
+	c.released <- struct{}{}
+	return c
+}
+
+// showsConfiguration reports whether the answer to a call shows its sender which configuration is in force.
+func showsConfiguration(k manager.FleetCallKind) bool {
+	switch k {
+	case manager.CallSubmit, manager.CallState, manager.CallCancel, manager.CallPending:
+		return true
+	}
+	return false
+}
+
+// leave removes a call, which a leader has answered or not.
+func (w *waiters) leave(c *waitingCall, answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.direct, c)
+	if c.inLine {
+		w.line = slices.DeleteFunc(w.line, func(o *waitingCall) bool { return o == c })
+	}
+	if answered && c.generation == w.generation {
+		w.open = true
+		w.widen()
+	}
+	w.dispatch()
+}
+
+// widen lets more calls go at once after an answer.
+func (w *waiters) widen() {
+	w.answered++
+	if w.limit < quickTries || w.answered >= w.limit {
+		w.limit, w.answered = max(w.limit, firstTries)+1, 0
+	}
+}
+
+// fail puts a call that was not answered back to its place in the line.
+func (w *waiters) fail(c *waitingCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.trying, c.counted, c.cancel = false, false, nil
+	w.enqueue(c)
+	if c.generation == w.generation {
+		w.open, w.limit, w.answered = false, firstTries, 0
+	}
+	w.dispatch()
+}
+
+// enqueue puts a call to its place in the line; mu is held.
+func (w *waiters) enqueue(c *waitingCall) {
+	if c.inLine {
+		return
+	}
+	delete(w.direct, c)
+	c.inLine = true
+	i, _ := slices.BinarySearchFunc(w.line, c, func(a, b *waitingCall) int { return int(a.order) - int(b.order) })
+	w.line = slices.Insert(w.line, i, c)
+}
+
+// wait returns true when the call may be sent, and false once ctx has ended.
+func (w *waiters) wait(ctx context.Context, c *waitingCall) bool {
+	select {
+	case <-c.released:
+		return true
+	default:
 	}
-	woken, pause := w.woken, retryPause*time.Duration(w.count)
-	w.mu.Unlock()
-	defer func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.count--
-	}()
-	t := time.NewTimer(pause)
-	defer t.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-woken:
-		return true
-	case <-t.C:
+	case <-c.released:
 		return true
 	}
 }
 
-// wake makes all waiting calls retry.
+// leaders returns the count of leaders found, which begin compares.
+func (w *waiters) leaders() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.generation
+}
+
+// begin records an attempt at a leader that was known at the given count of leaders. It returns false if another one was
+// found meanwhile.
+func (w *waiters) begin(c *waitingCall, generation uint64, leader manager.Address, cancel context.CancelFunc) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if generation != w.generation {
+		return false
+	}
+	c.generation, c.leader, c.cancel = generation, leader, cancel
+	return true
+}
+
+// found sends the first calls of the line to a leader. Attempts at other nodes end and join the line before any later call:
+// a leader that was replaced may answer them late or never.
+func (w *waiters) found(leader manager.Address) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.generation++
+	w.open, w.limit, w.answered = true, firstTries, 0
+	for c := range w.direct {
+		if c.cancel != nil && c.leader != leader {
+			w.enqueue(c)
+		}
+	}
+	for _, c := range w.line {
+		if c.cancel != nil && c.leader != leader {
+			// Until the attempt has ended, the call holds back later ones.
+			c.counted = true
+			c.tries++
+			c.cancel()
+		}
+	}
+	w.dispatch()
+}
+
+// wake makes the calls of the line go on.
 func (w *waiters) wake() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.count > 0 && w.woken != nil {
-		close(w.woken)
-		w.woken = nil
+	w.open = true
+	w.dispatch()
+}
+
+// dispatch releases the calls whose turn it is; mu is held.
+func (w *waiters) dispatch() {
+	if !w.open {
+		w.scheduleProbe()
+		return
+	}
+	w.release(max(w.limit, firstTries))
+}
+
+// release releases calls until limit are sent at once; mu is held.
+func (w *waiters) release(limit int) {
+	for _, c := range w.line {
+		if c.counted {
+			limit--
+		}
+	}
+	var oldest *waitingCall
+	for _, c := range w.line {
+		if oldest == nil && c.shows && (c.counted || !c.trying) {
+			oldest = c
+		}
+		if c.trying {
+			continue
+		}
+		if limit <= 0 || oldest != nil && c.arrived.Sub(oldest.arrived) > maxOvertaking {
+			return
+		}
+		limit--
+		w.try(c)
+	}
+}
+
+// try lets a call of the line begin an attempt; mu is held.
+func (w *waiters) try(c *waitingCall) {
+	c.trying, c.counted = true, true
+	c.tries++
+	c.released <- struct{}{}
+	tries := c.tries
+	time.AfterFunc(holdTime, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if c.tries == tries && c.counted {
+			c.counted = false
+			w.dispatch()
+		}
+	})
+}
+
+// scheduleProbe retries one call of the line after a pause; mu is held.
+func (w *waiters) scheduleProbe() {
+	if w.probing || len(w.line) == 0 {
+		return
 	}
+	w.probing = true
+	time.AfterFunc(retryPause, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.probing = false
+		if !w.open {
+			w.release(1)
+		}
+		w.dispatch()
+	})
 }
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -55,6 +55,9 @@
 	HTTP *http.Client
 	// Local returns the view of this node's own replica, or false on a node without one.
 	Local func() (View, bool)
+	// OnLeader is called, unless it is nil, when a leader is found: another one than before, one of another term, or any
+	// after a time without one.
+	OnLeader func(leader manager.Address)
 
 	mu   sync.Mutex
 	view View
@@ -227,11 +230,20 @@
 	return others
 }
 
+// merge takes over a view, if it is not older than the present one.
 func (f *Finder) merge(v View) {
+	if leader, ok := f.update(v); ok && f.OnLeader != nil {
+		f.OnLeader(leader)
+	}
+}
+
+// update is merge without the call of OnLeader. It returns the leader and whether it was found by this view.
+func (f *Finder) update(v View) (leader manager.Address, found bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before, known := f.view, f.current()
 	if v.Term < f.view.Term && (v.Leader == "" || v.AgeMs > maxViewAge || f.current()) {
-		return
+		return "", false
 	}
 	if v.Leader != f.view.Leader && v.Leader != "" {
 		klog.InfoS(manager.LogLeaderFound, "Leader", v.Leader, "Term", v.Term, "Before", f.view.Leader)
@@ -249,6 +261,7 @@
 		v.Members = f.view.Members
 	}
 	f.view = v
+	return v.Leader, f.current() && (!known || v.Leader != before.Leader || v.Term != before.Term)
 }
 
 // current tells whether the view names a leader that was confirmed within the limit; mu is held. A term that nobody confirms
--- a/internal/finder/learn_test.go
+++ b/internal/finder/learn_test.go
@@ -90,3 +90,26 @@
 	}
 	require.Equal(t, int64(10), n.Load())
 }
+
+// Calls wait for a leader; they must be told of each one that is found, and not at each answer of the same one, which would
+// end their attempts.
+func TestFoundLeadersAreReportedOnce(t *testing.T) {
+	clock := &manager.ManualClock{At: 100_000}
+	f := newFinder(clock)
+	var found []manager.Address
+	f.OnLeader = func(leader manager.Address) {
+		require.Equal(t, leader, f.View().Leader, "the view is not in force yet")
+		found = append(found, leader)
+	}
+	for range 3 {
+		f.Learn(finder.View{Term: 1, Leader: "127.0.0.1:8"})
+	}
+	require.Len(t, found, 1)
+	f.Learn(finder.View{Term: 2, Leader: "127.0.0.1:9"})
+	f.Learn(finder.View{Term: 1, Leader: "127.0.0.1:8"})
+	require.Equal(t, []manager.Address{"127.0.0.1:8", "127.0.0.1:9"}, found)
+	clock.Advance(4 * manager.Second)
+	require.Empty(t, f.View().Leader)
+	f.Learn(finder.View{Term: 2, Leader: "127.0.0.1:9"})
+	require.Len(t, found, 3, "the same leader after a time without one")
+}
