coordinator: pass on no answer of a leader with a lower term than one passed on before

A node can get an answer of a replaced leader after one of the next leader: the answer is late, or the node's finder has gone back to a leader that does not know yet that it was replaced. The order in which a node sends its calls does not prevent that.

Answers between nodes name the leader's term in the header Leader-Term. Within one term there is one leader, which answers from a state that only moves forward; a later term begins with all committed changes.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -57,6 +57,7 @@
 	// calledAt is when the first call came.
 	calledAt atomicTime
 	waiters  waiters
+	shown    shownTerm
 	packer   packer
 }
 
@@ -152,7 +153,12 @@
 	if !n.waiters.begin(w, generation, leader, cancel) {
 		return manager.FleetReply{}, false, manager.ErrNotLeader{}
 	}
-	return n.try(ctx, leader, c)
+	reply, term, reached, err := n.try(ctx, leader, c)
+	if (err == nil || final(err)) && !n.shown.accept(n.Clock.Now(), term) {
+		// The leader was replaced before it answered, or does not know it yet. It may have committed the call before.
+		return manager.FleetReply{}, reached, manager.ErrOutcomeUnknown{}
+	}
+	return reply, reached, err
 }
 
 // target returns the leader's address, which is empty if none is known.
@@ -229,13 +235,13 @@
 // not left this node.
 func (n *Node) try(
 	ctx context.Context, leader manager.Address, c manager.FleetCall,
-) (reply manager.FleetReply, reached bool, err error) {
+) (reply manager.FleetReply, term manager.Term, reached bool, err error) {
 	if leader == "" {
-		return reply, false, manager.ErrNotLeader{}
+		return reply, 0, false, manager.ErrNotLeader{}
 	}
 	if leader == n.Own {
-		reply, err = n.Leader.Call(ctx, c)
-		return reply, !manager.IsErrNotLeader(err), err
+		reply, term, err = n.Leader.CallInTerm(ctx, c)
+		return reply, term, !manager.IsErrNotLeader(err), err
 	}
 	limit := attemptTimeout
 	if c.Kind == manager.CallConfigure || c.Kind == manager.CallReadBack {
@@ -245,25 +251,25 @@
 	defer cancel()
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	reply, err = n.post(ctx, leader, c)
-	return reply, connected && !manager.IsErrNotLeader(err), err
+	reply, term, err = n.post(ctx, leader, c)
+	return reply, term, connected && !manager.IsErrNotLeader(err), err
 }
 
-func (n *Node) post(ctx context.Context, a manager.Address, c manager.FleetCall) (manager.FleetReply, error) {
+func (n *Node) post(ctx context.Context, a manager.Address, c manager.FleetCall) (manager.FleetReply, manager.Term, error) {
 	var reply manager.FleetReply
 	data, err := json.Marshal(c)
 	if err != nil {
-		return reply, fmt.Errorf("encode call: %w", err)
+		return reply, 0, fmt.Errorf("encode call: %w", err)
 	}
 	packed := len(data) >= minPackedBytes
 	if packed {
 		if data, err = n.packer.pack(data); err != nil {
-			return reply, err
+			return reply, 0, err
 		}
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathCall, bytes.NewReader(data))
 	if err != nil {
-		return reply, fmt.Errorf("create call: %w", err)
+		return reply, 0, fmt.Errorf("create call: %w", err)
 	}
 	if packed {
 		r.Header.Set("Content-Encoding", "gzip")
@@ -272,16 +278,17 @@
 	r.GetBody = nil
 	response, err := n.HTTP.Do(r)
 	if err != nil {
-		return reply, fmt.Errorf("call %s: %w", a, err)
+		return reply, 0, fmt.Errorf("call %s: %w", a, err)
 	}
 	defer response.Body.Close()
+	term := readTerm(response.Header)
 	if response.StatusCode != http.StatusOK {
-		return reply, translator.ReadError(response)
+		return reply, term, translator.ReadError(response)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("decode reply: %w", err)
+		return reply, 0, fmt.Errorf("decode reply: %w", err)
 	}
-	return reply, nil
+	return reply, term, nil
 }
 
 // Ready returns why no call can be taken now, or nil.
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -61,7 +61,8 @@
 		return manager.ErrNotLeader{}
 	}
 	call.Forwarded = true
-	reply, err := n.Leader.Call(c.Request().Context(), call)
+	reply, term, err := n.Leader.CallInTerm(c.Request().Context(), call)
+	writeTerm(c.Response().Header(), term)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/peers_test.go
+++ b/internal/coordinator/peers_test.go
@@ -36,7 +36,7 @@
 	caller := &Node{HTTP: s.Client()}
 	address := manager.Address(strings.TrimPrefix(s.URL, "http://"))
 	call := manager.FleetCall{Kind: manager.CallConfigure, Configuration: &manager.FleetConfiguration{Version: 1, Document: document}}
-	reply, err := caller.post(context.Background(), address, call)
+	reply, _, err := caller.post(context.Background(), address, call)
 	require.NoError(t, err)
 	require.True(t, bytes.Equal(document, reply.Document))
 	require.True(t, bytes.Equal(document, got.Configuration.Document))
--- a/internal/coordinator/waitingcalls_test.go
+++ b/internal/coordinator/waitingcalls_test.go
@@ -34,6 +34,7 @@
 // fakeLeader is one replica of the group.
 type fakeLeader struct {
 	version int
+	term    manager.Term
 	// stopped says that it takes calls but does not answer.
 	stopped bool
 	// follows says that it knows that it is not the leader.
@@ -81,7 +82,9 @@
 		status, body = translator.FromError(manager.ErrNotLeader{})
 	}
 	data, err := json.Marshal(body)
-	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(data)), Request: r}, err
+	header := http.Header{}
+	writeTerm(header, at.term)
+	return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(bytes.NewReader(data)), Request: r}, err
 }
 
 // node returns a node that reaches the group and has heard from a leader.
