--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -147,10 +147,9 @@
 ) (manager.FleetReply, bool, error) {
 	ctx, cancel := n.limit(ctx, start)
 	defer cancel()
-	generation := n.waiters.leaders()
-	// A look at the view may find a leader; the call then waits for its turn, as earlier ones may have joined the line.
 	leader := n.target()
-	if !n.waiters.begin(w, generation, leader, cancel) {
+	if !n.waiters.begin(w, leader, cancel) {
+		// A leader was found meanwhile, maybe by the look at the view. Earlier calls may have joined the line.
 		return manager.FleetReply{}, false, manager.ErrNotLeader{}
 	}
 	reply, term, reached, err := n.try(ctx, leader, c)
--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -40,7 +40,7 @@
 	trying  bool
 	counted bool
 	tries   int
-	// generation and leader are those of the attempt, and cancel ends it.
+	// generation is that in which the call was released; leader is that of the attempt, and cancel ends it.
 	generation uint64
 	leader     manager.Address
 	cancel     context.CancelFunc
@@ -57,6 +57,8 @@
 	line   []*waitingCall
 	// generation counts the leaders found; a failure at an earlier one says nothing about the present one.
 	generation uint64
+	// leader is the one that was found last.
+	leader manager.Address
 	// open says that a leader was found or has answered, and no attempt has failed since.
 	open     bool
 	limit    int
@@ -69,7 +71,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.next++
-	c := &waitingCall{order: w.next, arrived: now, shows: showsConfiguration(k), released: make(chan struct{}, 1)}
+	c := &waitingCall{
+		order: w.next, arrived: now, shows: showsConfiguration(k), released: make(chan struct{}, 1), generation: w.generation,
+	}
 	if len(w.line) > 0 {
 		w.enqueue(c)
 		w.dispatch()
@@ -154,22 +158,19 @@
 	}
 }
 
-// leaders returns the count of leaders found, which begin compares.
-func (w *waiters) leaders() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.generation
-}
-
-// begin records an attempt at a leader that was known at the given count of leaders. It returns false if another one was
-// found meanwhile.
-func (w *waiters) begin(c *waitingCall, generation uint64, leader manager.Address, cancel context.CancelFunc) bool {
+// begin records an attempt at a leader. It returns false if another leader was found since the call was released, or if this
+// is another one than before: calls at the one before go first.
+func (w *waiters) begin(c *waitingCall, leader manager.Address, cancel context.CancelFunc) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if generation != w.generation {
+	if c.generation != w.generation {
 		return false
 	}
-	c.generation, c.leader, c.cancel = generation, leader, cancel
+	if leader != "" && leader != w.leader {
+		w.follow(leader)
+		return false
+	}
+	c.leader, c.cancel = leader, cancel
 	return true
 }
 
@@ -178,7 +179,13 @@
 func (w *waiters) found(leader manager.Address) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.follow(leader)
+}
+
+// follow is found; mu is held.
+func (w *waiters) follow(leader manager.Address) {
 	w.generation++
+	w.leader = leader
 	w.open, w.limit, w.answered = true, firstTries, 0
 	for c := range w.direct {
 		if c.cancel != nil && c.leader != leader {
@@ -240,6 +247,7 @@
 func (w *waiters) try(c *waitingCall) {
 	c.trying, c.counted = true, true
 	c.tries++
+	c.generation = w.generation
 	c.released <- struct{}{}
 	tries := c.tries
 	time.AfterFunc(holdTime, func() {
