coordinator: keep the waiting calls of all nodes from filling the inbox of a new leader

Calls stopped to count after 100 ms, and the count of calls sent at once grew without a bound.

A caller's call now counts until it is answered, and at most 12 are sent at once (3,600 from 300 nodes; the inbox takes 4,096).

--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -15,14 +15,18 @@
 	// maxOvertaking is how much later than a call in the line another may have come that is sent beside it. Platforms allow
 	// 250 ms; the rest is for the ways from the callers to the node.
 	maxOvertaking = 200 * manager.Millisecond
-	// firstTries is how many calls a node sends at once when a leader is found: 300 nodes send it 600.
+	// firstTries is how many calls a node sends at once when a leader is found: 300 nodes send it 600. Each answer adds one,
+	// up to mostTries: 300 nodes then have 3,600 calls at the leader, which takes 4,096.
 	firstTries = 2
-	// quickTries is up to where each answer adds a call to those sent at once; beyond it, a whole round of answers does.
-	// 300 nodes then have 3,600 calls at the leader, which takes 4,096.
-	quickTries = 12
-	// holdTime is how long a call that was sent holds back others, unless it is answered earlier. The leader reads its
-	// configuration when a call arrives, but holds reports up to 0.6 s for an order, and commits are slow under load: a line
-	// that waits for them would grow faster than it is sent.
+	mostTries  = 12
+	// limitTime is how long after a leader was found these limits hold. Without an end, a node could send too little to a
+	// leader of which each answer takes long; in this time a leader answers the calls that had waited for it.
+	limitTime = 3 * time.Second
+	// outageTime is for how long no call is answered before the limits hold again.
+	outageTime = 300 * time.Millisecond
+	// holdTime is how long a call that was sent holds back later ones, unless it is answered earlier. The leader reads its
+	// configuration when a call arrives, but commits are slow under load: a line that waits for them would grow faster than
+	// it is sent. A report counts among the calls sent at once for that time, as the leader holds it up to 0.6 s.
 	holdTime = 100 * time.Millisecond
 )
 
@@ -35,10 +39,11 @@
 	released chan struct{}
 	// inLine says that the call has waited, or has been sent to a leader that was replaced.
 	inLine bool
-	// trying says that an attempt runs or may begin, counted that it counts among those sent at once and holds back later
-	// calls.
+	// trying says that an attempt runs or may begin, counted that it counts among those sent at once, and holding that it
+	// holds back later calls.
 	trying  bool
 	counted bool
+	holding bool
 	tries   int
 	// generation is that in which the call was released; leader is that of the attempt, and cancel ends it.
 	generation uint64
@@ -61,9 +66,11 @@
 	leader manager.Address
 	// open says that a leader was found or has answered, and no attempt has failed since.
 	open     bool
-	limit    int
-	answered int
-	probing  bool
+	closedAt time.Time
+	// limit is how many calls are sent at once until limitedUntil.
+	limit        int
+	limitedUntil time.Time
+	probing      bool
 }
 
 // join adds a call that has arrived.
@@ -106,28 +113,28 @@
 		w.line = slices.DeleteFunc(w.line, func(o *waitingCall) bool { return o == c })
 	}
 	if answered && c.generation == w.generation {
+		if !w.open && time.Since(w.closedAt) >= outageTime {
+			w.limitTries()
+		}
 		w.open = true
-		w.widen()
+		w.limit = min(w.limit+1, mostTries)
 	}
 	w.dispatch()
 }
 
-// widen lets more calls go at once after an answer.
-func (w *waiters) widen() {
-	w.answered++
-	if w.limit < quickTries || w.answered >= w.limit {
-		w.limit, w.answered = max(w.limit, firstTries)+1, 0
-	}
+// limitTries makes the line begin with few calls; mu is held.
+func (w *waiters) limitTries() {
+	w.limit, w.limitedUntil = firstTries, time.Now().Add(limitTime)
 }
 
 // fail puts a call that was not answered back to its place in the line.
 func (w *waiters) fail(c *waitingCall) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c.trying, c.counted, c.cancel = false, false, nil
+	c.trying, c.counted, c.holding, c.cancel = false, false, false, nil
 	w.enqueue(c)
-	if c.generation == w.generation {
-		w.open, w.limit, w.answered = false, firstTries, 0
+	if w.open && c.generation == w.generation {
+		w.open, w.closedAt = false, time.Now()
 	}
 	w.dispatch()
 }
@@ -186,7 +193,8 @@
 func (w *waiters) follow(leader manager.Address) {
 	w.generation++
 	w.leader = leader
-	w.open, w.limit, w.answered = true, firstTries, 0
+	w.open = true
+	w.limitTries()
 	for c := range w.direct {
 		if c.cancel != nil && c.leader != leader {
 			w.enqueue(c)
@@ -195,7 +203,7 @@
 	for _, c := range w.line {
 		if c.cancel != nil && c.leader != leader {
 			// Until the attempt has ended, the call holds back later ones.
-			c.counted = true
+			c.holding = true
 			c.tries++
 			c.cancel()
 		}
@@ -217,19 +225,30 @@
 		w.scheduleProbe()
 		return
 	}
-	w.release(max(w.limit, firstTries))
-}
-
-// release releases calls until limit are sent at once; mu is held.
-func (w *waiters) release(limit int) {
+	limit := max(w.limit, firstTries)
+	if time.Now().After(w.limitedUntil) {
+		limit = len(w.line)
+	}
 	for _, c := range w.line {
 		if c.counted {
 			limit--
 		}
 	}
+	w.release(limit)
+}
+
+// probe releases a call unless one was released a moment ago; mu is held.
+func (w *waiters) probe() {
+	if !slices.ContainsFunc(w.line, func(c *waitingCall) bool { return c.holding }) {
+		w.release(1)
+	}
+}
+
+// release releases up to limit calls; mu is held.
+func (w *waiters) release(limit int) {
 	var oldest *waitingCall
 	for _, c := range w.line {
-		if oldest == nil && c.shows && (c.counted || !c.trying) {
+		if oldest == nil && c.shows && (c.holding || !c.trying) {
 			oldest = c
 		}
 		if c.trying {
@@ -245,7 +264,7 @@
 
 // try lets a call of the line begin an attempt; mu is held.
 func (w *waiters) try(c *waitingCall) {
-	c.trying, c.counted = true, true
+	c.trying, c.counted, c.holding = true, true, true
 	c.tries++
 	c.generation = w.generation
 	c.released <- struct{}{}
@@ -253,8 +272,9 @@
 	time.AfterFunc(holdTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if c.tries == tries && c.counted {
-			c.counted = false
+		if c.tries == tries && c.holding {
+			c.holding = false
+			c.counted = c.counted && c.shows
 			w.dispatch()
 		}
 	})
@@ -271,7 +291,7 @@
 		defer w.mu.Unlock()
 		w.probing = false
 		if !w.open {
-			w.release(1)
+			w.probe()
 		}
 		w.dispatch()
 	})
--- a/internal/coordinator/waitingcalls_test.go
+++ b/internal/coordinator/waitingcalls_test.go
@@ -29,6 +29,8 @@
 	arrived []string
 	// latency is the time from a call's arrival to its answer.
 	latency time.Duration
+	// now and most are how many calls wait for an answer.
+	now, most int
 }
 
 // fakeLeader is one replica of the group.
@@ -65,6 +67,9 @@
 	at, latency := *l, g.latency
 	if !at.stopped && !at.follows {
 		g.arrived = append(g.arrived, c.Path)
+		g.now++
+		g.most = max(g.most, g.now)
+		defer g.set(func() { g.now-- })
 	}
 	g.mu.Unlock()
 	if at.stopped {
