--- a/internal/coordinator/isolation_test.go
+++ b/internal/coordinator/isolation_test.go
@@ -59,7 +59,7 @@
 		go func() {
 			time.Sleep(election)
 			n.servedAt.set(n.Clock.Now())
-			n.waiters.wake()
+			n.waiters.found("10.0.0.1:1")
 		}()
 		took, err := submit(n)
 		require.True(t, manager.IsErrUnavailable(err), "%v", err)
--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -211,14 +211,6 @@
 	w.dispatch()
 }
 
-// wake makes the calls of the line go on.
-func (w *waiters) wake() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.open = true
-	w.dispatch()
-}
-
 // dispatch releases the calls whose turn it is; mu is held.
 func (w *waiters) dispatch() {
 	if !w.open {
