--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -57,6 +57,7 @@
 	// calledAt is when the first call came.
 	calledAt atomicTime
 	waiters  waiters
+	shown    shownTerm
 	packer   packer
 }
 
@@ -80,11 +81,16 @@
 func (n *Node) call(ctx context.Context, c manager.FleetCall) (manager.FleetReply, error) {
 	start, sent := n.Clock.Now(), false
 	n.calledAt.setOnce(start)
-	for {
-		reply, reached, err := n.attempt(ctx, start, c)
+	w, answered := n.waiters.join(start, c.Kind), false
+	defer func() { n.waiters.leave(w, answered) }()
+	var err error = manager.ErrNotLeader{}
+	for n.pause(ctx, start, c, w) {
+		var reply manager.FleetReply
+		var reached bool
+		reply, reached, err = n.attempt(ctx, start, c, w)
 		if err == nil || final(err) {
+			answered = true
 			n.servedAt.set(n.Clock.Now())
-			n.waiters.wake()
 			if sent && manager.IsErrUnavailable(err) {
 				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
 				n.noteUnanswered(c, sent, err)
@@ -92,19 +98,28 @@
 			}
 			return reply, err
 		}
+		if ctx.Err() == nil {
+			n.waiters.fail(w)
+		}
 		sent = sent || reached
-		if c.Kind == manager.CallReport && (reached || n.Clock.Now().Sub(start) > reportPatience) {
+		if c.Kind == manager.CallReport && reached {
 			return reply, err
 		}
 		n.Finder.Refresh()
-		if !n.pause(ctx, start) {
-			n.noteUnanswered(c, sent, err)
-			if sent {
-				return reply, manager.ErrOutcomeUnknown{}
-			}
-			return reply, manager.ErrUnavailable{Component: "leader", Reason: "none was reached in time"}
-		}
 	}
+	if c.Kind == manager.CallReport && ctx.Err() == nil && n.old(start, c) {
+		return manager.FleetReply{}, err
+	}
+	n.noteUnanswered(c, sent, err)
+	if sent {
+		return manager.FleetReply{}, manager.ErrOutcomeUnknown{}
+	}
+	return manager.FleetReply{}, manager.ErrUnavailable{Component: "leader", Reason: "none was reached in time"}
+}
+
+// old reports whether a call is a report that has waited too long to be sent.
+func (n *Node) old(start manager.Time, c manager.FleetCall) bool {
+	return c.Kind == manager.CallReport && n.Clock.Now().Sub(start) >= reportPatience
 }
 
 // addPause adds to a refusal when the caller should try again.
@@ -127,17 +142,70 @@
 }
 
 // attempt makes one try within a call's patience.
-func (n *Node) attempt(ctx context.Context, start manager.Time, c manager.FleetCall) (manager.FleetReply, bool, error) {
+func (n *Node) attempt(
+	ctx context.Context, start manager.Time, c manager.FleetCall, w *waitingCall,
+) (manager.FleetReply, bool, error) {
 	ctx, cancel := n.limit(ctx, start)
 	defer cancel()
-	return n.try(ctx, c)
+	leader := n.target()
+	if !n.waiters.begin(w, leader, cancel) {
+		// A leader was found meanwhile, maybe by the look at the view. Earlier calls may have joined the line.
+		return manager.FleetReply{}, false, manager.ErrNotLeader{}
+	}
+	reply, term, reached, err := n.try(ctx, leader, c)
+	if (err == nil || final(err)) && !n.shown.accept(n.Clock.Now(), term) {
+		// The leader was replaced before it answered, or does not know it yet. It may have committed the call before.
+		return manager.FleetReply{}, reached, manager.ErrOutcomeUnknown{}
+	}
+	return reply, reached, err
+}
+
+// target returns the leader's address, which is empty if none is known.
+func (n *Node) target() manager.Address {
+	if n.leads() {
+		return n.Own
+	}
+	if leader := n.Finder.View().Leader; leader != n.Own {
+		return leader
+	}
+	return ""
+}
+
+// leads reports whether this node's replica answers calls.
+func (n *Node) leads() bool { return n.Leader != nil && n.Leader.Serving() }
+
+// LeaderFound sends the waiting calls to a leader; the finder calls it when it has found one.
+func (n *Node) LeaderFound(leader manager.Address) {
+	if leader != n.Own || n.Leader != nil {
+		n.waiters.found(leader)
+	}
 }
 
 // pause waits until the next try and returns false if the call should end without one.
-func (n *Node) pause(ctx context.Context, start manager.Time) bool {
-	limited, cancel := n.limit(ctx, start)
-	defer cancel()
-	return n.waiters.wait(limited) || ctx.Err() == nil && !n.isolated(n.Clock.Now())
+func (n *Node) pause(ctx context.Context, start manager.Time, c manager.FleetCall, w *waitingCall) bool {
+	for !n.old(start, c) {
+		limited, cancel := n.limit(ctx, start)
+		if c.Kind == manager.CallReport {
+			limited, cancel = n.limitReport(limited, cancel, start)
+		}
+		released := n.waiters.wait(limited, w)
+		cancel()
+		if released || ctx.Err() != nil {
+			return released
+		}
+		if n.isolated(n.Clock.Now()) {
+			return false
+		}
+	}
+	return false
+}
+
+// limitReport bounds ctx by the age up to which a report is sent; the function it returns also cancels ctx.
+func (n *Node) limitReport(
+	ctx context.Context, cancel context.CancelFunc, start manager.Time,
+) (context.Context, context.CancelFunc) {
+	limited, cancelLimited := context.WithTimeout(ctx, start.Add(reportPatience).Sub(n.Clock.Now()).Std())
+	return limited, func() { cancelLimited(); cancel() }
 }
 
 // limit bounds ctx by the patience of a call that came at start. On a node that is cut off it is short: without an
@@ -164,14 +232,15 @@
 
 // try makes one attempt; reached says that the call may have been taken: a call for which no connection was obtained has
 // not left this node.
-func (n *Node) try(ctx context.Context, c manager.FleetCall) (reply manager.FleetReply, reached bool, err error) {
-	if n.Leader != nil && n.Leader.Serving() {
-		reply, err = n.Leader.Call(ctx, c)
-		return reply, !manager.IsErrNotLeader(err), err
+func (n *Node) try(
+	ctx context.Context, leader manager.Address, c manager.FleetCall,
+) (reply manager.FleetReply, term manager.Term, reached bool, err error) {
+	if leader == "" {
+		return reply, 0, false, manager.ErrNotLeader{}
 	}
-	leader := n.Finder.View().Leader
-	if leader == "" || leader == n.Own {
-		return reply, false, manager.ErrNotLeader{}
+	if leader == n.Own {
+		reply, term, err = n.Leader.CallInTerm(ctx, c)
+		return reply, term, !manager.IsErrNotLeader(err), err
 	}
 	limit := attemptTimeout
 	if c.Kind == manager.CallConfigure || c.Kind == manager.CallReadBack {
@@ -181,25 +250,25 @@
 	defer cancel()
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	reply, err = n.post(ctx, leader, c)
-	return reply, connected && !manager.IsErrNotLeader(err), err
+	reply, term, err = n.post(ctx, leader, c)
+	return reply, term, connected && !manager.IsErrNotLeader(err), err
 }
 
-func (n *Node) post(ctx context.Context, a manager.Address, c manager.FleetCall) (manager.FleetReply, error) {
+func (n *Node) post(ctx context.Context, a manager.Address, c manager.FleetCall) (manager.FleetReply, manager.Term, error) {
 	var reply manager.FleetReply
 	data, err := json.Marshal(c)
 	if err != nil {
-		return reply, fmt.Errorf("encode call: %w", err)
+		return reply, 0, fmt.Errorf("encode call: %w", err)
 	}
 	packed := len(data) >= minPackedBytes
 	if packed {
 		if data, err = n.packer.pack(data); err != nil {
-			return reply, err
+			return reply, 0, err
 		}
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(a)+PathCall, bytes.NewReader(data))
 	if err != nil {
-		return reply, fmt.Errorf("create call: %w", err)
+		return reply, 0, fmt.Errorf("create call: %w", err)
 	}
 	if packed {
 		r.Header.Set("Content-Encoding", "gzip")
@@ -208,21 +277,22 @@
 	r.GetBody = nil
 	response, err := n.HTTP.Do(r)
 	if err != nil {
-		return reply, fmt.Errorf("call %s: %w", a, err)
+		return reply, 0, fmt.Errorf("call %s: %w", a, err)
 	}
 	defer response.Body.Close()
+	term := readTerm(response.Header)
 	if response.StatusCode != http.StatusOK {
-		return reply, translator.ReadError(response)
+		return reply, term, translator.ReadError(response)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("decode reply: %w", err)
+		return reply, 0, fmt.Errorf("decode reply: %w", err)
 	}
-	return reply, nil
+	return reply, term, nil
 }
 
 // Ready returns why no call can be taken now, or nil.
 func (n *Node) Ready() error {
-	if n.Leader != nil && n.Leader.Serving() {
+	if n.leads() {
 		n.servedAt.set(n.Clock.Now())
 	}
 	if n.Clock.Now().Sub(n.answeredAt()) >= isolatedAge {
