localizer: a policy that decides whether a task waits near its data

Cause: a step with DataRack or PreferSameRack only prefers a near worker among those that accept at that moment.

--- /dev/null
+++ b/pkg/manager/locality.go
@@ -0,0 +1,57 @@
+package manager
+
+// LocalityPolicy decides whether a task that could start remote from its data waits for capacity near the data.
+type LocalityPolicy interface {
+	Decide(in LocalityInput) LocalityDecision
+}
+
+// LocalityInput describes a task that could start now on a worker remote from its data, while no worker near the data
+// accepts it.
+type LocalityInput struct {
+	Now Time
+	// LocalMs and RemoteMs are the expected durations of the task near its data and remote from it.
+	LocalMs  Duration
+	RemoteMs Duration
+	// NearAt is when a near worker is expected to accept the task, after the tasks that already wait for the rack.
+	NearAt Time
+	// LatestStart is the latest time at which the rest of the job, run near its data, still meets the objective.
+	LatestStart Time
+	// BacklogMs is how long the pool needs for the tasks that find no worker. It is 0 while every task finds one.
+	BacklogMs Duration
+	// WaitUntil is when the wait of the task ends, as decided at its beginning. It is 0 for a task that does not wait yet.
+	WaitUntil Time
+	// Idle means that nothing of the job runs, and HeldMs is how long waits have already held the job in that state.
+	Idle   bool
+	HeldMs Duration
+}
+
+// LocalityDecision is whether a task waits, until when, and why it does not.
+type LocalityDecision struct {
+	Wait   bool
+	Until  Time
+	Reason LocalityReason
+}
+
+// LocalityReason is why a task does not wait, or does not wait any longer, for capacity near its data.
+type LocalityReason string
+
+// Reasons why a wait ends.
+const (
+	// LocalityNear means that the task started near its data.
+	LocalityNear LocalityReason = "near worker accepts"
+	// LocalityTooLong means that the task is expected to complete earlier, or at a lower cost to others, when it runs
+	// remote.
+	LocalityTooLong LocalityReason = "near capacity expected too late"
+	// LocalityExpired means that the end of the wait has passed.
+	LocalityExpired LocalityReason = "wait expired"
+	// LocalityObjective means that a longer wait could make the job miss its objective.
+	LocalityObjective LocalityReason = "objective at risk"
+	// LocalityHeld means that waits have held a job with nothing running for as long as they may.
+	LocalityHeld LocalityReason = "job held too long"
+	// LocalityNoWorker means that no live worker near the data can run the task.
+	LocalityNoWorker LocalityReason = "no live worker near"
+	// LocalityOff means that the policy never waits.
+	LocalityOff LocalityReason = "waiting is off"
+	// LocalityJobEnded means that the job ended before the task started.
+	LocalityJobEnded LocalityReason = "job ended"
+)
--- /dev/null
+++ b/pkg/manager/localizer/doc.go
@@ -0,0 +1,2 @@
+// Package localizer decides whether tasks wait for capacity near their data.
+package localizer
