recorder: learn the local duration from runs that were remote

Cause: a run that is remote from its data lasts longer by the remote factor, which would inflate the estimate of a local run, and with it the objective of every job of the queue.

--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -166,7 +166,7 @@
 		t = st.endGangRun(j, e, instance, began)
 	case e.How == manager.RunDone && !j.Steps[e.Task.Step].LongRunning:
 		t.Done = true
-		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, st.At.Sub(began))
+		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, e.localTime(st.At.Sub(began)))
 		j.remaining[e.Task.Step]--
 	case e.How == manager.RunFailed:
 		t.Failures++
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -48,6 +48,17 @@
 	Saved manager.Checkpoint `json:",omitempty"`
 	// Unreported means that the lease of the worker has expired before it reported that it runs the task.
 	Unreported bool `json:",omitempty"`
+	// Slowdown is how many times as long the run lasted because it was remote from its data or its group; 0 means that it
+	// was not.
+	Slowdown float64 `json:",omitempty"`
+}
+
+// localTime returns how long the run would have lasted near its data.
+func (e *End) localTime(ran manager.Duration) manager.Duration {
+	if e.Slowdown <= 1 {
+		return ran
+	}
+	return manager.DurationOf(float64(ran) / e.Slowdown)
 }
 
 // MaintenanceState is the progress of one VM of a wave.
--- a/pkg/manager/recorder/gang.go
+++ b/pkg/manager/recorder/gang.go
@@ -22,7 +22,7 @@
 			tasks[i].Done = true
 		}
 		j.remaining[e.Task.Step] = 0
-		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, st.At.Sub(began))
+		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, e.localTime(st.At.Sub(began)))
 	case manager.RunFailed:
 		tasks[e.Task.Task].FailedOn = l.Worker
 		if first.FailedRun < e.Run {
