dispatcher: let tasks wait for the rack of their data or their group

Cause: a task goes to any worker that accepts it now, and then lasts longer by the remote factor.

Change: with Options.RemoteFactor above 1, a task of a step with DataRack or PreferSameRack that only a remote worker accepts asks the policy, with a forecast of the rack: the free capacity and runs of its workers, their next reports, and the tasks that wait for it already. Gangs do the same as a whole. Other steps, and all steps without a factor, are placed by the code as before. The end of a wait is logged with its reason.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/localizer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
@@ -55,6 +56,11 @@
 	// MaxDirect limits the number of workers that are asked to report to this node directly. The others report through
 	// any node, and their reports are answered without waiting for orders. 0 means no limit.
 	MaxDirect int
+	// RemoteFactor is how many times as long a task lasts that runs remote from its data or its group. Up to 1, no task
+	// waits for a rack.
+	RemoteFactor float64
+	// Locality decides which tasks wait for a rack.
+	Locality manager.LocalityPolicy
 }
 
 // Defaults of Options.
@@ -100,6 +106,7 @@
 	lending  lending
 	schedule schedule
 	advice   advice
+	locality locality
 	// incompleteGangs holds the runs of gangs that lack a task from the start.
 	incompleteGangs map[StepID]manager.RunNumber
 	// direct counts the workers that report to this node directly.
@@ -133,6 +140,8 @@
 	Minor bool
 	// Ended is set on the line of a job that ended.
 	Ended *EndedJob
+	// Waited is set on the line of a task that waited for a rack.
+	Waited *EndedWait
 }
 
 // EndedJob holds what the metrics count of a job that ended.
@@ -151,6 +160,9 @@
 	setDefault(&o.NextMs, DefaultNext)
 	setDefault(&o.StopMs, DefaultStop)
 	setDefault(&o.OrderGapMs, DefaultOrderGap)
+	if o.Locality == nil {
+		o.Locality = localizer.Adaptive{}
+	}
 	return &Dispatcher{
 		State: state, Token: token, Options: o, StartedAt: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -15,7 +15,8 @@
 
 // placeGang starts all tasks of a gang at once, or none: a part of them would be of no use, so capacity for a part is
 // left to other jobs.
-func (d *Dispatcher) placeGang(now manager.Time, j *recorder.Job, s int, list []*candidate, c *recorder.Changes) {
+func (d *Dispatcher) placeGang(now manager.Time, r *jobRank, s int, list []*candidate, c *recorder.Changes) {
+	j := r.job
 	run := j.NextGangRun(s)
 	if run == 0 {
 		return
@@ -25,6 +26,9 @@
 		d.backlog[d.poolOf(j)] = true
 		return
 	}
+	if d.gangWaits(now, r, s, places, list) {
+		return
+	}
 	starts := make([]recorder.Start, len(places))
 	for i, w := range places {
 		starts[i] = d.start(j, s, i, run, w)
@@ -35,6 +39,7 @@
 	for i, w := range places {
 		w.assign(j.Steps[s], &j.Tasks[s][i], nil)
 	}
+	d.endGangWait(now, j, s, places)
 }
 
 // gangPlaces returns a worker for each task of a gang, or nil. If the step asks for one rack, it tries each rack first.
@@ -102,6 +107,10 @@
 			// It waits for reports, not for capacity.
 			continue
 		}
+		if d.holdsGang(now, j, s) {
+			// It waits for a rack, while there is capacity for it.
+			continue
+		}
 		for i := range j.Tasks[s] {
 			since = max(since, j.Tasks[s][i].EndedAt)
 		}
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -49,6 +49,12 @@
 	crashes     map[manager.TaskID]int
 	// brokenGangs holds the latest run in which a worker of a gang crashed, by the gang's first task.
 	brokenGangs map[manager.TaskID]manager.RunNumber
+	// options are those of each new dispatcher.
+	options dispatcher.Options
+	// duration, if set, returns how long a task takes on a worker, instead of the worker's taskTime.
+	duration func(*fakeWorker, manager.TaskID) manager.Duration
+	// onLog, if set, is called with each log line.
+	onLog func(dispatcher.LogLine)
 }
 
 func newFleet(t require.TestingT) *fleet {
@@ -68,7 +74,7 @@
 
 // startDispatcher replaces the dispatcher, as after an election.
 func (f *fleet) startDispatcher(token manager.FencingToken) {
-	f.d = dispatcher.New(f.state, token, dispatcher.Options{}, f.now)
+	f.d = dispatcher.New(f.state, token, f.options, f.now)
 	for _, w := range f.workers {
 		w.call, w.nextReportAt = 0, f.now
 	}
@@ -96,7 +102,11 @@
 		f.state.Apply(c)
 		f.recordAnswers(f.d.Committed(f.now))
 	}
-	f.d.LogLines()
+	for _, line := range f.d.LogLines() {
+		if f.onLog != nil {
+			f.onLog(line)
+		}
+	}
 	for _, order := range f.d.PlatformOrders() {
 		f.platformOrders = append(f.platformOrders, order)
 		if f.acceptOrders {
@@ -268,7 +278,7 @@
 			}
 			continue
 		}
-		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.Steps[id.Step].LongRunning) {
+		if w.f.now.Sub(at) >= w.lasts(id) && (j == nil || !j.Steps[id.Step].LongRunning) {
 			how := manager.RunDone
 			if w.fails {
 				how = manager.RunFailed
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -39,6 +39,7 @@
 
 // place proposes starts of ready tasks, by pool and in the order of their jobs.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
+	d.startLocality(now)
 	d.backlog, d.startBytes = map[manager.PoolID]bool{}, 0
 	ready := d.readyPools()
 	if len(ready) == 0 {
@@ -156,7 +157,10 @@
 		}
 		list := d.permittedCandidates(now, j, s, all)
 		if step.Gang {
-			d.placeGang(now, j, s, list, c)
+			d.placeGang(now, t, s, list, c)
+			continue
+		}
+		if d.placeNear(now, t, s, list, len(list) == len(all), unmet, c) {
 			continue
 		}
 		d.placeStep(now, j, s, list, len(list) == len(all), unmet, c)
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -266,7 +266,7 @@
 			continue
 		}
 		w.endsPending = true
-		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved})
+		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved, Slowdown: d.recordedSlowdown(w, e)})
 		w.health.recordEnd(now, e.How)
 		if e.How == manager.RunRefused {
 			d.dropPermit(e.Task, w.instance)
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -54,6 +54,7 @@
 	LogPlatformListNotRead           = "Platform VM list not read"
 	LogPlatformRefusalNotRead        = "Platform refusal not read"
 	LogPoolLoad                      = "Pool loaded"
+	LogRackWaitEnded                 = "Wait for a rack ended"
 	LogReplicaAdded                  = "Replica added"
 	LogReplicaLostDisk               = "Replica lost its disk"
 	LogReplicaMembersChanged         = "Replica members changed"
@@ -137,6 +138,7 @@
 		{LogPlatformListNotRead, "Leader", "The list of VMs could not be read; it is read again later. While that fails, one failure in a minute is logged; Skipped counts the others."},
 		{LogPlatformRefusalNotRead, "Leader", "The reason of a refusal could not be read, so the VM is treated as busy."},
 		{LogPoolLoad, "Leader", "The load and the VMs of a pool, once a second while it has work."},
+		{LogRackWaitEnded, "Leader", "A task stops waiting for capacity on the rack of its data or group after WaitedMs, and starts unless its job has ended. Reason is why; PaidOff means that it started there, after less time than a remote run would have lasted longer."},
 		{LogReplicaAdded, "Leader", "A disk was added to the group as a replica, without a vote at first."},
 		{LogReplicaLostDisk, "Leader", "Another disk is in use at a replica's address, so the old replica is removed."},
 		{LogReplicaMembersChanged, "Replica", "The members that this replica knows have changed; a learner has no vote."},
