--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -130,7 +130,7 @@
 		Clock: f.Clock, Store: f.store, State: state,
 		Options: dispatcher.Options{
 			LeaseMs: workLease(s), StopMs: s.Work.StopMs, OrderGapMs: s.Work.DutyGapMs, Address: s.Control,
-			MaxDirect: s.MaxDescriptors * directSharePercent / 100,
+			MaxDirect: s.MaxDescriptors * directSharePercent / 100, RemoteFactor: s.Work.RemoteFactor,
 		},
 		Wall:     func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
 		Platform: platform.Cloud{Address: s.PlatformAddress, Advisor: s.AdvisorAddress, Holder: s.Node, HTTP: client},
--- a/internal/configurer/fleet.go
+++ b/internal/configurer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -56,6 +57,9 @@
 	StopMs manager.Duration
 	// DutyGapMs is the least time between two dispatchers' orders for one VM.
 	DutyGapMs manager.Duration
+	// RemoteFactor is how many times as long a task takes that runs remote from its data or its group. Up to 1, tasks don't
+	// wait for capacity near them.
+	RemoteFactor float64 `json:",omitempty"`
 }
 
 // ReadFleetNode reads and checks a settings file.
@@ -113,6 +117,9 @@
 	if s.Work.MaxLeaseMs <= 0 || s.Work.StopMs <= 0 || s.Work.DutyGapMs <= 0 {
 		return invalid("Work", "has a bound that is not above 0")
 	}
+	if f := s.Work.RemoteFactor; f < 0 || math.IsNaN(f) || math.IsInf(f, 0) {
+		return invalid("Work.RemoteFactor", "is %v: expected a finite number, 0 or more", f)
+	}
 	return nil
 }
 
--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -1,6 +1,7 @@
 package configurer_test
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,6 +32,8 @@
 		{`"Front": "10.1.0.9:8624"`, `"Front": "10.1.0.9"`, "Front"},
 		{`"10.2.0.23:8623"`, `"seed"`, "Seeds[1]"},
 		{`"StopMs": 900`, `"StopMs": 0`, "Work"},
+		{`"RemoteFactor": 1.5`, `"RemoteFactor": -0.5`, "Work.RemoteFactor"},
+		{`"RemoteFactor": 1.5`, `"RemoteFactor": 1e999`, "Work.RemoteFactor"},
 		{`"Found": true`, `"Found": true, "Typo": 1`, "Typo"},
 	} {
 		require.Contains(t, string(data), c.old)
@@ -41,6 +44,20 @@
 	}
 }
 
+// Guards against a setting that is neither checked for what JSON can't hold, nor optional.
+func TestRemoteFactor(t *testing.T) {
+	s, err := configurer.ReadFleetNode(fleetExample)
+	require.NoError(t, err)
+	for _, f := range []float64{0, 0.5, 1, 3} {
+		s.Work.RemoteFactor = f
+		require.NoError(t, s.Validate())
+	}
+	for _, f := range []float64{-1, math.Inf(1), math.Inf(-1), math.NaN()} {
+		s.Work.RemoteFactor = f
+		require.ErrorContains(t, s.Validate(), "Work.RemoteFactor")
+	}
+}
+
 // fleetWith writes the example with other seeds and returns its file.
 func fleetWith(t *testing.T, seeds, found string) string {
 	t.Helper()
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -243,6 +243,9 @@
 				meter.JobsLate(e.Queue).Inc()
 			}
 		}
+		if w := n.Waited; w != nil {
+			meter.RackWaits(w.PaidOff).Inc()
+		}
 		fields := slices.Concat(n.Fields, []any{"Token", l.term})
 		if n.Minor {
 			klog.V(logger.Minor).InfoS(n.Message, fields...)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -100,6 +100,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_jobs_late_total{queue=%q}`, q))
 }
 
+// RackWaits counts the tasks that waited for a rack, by whether the wait paid off.
+func RackWaits(paidOff bool) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_rack_waits_total{paid_off="%t"}`, paidOff))
+}
+
 // LogLinesDropped counts the log lines that were dropped, by whether they were minor.
 func LogLinesDropped(minor bool) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`mulberryhaven_log_lines_dropped_total{minor="%t"}`, minor))
