localizer: count the queue of a rack, and bound waits by what is certain

Change: joining a queue is limited to the length up to which it pays for all (Naor 1969), without the pool's own backlog. Economic end and hard bounds are apart: with a backlog a task waits up to its bound, as a remote run costs the others the same then. The bounds don't apply to a task for which there would be no capacity if those ahead of it did not wait, and a wait goes past the latest remote start only with a backlog, and if a wait twice as long as expected leaves more time than a remote start now.

--- a/pkg/manager/locality.go
+++ b/pkg/manager/locality.go
@@ -16,10 +16,16 @@
 	NearAt Time
 	// LatestStart is the latest time at which the rest of the job, run near its data, still meets the objective.
 	LatestStart Time
-	// BacklogMs is how long the pool needs for the tasks that find no worker. It is 0 while every task finds one.
+	// Ahead is the number of tasks that already wait for the rack, and TurnMs the mean time in which the rack completes one.
+	Ahead  int
+	TurnMs float64
+	// BacklogMs is how long the pool needs for the waiting tasks that its free capacity does not suffice for.
 	BacklogMs Duration
 	// WaitUntil is when the wait of the task ends, as decided at its beginning. It is 0 for a task that does not wait yet.
 	WaitUntil Time
+	// Contested means that tasks ahead of this one wait although they could take all capacity that accepts it now: if none
+	// waited, there would be no capacity for it.
+	Contested bool
 	// Idle means that nothing of the job runs, and HeldMs is how long waits have already held the job in that state.
 	Idle   bool
 	HeldMs Duration
@@ -42,6 +48,8 @@
 	// LocalityTooLong means that the task is expected to complete earlier, or at a lower cost to others, when it runs
 	// remote.
 	LocalityTooLong LocalityReason = "near capacity expected too late"
+	// LocalityQueue means that too many tasks already wait for the rack.
+	LocalityQueue LocalityReason = "queue for the rack too long"
 	// LocalityExpired means that the end of the wait has passed.
 	LocalityExpired LocalityReason = "wait expired"
 	// LocalityObjective means that a longer wait could make the job miss its objective.
