dispatcher: measure the pressure on a pool, compare the policies on drawn loads

Cause: a pool whose tasks all wait by choice was taken for one without a backlog, and a burst was noticed only when the pool was full. A step counted as spread over racks once that was decided, also where its workers name no rack.

TestAdaptiveLosesToNoBaseline plays 48 loads in virtual time.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -168,7 +168,7 @@
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refusedUntil: map[manager.GraphID]manager.Time{},
 		times: estimator{state: state}, initialStateAt: state.At, unresolved: unresolvedOrders(state),
-		incompleteGangs: map[StepID]manager.RunNumber{},
+		incompleteGangs: map[StepID]manager.RunNumber{}, locality: newLocality(),
 	}
 }
 
--- a/pkg/manager/dispatcher/fleet_test.go
+++ b/pkg/manager/dispatcher/fleet_test.go
@@ -272,3 +272,13 @@
 		require.Equal(t, c.want, f.answers[call].Orders.NextMs)
 	}
 }
+
+func task(cores manager.MilliCores, count int) manager.GraphStep {
+	return manager.GraphStep{Count: count, EstimateMs: 1000, PerTask: manager.Resources{ProcessorMilliCores: cores, MemoryMegaBytes: 100}}
+}
+
+func longRunning(cores manager.MilliCores, count, unavailable int) manager.GraphStep {
+	s := task(cores, count)
+	s.LongRunning, s.MaxUnavailable, s.MaxPerWorker = true, unavailable, 1
+	return s
+}
--- a/pkg/manager/dispatcher/locality_fleet_test.go
+++ b/pkg/manager/dispatcher/locality_fleet_test.go
@@ -1,9 +1,12 @@
 package dispatcher_test
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/stretchr/testify/require"
 
@@ -37,7 +40,7 @@
 }
 
 const (
-	rackCores    = 32_000
+	rackCores    = 16_000
 	rackNeed     = 3100
 	rackTaskTime = 800 * manager.Millisecond
 )
@@ -54,8 +57,6 @@
 	calls   map[dispatcher.CallID]manager.GraphID
 	pending float64
 	result  rackResult
-	remote  int
-	local   int
 }
 
 type rackJob struct {
@@ -70,16 +71,48 @@
 	total                     manager.Duration
 	onTime                    int
 	paid, lost                int
-	remote                    float64
+	remoteRuns, localRuns     int
+	// reasons counts why waits ended.
+	reasons map[manager.LocalityReason]int
 }
 
 func (r rackResult) mean() float64 { return float64(r.total) / float64(max(1, r.jobs)) }
 
 func (r rackResult) share() float64 { return float64(r.onTime) / float64(max(1, r.jobs)) }
 
+func (r rackResult) remote() float64 {
+	return float64(r.remoteRuns) / float64(max(1, r.remoteRuns+r.localRuns))
+}
+
+// add adds the jobs of another run.
+func (r *rackResult) add(o rackResult) {
+	r.jobs += o.jobs
+	r.refused += o.refused
+	r.unfinished += o.unfinished
+	r.total += o.total
+	r.onTime += o.onTime
+	r.paid += o.paid
+	r.lost += o.lost
+	r.remoteRuns += o.remoteRuns
+	r.localRuns += o.localRuns
+	if r.reasons == nil {
+		r.reasons = map[manager.LocalityReason]int{}
+	}
+	for reason, n := range o.reasons {
+		r.reasons[reason] += n
+	}
+}
+
 func (r rackResult) String() string {
-	return fmt.Sprintf("mean %4.0f ms, on time %.3f, remote %.2f (%d jobs, %d refused, %d unfinished; waits paid %d, lost %d)",
-		r.mean(), r.share(), r.remote, r.jobs, r.refused, r.unfinished, r.paid, r.lost)
+	return fmt.Sprintf("mean %4.0f ms, on time %.3f, remote %.2f (%d jobs, %d refused, %d unfinished; waits paid %d, lost %d: %v)",
+		r.mean(), r.share(), r.remote(), r.jobs, r.refused, r.unfinished, r.paid, r.lost, r.reasons)
+}
+
+// sortedTasks returns the tasks in order, so that a run of the tests is repeatable.
+func sortedTasks(m map[manager.TaskID]manager.Time) []manager.TaskID {
+	return slices.SortedFunc(maps.Keys(m), func(a, b manager.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Graph, b.Graph), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task))
+	})
 }
 
 func rackLabel(i int) manager.Label { return manager.Label(fmt.Sprintf("r%02d", i)) }
@@ -88,6 +121,7 @@
 	r := &rackFleet{
 		fleet: newFleet(t), load: l, rng: rand.New(rand.NewPCG(seed, 11)), racksOf: map[dispatcher.StepID]map[manager.Label]bool{},
 		jobs: map[manager.GraphID]*rackJob{}, calls: map[dispatcher.CallID]manager.GraphID{},
+		result: rackResult{reasons: map[manager.LocalityReason]int{}},
 	}
 	r.options = dispatcher.Options{RemoteFactor: l.factor, Locality: policy}
 	r.startDispatcher(2)
@@ -133,6 +167,7 @@
 
 func (r *rackFleet) record(line dispatcher.LogLine) {
 	if w := line.Waited; w != nil {
+		r.result.reasons[w.Reason]++
 		if w.PaidOff {
 			r.result.paid++
 		} else {
@@ -236,11 +271,10 @@
 				step = j.Steps[s.Task.Step]
 			}
 			if r.isRemote(w, step, s.Task) {
-				r.remote++
+				r.result.remoteRuns++
 			} else {
-				r.local++
+				r.result.localRuns++
 			}
 		}
 	}
-	r.result.remote = float64(r.remote) / float64(max(1, r.remote+r.local))
 }
--- /dev/null
+++ b/pkg/manager/dispatcher/locality_test.go
@@ -0,0 +1,82 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/localizer"
+)
+
+// The production policy may lose to a baseline by as much as noise explains, and no more.
+const (
+	maxMeanLoss  = 0.05
+	maxShareLoss = 0.02
+	// rackSeeds is the number of runs whose jobs are counted together; one run has enough jobs of a single task.
+	rackSeeds = 4
+)
+
+// rackLoads returns the loads that the policies are compared by.
+func rackLoads() []rackLoad {
+	constant := func(x float64) func(manager.Duration) float64 {
+		return func(manager.Duration) float64 { return x }
+	}
+	burst := func(at manager.Duration) float64 {
+		if at >= 2*manager.Second && at < 5*manager.Second {
+			return 3
+		}
+		return 0.05
+	}
+	kinds := []rackLoad{
+		{name: "single tasks", count: 1, steps: 1},
+		{name: "steps of 8", count: 8, steps: 2},
+		{name: "rack-sensitive", count: 8, steps: 2, sensitive: true},
+	}
+	loads := []rackLoad{
+		{name: "low", rate: constant(0.2), lasts: 6 * manager.Second},
+		{name: "burst", rate: burst, lasts: 7 * manager.Second},
+		{name: "rack lost", rate: constant(0.3), hot: 0.3, lostAt: 2 * manager.Second, lasts: 8 * manager.Second},
+		{name: "hot rack", rate: constant(0.5), hot: 0.6, lasts: 6 * manager.Second},
+	}
+	var list []rackLoad
+	for _, l := range loads {
+		for _, k := range kinds {
+			for _, factor := range []float64{1.5, 3} {
+				for _, inRack := range []int{8, 20} {
+					o := l
+					o.count, o.steps, o.sensitive, o.factor, o.inRack = k.count, k.steps, k.sensitive, factor, inRack
+					o.workers = 60 / inRack * inRack
+					o.name = fmt.Sprintf("%s/%s/factor=%v/rack=%d", l.name, k.name, factor, inRack)
+					list = append(list, o)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// Guards against a policy that waits where a remote start is better, or starts remote where waiting is.
+func TestAdaptiveLosesToNoBaseline(t *testing.T) {
+	for _, l := range rackLoads() {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			var adaptive, never, always rackResult
+			seeds := uint64(rackSeeds)
+			if l.count == 1 {
+				seeds = 1
+			}
+			for seed := range seeds {
+				adaptive.add(newRackFleet(t, l, localizer.Adaptive{}, seed).play())
+				never.add(newRackFleet(t, l, localizer.Never{}, seed).play())
+				always.add(newRackFleet(t, l, localizer.Always{}, seed).play())
+			}
+			t.Logf("\n  never    %v\n  always   %v\n  adaptive %v", never, always, adaptive)
+			for _, o := range []rackResult{never, always} {
+				require.LessOrEqual(t, adaptive.mean(), o.mean()*(1+maxMeanLoss))
+				require.GreaterOrEqual(t, adaptive.share(), o.share()-maxShareLoss)
+			}
+		})
+	}
+}
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -265,12 +265,13 @@
 	if w.silent {
 		return
 	}
-	for id, at := range w.stopping {
-		if w.f.now >= at {
+	for _, id := range sortedTasks(w.stopping) {
+		if at := w.stopping[id]; w.f.now >= at {
 			w.end(id, manager.RunStopped)
 		}
 	}
-	for id, at := range w.runs {
+	for _, id := range sortedTasks(w.runs) {
+		at := w.runs[id]
 		j := w.f.state.Jobs[id.Graph]
 		if w.f.lacksTask(id, w.numbers[id]) {
 			if w.f.now.Sub(at) >= gangTimeout {
@@ -392,13 +393,3 @@
 	}
 	w.stopping[s.Task] = w.f.now.Add(w.stopTime)
 }
-
-func task(cores manager.MilliCores, count int) manager.GraphStep {
-	return manager.GraphStep{Count: count, EstimateMs: 1000, PerTask: manager.Resources{ProcessorMilliCores: cores, MemoryMegaBytes: 100}}
-}
-
-func longRunning(cores manager.MilliCores, count, unavailable int) manager.GraphStep {
-	s := task(cores, count)
-	s.LongRunning, s.MaxUnavailable, s.MaxPerWorker = true, unavailable, 1
-	return s
-}
--- a/pkg/manager/dispatcher/nearplacement.go
+++ b/pkg/manager/dispatcher/nearplacement.go
@@ -1,8 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
-
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
@@ -24,6 +22,8 @@
 	// nearFull means that no near worker accepts an unconstrained task, and far is the worker that accepts one now.
 	nearFull bool
 	far      *candidate
+	// contested means that the tasks that wait could take all capacity that accepts a task of the step.
+	contested bool
 }
 
 // placeNear proposes starts of the waiting tasks of a step that has a rack, and lets those wait for which that pays. It
@@ -86,10 +86,19 @@
 		d.backlog[d.poolOf(j)] = true
 		return t.Suspicion() > 0
 	}
+	p.contested = p.contested || d.contested(p.now, j, p.step, p.list)
 	w, at := p.forecast.earliest(d, step)
-	reason, wait := d.waitFor(p.now, p.rank, id, p.rack, at, w != nil && (p.open || len(p.near) > 0))
+	local := d.times.task(j.Queue, *step)
+	n := nearForecast{at: at, ahead: p.forecast.waiting, turnMs: p.forecast.turn(step, local), contested: p.contested}
+	if w != nil && (p.open || len(p.near) > 0) {
+		n.rack = p.rack
+	}
+	reason, wait := d.waitFor(p.now, p.rank, id, n)
 	if wait {
-		w.reserve(at, step, d.times.task(j.Queue, *step))
+		w.reserve(at, step, local)
+		p.forecast.waiting++
+		pool := d.poolOf(j)
+		d.locality.waiting[pool] = d.locality.waiting[pool].Add(stepResources(*step))
 		return true
 	}
 	return p.start(i, p.far, reason, c)
@@ -110,130 +119,18 @@
 	return true
 }
 
-// rackFor returns the rack near which the tasks of a step should run, or "" if any is as good.
-func (d *Dispatcher) rackFor(now manager.Time, r *jobRank, s int, list []*candidate) manager.Label {
-	j := r.job
-	step := &j.Steps[s]
-	if !step.PreferSameRack {
-		return step.DataRack
-	}
-	rack, spread := d.rackOfStep(j, s)
-	switch {
-	case spread:
-		return ""
-	case rack != "" && (j.OpenRunsIn(s) > 0 || len(d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack}, list).workers) > 0):
-		return rack
-	case step.DataRack != "":
-		return step.DataRack
-	}
-	return d.chooseRack(now, r, s, list)
-}
-
-// chooseRack chooses a rack for all tasks of a step, or returns "" if they are expected to complete earlier on several.
-func (d *Dispatcher) chooseRack(now manager.Time, r *jobRank, s int, list []*candidate) manager.Label {
-	j := r.job
-	step := &j.Steps[s]
-	n := j.Remaining(s)
-	racks := sortedRacks(list)
-	var best manager.Label
-	most := 0
-	free := map[manager.Label]int{}
-	for _, w := range list {
-		if w.polling && !w.movePending && (step.Requires == "" || slices.Contains(w.latest.Labels, step.Requires)) {
-			free[w.latest.Rack] += maxTasks(w.free, step)
-		}
-	}
-	total := 0
-	for _, rack := range racks {
-		total += free[rack]
-		if rack != "" && free[rack] > most {
-			best, most = rack, free[rack]
-		}
-	}
-	id := StepID{Graph: j.Graph.Graph, Step: s}
-	if most >= n {
-		d.locality.homes[id] = best
-		return best
-	}
-	if total == 0 {
-		return ""
-	}
-	best, at := d.soonestRack(now, r, s, racks, list)
-	in := d.localityInput(now, r, manager.TaskID{Graph: j.Graph.Graph, Step: s}, at)
-	if best == "" || !d.Options.Locality.Decide(in).Wait {
-		d.locality.homes[id] = ""
-		return ""
-	}
-	d.locality.homes[id] = best
-	return best
-}
-
-// soonestRack returns the rack that is expected to have had capacity for all waiting tasks of a step first, and when; or
-// "".
-func (d *Dispatcher) soonestRack(now manager.Time, r *jobRank, s int, racks []manager.Label, list []*candidate) (manager.Label, manager.Time) {
-	j := r.job
-	var best manager.Label
-	var bestAt manager.Time
-	for _, rack := range racks {
-		if rack == "" {
-			continue
-		}
-		f := d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack}, list)
-		at, ok := f.all(d, &j.Steps[s], j.Remaining(s)-j.OpenRunsIn(s), d.times.task(j.Queue, j.Steps[s]))
-		if ok && (best == "" || at < bestAt) {
-			best, bestAt = rack, at
-		}
-	}
-	return best, bestAt
-}
-
-// gangWaits decides whether a gang that could start on several racks, or remote from its data, waits for one rack.
-func (d *Dispatcher) gangWaits(now manager.Time, r *jobRank, s int, places, list []*candidate) bool {
-	j := r.job
-	step := &j.Steps[s]
-	if !d.waitsEnabled() || step.LongRunning || d.gangIsNear(j, s, places) {
+// contested reports whether the tasks that wait in this cycle could take all capacity that accepts a task of the step. It is
+// false while the free capacity of the pool suffices for all waiting tasks.
+func (d *Dispatcher) contested(now manager.Time, j *recorder.Job, s int, list []*candidate) bool {
+	if d.pressure(now, d.poolOf(j)).over <= 1 {
 		return false
 	}
-	racks := []manager.Label{step.DataRack}
-	if step.DataRack == "" {
-		racks = sortedRacks(list)
-	}
-	rack, at := d.soonestRack(now, r, s, racks, list)
-	_, wait := d.waitFor(now, r, manager.TaskID{Graph: j.Graph.Graph, Step: s}, rack, at, rack != "")
-	return wait
-}
-
-// gangIsNear reports whether a gang's places are as near to its data and to each other as its step asks.
-func (d *Dispatcher) gangIsNear(j *recorder.Job, s int, places []*candidate) bool {
-	step := &j.Steps[s]
-	for _, w := range places {
-		if step.DataRack != "" && !w.onRack(step.DataRack) || step.PreferSameRack && w.latest.Rack != places[0].latest.Rack {
-			return false
+	need := stepResources(j.Steps[s])
+	var accepting manager.Resources
+	for _, w := range list {
+		if w.polling && w.free.Fits(need) {
+			accepting = accepting.Add(w.free)
 		}
 	}
-	return true
-}
-
-// holdsGang reports whether a gang waits for a rack in this cycle.
-func (d *Dispatcher) holdsGang(now manager.Time, j *recorder.Job, s int) bool {
-	w := d.locality.waits[manager.TaskID{Graph: j.Graph.Graph, Step: s}]
-	return w != nil && w.at == now
-}
-
-// endGangWait ends the wait of a gang that starts.
-func (d *Dispatcher) endGangWait(now manager.Time, j *recorder.Job, s int, places []*candidate) {
-	reason := manager.LocalityTooLong
-	if d.gangIsNear(j, s, places) {
-		reason = manager.LocalityNear
-	}
-	local := d.times.task(j.Queue, j.Steps[s])
-	d.endWait(now, manager.TaskID{Graph: j.Graph.Graph, Step: s}, reason, d.remoteTime(local)-local)
-}
-
-// recordedSlowdown returns the slowdown that is recorded with the end of a run, or 0 if it is none.
-func (d *Dispatcher) recordedSlowdown(w *worker, e manager.EndedRun) float64 {
-	if f := d.slowdown(w, e.Task); f > 1 && e.How == manager.RunDone {
-		return f
-	}
-	return 0
+	return !accepting.Sub(d.locality.waiting[d.poolOf(j)]).Fits(need)
 }
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -196,6 +196,7 @@
 
 // start returns the start of a task on a worker.
 func (d *Dispatcher) start(j *recorder.Job, s, i int, n manager.RunNumber, w *candidate) recorder.Start {
+	d.noteStart(j, s, w.worker)
 	return recorder.Start{
 		Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: n, Instance: w.instance, VM: w.latest.VM,
 		Permit: d.permit(j, s, w.instance),
--- a/pkg/manager/dispatcher/rackforecast.go
+++ b/pkg/manager/dispatcher/rackforecast.go
@@ -15,6 +15,8 @@
 	// overdueShare of the time for which a run has lasted is the least time that it is expected to go on, as estimates are
 	// rough.
 	overdueShare = 0.1
+	// maxRackSlots bounds the tasks that one worker counts for, as those without resources fit without end.
+	maxRackSlots = 1000
 )
 
 // rackID names a rack's workers of one pool.
@@ -26,6 +28,34 @@
 // rackForecast predicts when the workers of a rack have capacity, after the tasks that wait for the rack.
 type rackForecast struct {
 	workers []*workerForecast
+	// waiting is the number of tasks that wait for the rack.
+	waiting int
+	// slots caches how many tasks with given resources the rack runs at once.
+	slots map[manager.Resources]int
+}
+
+// nearForecast is what is expected of the rack for which a task may wait. rack is "" if no live worker can run it.
+type nearForecast struct {
+	rack   manager.Label
+	at     manager.Time
+	ahead  int
+	turnMs float64
+	// contested means that the tasks that wait in this cycle could take all capacity that accepts the task.
+	contested bool
+}
+
+// turn returns the mean time, in milliseconds, in which the rack completes a task of a step.
+func (f *rackForecast) turn(step *manager.GraphStep, local manager.Duration) float64 {
+	need := stepResources(*step)
+	n, ok := f.slots[need]
+	if !ok {
+		all := manager.GraphStep{Count: maxRackSlots, PerTask: need}
+		for _, w := range f.workers {
+			n += maxTasks(w.latest.Capacity.Sub(w.usage.longRunning), &all)
+		}
+		f.slots[need] = n
+	}
+	return float64(local) / float64(max(1, n))
 }
 
 // workerForecast predicts the free capacity of one worker.
@@ -63,7 +93,7 @@
 			byInstance[w.instance] = w
 		}
 	}
-	f := &rackForecast{}
+	f := &rackForecast{slots: map[manager.Resources]int{}}
 	for _, w := range d.sortedWorkers() {
 		if w.latest.Pool == id.pool && w.onRack(id.rack) && d.staysAvailable(now, w) {
 			f.workers = append(f.workers, d.forecastWorker(now, w, byInstance[w.instance]))
