dispatcher: keep a job on time that can be when its steps run remote

Change: LatestRemote counts this step and the later ones whose rack is full now as remote. Forecasts see all candidates of a pool, also where a queue permits only some.

--- a/pkg/manager/dispatcher/locality.go
+++ b/pkg/manager/dispatcher/locality.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
 // localitySweepPeriod is the pause between two searches for waits whose job has ended.
@@ -26,6 +27,8 @@
 	// cycle numbers the cycles.
 	cycle   uint64
 	sweptAt manager.Time
+	// candidates holds the workers of each pool that may get tasks in this cycle.
+	candidates map[manager.PoolID][]*candidate
 	// waiting is the resources of the tasks of each pool that wait in this cycle.
 	waiting map[manager.PoolID]manager.Resources
 	// forecasts and pressures are caches of a cycle.
@@ -93,7 +96,7 @@
 	remote := d.remoteTime(local)
 	in := manager.LocalityInput{
 		Now: now, LocalMs: local, RemoteMs: remote, NearAt: n.at, Ahead: n.ahead, TurnMs: n.turnMs, Contested: n.contested,
-		LatestStart: r.latestStart, BacklogMs: d.pressure(now, d.poolOf(j)).backlog(local, remote), Idle: j.OpenRuns() == 0,
+		LatestStart: r.latestStart, LatestRemote: d.objective(j).Add(-d.remotePath(now, j, id.Step)), BacklogMs: d.pressure(now, d.poolOf(j)).backlog(local, remote), Idle: j.OpenRuns() == 0,
 	}
 	if w := d.locality.waits[id]; w != nil && now.Sub(w.at) <= d.holdGap() {
 		in.WaitUntil = w.until
@@ -107,6 +110,38 @@
 	return in
 }
 
+// remotePath returns the expected duration of the longest chain of steps of a job that are not done, with the given step
+// run remote, and all others whose rack has no capacity for them now.
+func (d *Dispatcher) remotePath(now manager.Time, j *recorder.Job, remote int) manager.Duration {
+	longest := make([]manager.Duration, len(j.Steps))
+	var total manager.Duration
+	for i, s := range j.Steps {
+		if j.Remaining(i) > 0 {
+			longest[i] = d.times.task(j.Queue, s)
+		}
+		if i == remote || s.PreferSameRack || s.DataRack != "" && !d.nearNow(now, j, i) {
+			longest[i] = d.remoteTime(longest[i])
+		}
+		var before manager.Duration
+		for _, n := range s.DependsOn {
+			before = max(before, longest[n])
+		}
+		longest[i] += before
+		total = max(total, longest[i])
+	}
+	return total
+}
+
+// nearNow reports whether the rack of a step's data has free capacity for a task of it now, beside the tasks that wait.
+func (d *Dispatcher) nearNow(now manager.Time, j *recorder.Job, s int) bool {
+	for _, w := range d.rackForecast(now, rackID{pool: d.poolOf(j), rack: j.Steps[s].DataRack}).workers {
+		if w.free(d).Fits(stepResources(j.Steps[s])) {
+			return true
+		}
+	}
+	return false
+}
+
 // remoteTime returns the duration of a remote run.
 func (d *Dispatcher) remoteTime(local manager.Duration) manager.Duration {
 	return manager.DurationOf(float64(local) * d.Options.RemoteFactor)
--- a/pkg/manager/dispatcher/locality_fleet_test.go
+++ b/pkg/manager/dispatcher/locality_fleet_test.go
@@ -130,20 +130,25 @@
 		w.report.Rack = rackLabel(i / l.inRack)
 		w.report.Labels = []manager.Label{w.report.Rack}
 		w.nextReportAt = r.now.Add(manager.Duration(r.rng.IntN(300)))
-		w.onStart = func(o manager.StartOrder) bool {
-			id := dispatcher.StepID{Graph: o.Task.Graph, Step: o.Task.Step}
-			if r.racksOf[id] == nil {
-				r.racksOf[id] = map[manager.Label]bool{}
-			}
-			r.racksOf[id][w.report.Rack] = true
-			return true
-		}
+		w.onStart = r.noteStart(w)
 	}
 	r.duration = r.taskDuration
 	r.onLog = r.record
 	return r
 }
 
+// noteStart returns what records the racks of the starts of a worker.
+func (r *rackFleet) noteStart(w *fakeWorker) func(manager.StartOrder) bool {
+	return func(o manager.StartOrder) bool {
+		id := dispatcher.StepID{Graph: o.Task.Graph, Step: o.Task.Step}
+		if r.racksOf[id] == nil {
+			r.racksOf[id] = map[manager.Label]bool{}
+		}
+		r.racksOf[id][w.report.Rack] = true
+		return true
+	}
+}
+
 // localDuration returns how long a task takes near its data: the same for every policy.
 func (r *rackFleet) localDuration(id manager.TaskID) manager.Duration {
 	h := fnv.New64a()
--- a/pkg/manager/dispatcher/locality_test.go
+++ b/pkg/manager/dispatcher/locality_test.go
@@ -14,8 +14,9 @@
 const (
 	maxMeanLoss  = 0.05
 	maxShareLoss = 0.02
-	// rackSeeds is the number of runs whose jobs are counted together; one run has enough jobs of a single task.
-	rackSeeds = 4
+	// minRackJobs is the least number of jobs of a load, from as many runs as that takes. The standard error of a share of
+	// 0.7 of so many jobs is 0.016.
+	minRackJobs = 800
 )
 
 // rackLoads returns the loads that the policies are compared by.
@@ -39,6 +40,8 @@
 		{name: "burst", rate: burst, lasts: 7 * manager.Second},
 		{name: "rack lost", rate: constant(0.3), hot: 0.3, lostAt: 2 * manager.Second, lasts: 8 * manager.Second},
 		{name: "hot rack", rate: constant(0.5), hot: 0.6, lasts: 6 * manager.Second},
+		{name: "hot burst", rate: burst, hot: 0.6, lasts: 7 * manager.Second},
+		{name: "busy", rate: constant(0.9), lasts: 6 * manager.Second},
 	}
 	var list []rackLoad
 	for _, l := range loads {
@@ -63,11 +66,7 @@
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
 			var adaptive, never, always rackResult
-			seeds := uint64(rackSeeds)
-			if l.count == 1 {
-				seeds = 1
-			}
-			for seed := range seeds {
+			for seed := uint64(0); adaptive.jobs < minRackJobs; seed++ {
 				adaptive.add(newRackFleet(t, l, localizer.Adaptive{}, seed).play())
 				never.add(newRackFleet(t, l, localizer.Never{}, seed).play())
 				always.add(newRackFleet(t, l, localizer.Always{}, seed).play())
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -55,6 +55,8 @@
 	duration func(*fakeWorker, manager.TaskID) manager.Duration
 	// onLog, if set, is called with each log line.
 	onLog func(dispatcher.LogLine)
+	// onChanges, if set, is called with the changes of each cycle.
+	onChanges func(recorder.Changes)
 }
 
 func newFleet(t require.TestingT) *fleet {
@@ -99,6 +101,9 @@
 	f.events = nil
 	f.recordAnswers(answers)
 	if !c.Empty() {
+		if f.onChanges != nil {
+			f.onChanges(c)
+		}
 		f.state.Apply(c)
 		f.recordAnswers(f.d.Committed(f.now))
 	}
--- a/pkg/manager/dispatcher/neargang.go
+++ b/pkg/manager/dispatcher/neargang.go
@@ -20,7 +20,7 @@
 	if _, wait := d.waitFor(now, r, manager.TaskID{Graph: j.Graph.Graph, Step: s}, soonest); !wait {
 		return false
 	}
-	f := d.rackForecast(now, rackID{pool: d.poolOf(j), rack: soonest.rack}, list)
+	f := d.rackForecast(now, rackID{pool: d.poolOf(j), rack: soonest.rack})
 	local := d.times.task(j.Queue, *step)
 	for range places {
 		if w, at := f.earliest(d, step); w != nil {
--- a/pkg/manager/dispatcher/nearplacement.go
+++ b/pkg/manager/dispatcher/nearplacement.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	p := nearPass{d: d, now: now, rank: r, step: s, rack: rack, list: list, open: open, unmet: unmet, perWorker: d.perWorker(j, s)}
-	p.forecast = d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack}, list)
+	p.forecast = d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack})
 	for _, w := range list {
 		if w.onRack(rack) {
 			p.near = append(p.near, w)
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -46,6 +46,7 @@
 		return
 	}
 	pools := d.candidates(now, ready)
+	d.locality.candidates = pools
 	for _, p := range slices.Sorted(maps.Keys(ready)) {
 		if len(pools[p]) == 0 {
 			d.backlog[p] = true
--- a/pkg/manager/dispatcher/rackforecast.go
+++ b/pkg/manager/dispatcher/rackforecast.go
@@ -83,12 +83,12 @@
 }
 
 // rackForecast returns the forecast of a rack, which is built once in a cycle.
-func (d *Dispatcher) rackForecast(now manager.Time, id rackID, list []*candidate) *rackForecast {
+func (d *Dispatcher) rackForecast(now manager.Time, id rackID) *rackForecast {
 	if f := d.locality.forecasts[id]; f != nil {
 		return f
 	}
 	byInstance := map[manager.WorkerInstance]*candidate{}
-	for _, w := range list {
+	for _, w := range d.locality.candidates[id.pool] {
 		if w.onRack(id.rack) {
 			byInstance[w.instance] = w
 		}
--- a/pkg/manager/dispatcher/steprack.go
+++ b/pkg/manager/dispatcher/steprack.go
@@ -106,7 +106,7 @@
 		return known.first
 	case step.DataRack != "":
 		return step.DataRack
-	case known.chosen != "" && len(d.rackForecast(now, rackID{pool: d.poolOf(j), rack: known.chosen}, list).workers) > 0:
+	case known.chosen != "" && len(d.rackForecast(now, rackID{pool: d.poolOf(j), rack: known.chosen}).workers) > 0:
 		return known.chosen
 	}
 	return d.chooseRack(now, r, s, list)
@@ -162,7 +162,7 @@
 		if rack == "" {
 			continue
 		}
-		f := d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack}, list)
+		f := d.rackForecast(now, rackID{pool: d.poolOf(j), rack: rack})
 		at, ok := f.all(d, &j.Steps[s], j.Remaining(s)-j.OpenRunsIn(s), local)
 		if ok && (best.rack == "" || at < best.at) {
 			best = nearForecast{rack: rack, at: at, ahead: f.waiting, turnMs: f.turn(&j.Steps[s], local)}
--- a/pkg/manager/localizer/adaptive.go
+++ b/pkg/manager/localizer/adaptive.go
@@ -51,9 +51,13 @@
 	if in.Contested {
 		return end, reason
 	}
-	// If the task is run remote by then, and the rest of the job near its data, the job is on time. Later, only a job that is
-	// run near its data can be.
-	if latestRemote := in.LatestStart.Add(in.LocalMs - in.RemoteMs); in.Now <= latestRemote && !localIsSafer(in, latestRemote) {
+	// A job that can be on time when all of it is run remote must stay so: a wait of a first step would use up the time of
+	// the later ones. Past that, it can if this task is run remote and the rest near its data.
+	latestRemote := in.LatestRemote
+	if in.Now > latestRemote {
+		latestRemote = in.LatestStart.Add(in.LocalMs - in.RemoteMs)
+	}
+	if in.Now <= latestRemote && !localIsSafer(in, latestRemote) {
 		end, reason = latestRemote.Add(-objectiveMargin), manager.LocalityObjective
 	}
 	if held := in.Now.Add(holdLimit - in.HeldMs); in.Idle && held < end {
