--- a/pkg/manager/dispatcher/locality.go
+++ b/pkg/manager/dispatcher/locality.go
@@ -24,13 +24,16 @@
 	waits map[manager.TaskID]*localityWait
 	holds map[manager.GraphID]*jobHold
 	steps map[StepID]*stepRacks
-	// cycle numbers the cycles.
+	// cycle numbers the cycles, and now is the time of the present one.
 	cycle   uint64
+	now     manager.Time
 	sweptAt manager.Time
 	// candidates holds the workers of each pool that may get tasks in this cycle.
 	candidates map[manager.PoolID][]*candidate
 	// waiting is the resources of the tasks of each pool that wait in this cycle.
 	waiting map[manager.PoolID]manager.Resources
+	// started holds the expected ends of the starts that this cycle proposes.
+	started map[manager.WorkerInstance][]release
 	// forecasts and pressures are caches of a cycle.
 	forecasts map[rackID]*rackForecast
 	pressures map[manager.PoolID]*poolPressure
@@ -75,7 +78,9 @@
 	}
 	l := &d.locality
 	l.cycle++
-	l.forecasts, l.pressures, l.waiting = map[rackID]*rackForecast{}, map[manager.PoolID]*poolPressure{}, map[manager.PoolID]manager.Resources{}
+	l.now = now
+	l.forecasts, l.pressures = map[rackID]*rackForecast{}, map[manager.PoolID]*poolPressure{}
+	l.waiting, l.started = map[manager.PoolID]manager.Resources{}, map[manager.WorkerInstance][]release{}
 	if now.Sub(l.sweptAt) < localitySweepPeriod {
 		return
 	}
--- a/pkg/manager/dispatcher/locality_fleet_test.go
+++ b/pkg/manager/dispatcher/locality_fleet_test.go
@@ -37,6 +37,8 @@
 	// lostAt is when the first rack is lost; 0 means never.
 	lostAt manager.Duration
 	lasts  manager.Duration
+	// extra loads are played with small racks and the larger factor only.
+	extra bool
 }
 
 const (
--- a/pkg/manager/dispatcher/neargang.go
+++ b/pkg/manager/dispatcher/neargang.go
@@ -16,7 +16,7 @@
 	if step.DataRack == "" {
 		racks = sortedRacks(list)
 	}
-	soonest := d.soonestRack(now, r, s, racks, list)
+	soonest := d.soonestRack(now, r, s, racks)
 	if _, wait := d.waitFor(now, r, manager.TaskID{Graph: j.Graph.Graph, Step: s}, soonest); !wait {
 		return false
 	}
--- a/pkg/manager/dispatcher/rackforecast.go
+++ b/pkg/manager/dispatcher/rackforecast.go
@@ -119,10 +119,35 @@
 			f.releases = append(f.releases, release{at: at, free: d.taskResources(id)})
 		}
 	}
+	f.releases = append(f.releases, d.locality.started[w.instance]...)
 	slices.SortFunc(f.releases, compareReleases)
 	return f
 }
 
+// noteRelease adds the expected end of a start that this cycle proposes to the forecast of the worker's rack.
+func (d *Dispatcher) noteRelease(w *worker, step *manager.GraphStep, local manager.Duration) {
+	lasts := local
+	if step.DataRack != "" && !w.onRack(step.DataRack) {
+		lasts = d.remoteTime(local)
+	}
+	r := release{at: d.locality.now.Add(lasts + endDelay), free: stepResources(*step)}
+	d.locality.started[w.instance] = append(d.locality.started[w.instance], r)
+	f := d.locality.forecasts[rackID{pool: w.latest.Pool, rack: w.latest.Rack}]
+	if f == nil {
+		return
+	}
+	for _, known := range f.workers {
+		if known.worker == w {
+			known.addRelease(r)
+		}
+	}
+}
+
+func (f *workerForecast) addRelease(r release) {
+	i, _ := slices.BinarySearchFunc(f.releases, r, compareReleases)
+	f.releases = slices.Insert(f.releases, i, r)
+}
+
 // expectedEnd returns when the end of a run is expected to be known, and false for a run that does not end by itself.
 func (d *Dispatcher) expectedEnd(now manager.Time, w *worker, id manager.TaskID, r *recorder.Run) (manager.Time, bool) {
 	if slices.ContainsFunc(w.latest.Ended, func(e manager.EndedRun) bool { return e.Task == id && e.Run == r.Number }) {
@@ -173,9 +198,7 @@
 	}
 	f.releases = f.releases[n:]
 	f.reserved = f.reserved.Add(need)
-	r := release{at: at.Add(lasts), free: need}
-	i, _ := slices.BinarySearchFunc(f.releases, r, compareReleases)
-	f.releases = slices.Insert(f.releases, i, r)
+	f.addRelease(release{at: at.Add(lasts), free: need})
 	f.readyAt = max(f.readyAt, at)
 }
 
--- a/pkg/manager/dispatcher/steprack.go
+++ b/pkg/manager/dispatcher/steprack.go
@@ -56,9 +56,15 @@
 	}
 }
 
-// noteStart records the rack of a proposed start.
+// noteStart records a proposed start for the forecasts, and the rack of a step whose tasks should share one.
 func (d *Dispatcher) noteStart(j *recorder.Job, s int, w *worker) {
-	if !d.waitsEnabled() || !j.Steps[s].PreferSameRack {
+	if !d.waitsEnabled() {
+		return
+	}
+	if !j.Steps[s].LongRunning {
+		d.noteRelease(w, &j.Steps[s], d.times.task(j.Queue, j.Steps[s]))
+	}
+	if !j.Steps[s].PreferSameRack {
 		return
 	}
 	known := d.stepRacks(j, s)
@@ -124,7 +130,7 @@
 		known.chosen = best
 		return best
 	}
-	soonest := d.soonestRack(now, r, s, sortedRacks(list), list)
+	soonest := d.soonestRack(now, r, s, sortedRacks(list))
 	soonest.contested = d.contested(now, j, s, list)
 	in := d.localityInput(now, r, manager.TaskID{Graph: j.Graph.Graph, Step: s}, soonest)
 	if soonest.rack == "" || !d.Options.Locality.Decide(in).Wait {
@@ -154,7 +160,7 @@
 
 // soonestRack returns the forecast of the rack that is expected to have had capacity for all waiting tasks of a step first.
 // Its rack is "" if there is none.
-func (d *Dispatcher) soonestRack(now manager.Time, r *jobRank, s int, racks []manager.Label, list []*candidate) nearForecast {
+func (d *Dispatcher) soonestRack(now manager.Time, r *jobRank, s int, racks []manager.Label) nearForecast {
 	j := r.job
 	local := d.times.task(j.Queue, j.Steps[s])
 	var best nearForecast
