localizer: keep the objective with a margin for what durations differ

Cause: with tasks of 2.1 s, as single tasks now have in the comparison, a remote run leaves 0.66 s of its objective, less than durations differ from their estimates.

Change: a wait leaves 0.3 s, and 15% of the remote run, to the latest remote start, or 0.1 s if the near start is expected in half of the time left. A job that had less when its first wait began gets the start that leaves it more time, with the wait counted twice. The queue of a rack does not send a job remote that is then likely to be late. Half of the cost of a queue counts.

--- a/pkg/manager/dispatcher/locality.go
+++ b/pkg/manager/dispatcher/locality.go
@@ -49,8 +49,10 @@
 	waited manager.Duration
 }
 
-// jobHold is for how long waits have held a job with nothing running, and the latest cycle in which they did.
+// jobHold is when the first wait of a job began, for how long waits have held it with nothing running, and the latest cycle in
+// which they did.
 type jobHold struct {
+	since manager.Time
 	total manager.Duration
 	at    manager.Time
 }
@@ -100,14 +102,14 @@
 	local := d.times.task(j.Queue, j.Steps[id.Step])
 	remote := d.remoteTime(local)
 	in := manager.LocalityInput{
-		Now: now, LocalMs: local, RemoteMs: remote, NearAt: n.at, Ahead: n.ahead, TurnMs: n.turnMs, Contested: n.contested,
+		Now: now, Since: now, LocalMs: local, RemoteMs: remote, NearAt: n.at, Ahead: n.ahead, TurnMs: n.turnMs, Contested: n.contested,
 		LatestStart: r.latestStart, LatestRemote: d.objective(j).Add(-d.remotePath(now, j, id.Step)), BacklogMs: d.pressure(now, d.poolOf(j)).backlog(local, remote), Idle: j.OpenRuns() == 0,
 	}
 	if w := d.locality.waits[id]; w != nil && now.Sub(w.at) <= d.holdGap() {
 		in.WaitUntil = w.until
 	}
 	if hold := d.locality.holds[j.Graph.Graph]; hold != nil {
-		in.HeldMs = hold.total
+		in.Since, in.HeldMs = hold.since, hold.total
 		if gap := now.Sub(hold.at); in.Idle && gap <= d.holdGap() {
 			in.HeldMs += gap
 		}
@@ -174,8 +176,13 @@
 		w.waited += now.Sub(w.at)
 	}
 	w.at = now
+	hold := d.locality.holds[r.job.Graph.Graph]
+	if hold == nil {
+		hold = &jobHold{since: now}
+		d.locality.holds[r.job.Graph.Graph] = hold
+	}
 	if in.Idle && !in.Contested {
-		d.locality.holds[r.job.Graph.Graph] = &jobHold{total: in.HeldMs, at: now}
+		hold.total, hold.at = in.HeldMs, now
 	}
 	return "", true
 }
--- a/pkg/manager/dispatcher/locality_fleet_test.go
+++ b/pkg/manager/dispatcher/locality_fleet_test.go
@@ -27,6 +27,9 @@
 	name            string
 	workers, inRack int
 	factor          float64
+	// need is the processors of a task, and taskTime its mean duration near its data.
+	need     manager.MilliCores
+	taskTime manager.Duration
 	// count is the number of tasks of each step, and steps how many steps depend on each other.
 	count, steps int
 	sensitive    bool
@@ -41,11 +44,8 @@
 	extra bool
 }
 
-const (
-	rackCores    = 16_000
-	rackNeed     = 3100
-	rackTaskTime = 800 * manager.Millisecond
-)
+// rackCores is the processors of a worker: half of those of the deployments, whose workers have 32 cores.
+const rackCores = 16_000
 
 // rackFleet is a fleet with the load of a rackLoad.
 type rackFleet struct {
@@ -156,7 +156,7 @@
 	h := fnv.New64a()
 	fmt.Fprint(h, id)
 	rng := rand.New(rand.NewPCG(h.Sum64(), 5))
-	return manager.DurationOf(float64(rackTaskTime) * (0.7 + 0.6*rng.Float64()))
+	return manager.DurationOf(float64(r.load.taskTime) * (0.7 + 0.6*rng.Float64()))
 }
 
 func (r *rackFleet) taskDuration(w *fakeWorker, id manager.TaskID) manager.Duration {
@@ -198,8 +198,8 @@
 
 // submitJobs submits the jobs of one tick.
 func (r *rackFleet) submitJobs(tick manager.Duration) {
-	slots := float64(r.load.workers * (rackCores / rackNeed))
-	perSecond := r.load.rate(r.now.Sub(r.start)) * slots / rackTaskTime.Std().Seconds() / float64(r.load.count*r.load.steps)
+	slots := float64(r.load.workers * (rackCores / int(r.load.need)))
+	perSecond := r.load.rate(r.now.Sub(r.start)) * slots / r.load.taskTime.Std().Seconds() / float64(r.load.count*r.load.steps)
 	r.pending += perSecond * tick.Std().Seconds() * 2 * r.rng.Float64()
 	for ; r.pending >= 1; r.pending-- {
 		id := manager.GraphID(fmt.Sprintf("job-%05d", len(r.jobs)))
@@ -210,7 +210,7 @@
 		var steps []manager.GraphStep
 		var path manager.Duration
 		for s := range r.load.steps {
-			step := manager.GraphStep{Count: r.load.count, EstimateMs: rackTaskTime, PerTask: manager.Resources{ProcessorMilliCores: rackNeed, MemoryMegaBytes: 100}}
+			step := manager.GraphStep{Count: r.load.count, EstimateMs: r.load.taskTime, PerTask: manager.Resources{ProcessorMilliCores: r.load.need, MemoryMegaBytes: 100}}
 			if r.load.sensitive {
 				step.PreferSameRack = true
 			} else {
--- a/pkg/manager/dispatcher/locality_test.go
+++ b/pkg/manager/dispatcher/locality_test.go
@@ -30,10 +30,11 @@
 		}
 		return 0.05
 	}
+	// The two sizes of tasks are those of the deployment with the larger factor.
 	kinds := []rackLoad{
-		{name: "single tasks", count: 1, steps: 1},
-		{name: "steps of 8", count: 8, steps: 2},
-		{name: "rack-sensitive", count: 8, steps: 2, sensitive: true},
+		{name: "single tasks", need: 6700, taskTime: 2100, count: 1, steps: 1},
+		{name: "steps of 8", need: 3100, taskTime: 800, count: 8, steps: 2},
+		{name: "rack-sensitive", need: 3100, taskTime: 800, count: 8, steps: 2, sensitive: true},
 	}
 	loads := []rackLoad{
 		{name: "low", rate: constant(0.2), lasts: 6 * manager.Second},
@@ -52,7 +53,8 @@
 						continue
 					}
 					o := l
-					o.count, o.steps, o.sensitive, o.factor, o.inRack = k.count, k.steps, k.sensitive, factor, inRack
+					o.need, o.taskTime, o.count, o.steps, o.sensitive = k.need, k.taskTime, k.count, k.steps, k.sensitive
+					o.factor, o.inRack = factor, inRack
 					o.workers = 60 / inRack * inRack
 					o.name = fmt.Sprintf("%s/%s/factor=%v/rack=%d", l.name, k.name, factor, inRack)
 					list = append(list, o)
--- a/pkg/manager/locality.go
+++ b/pkg/manager/locality.go
@@ -23,6 +23,8 @@
 	TurnMs float64
 	// BacklogMs is how long the pool needs for the waiting tasks that its free capacity does not suffice for.
 	BacklogMs Duration
+	// Since is when the first wait of a task of the job began; it is Now for a job without one.
+	Since Time
 	// WaitUntil is when the wait of the task ends, as decided at its beginning. It is 0 for a task that does not wait yet.
 	WaitUntil Time
 	// Contested means that tasks ahead of this one wait although they could take all capacity that accepts it now: if none
--- a/pkg/manager/localizer/localizer_test.go
+++ b/pkg/manager/localizer/localizer_test.go
@@ -13,7 +13,7 @@
 // input is a task of 1 s, 3 s remote, of a job with much time, in a pool without a backlog.
 func input() manager.LocalityInput {
 	return manager.LocalityInput{
-		Now: 10_000, LocalMs: 1000, RemoteMs: 3000, NearAt: 10_500, LatestStart: 60_000, LatestRemote: 58_000, TurnMs: 100,
+		Now: 10_000, Since: 10_000, LocalMs: 1000, RemoteMs: 3000, NearAt: 10_500, LatestStart: 60_000, LatestRemote: 58_000, TurnMs: 100,
 	}
 }
 
@@ -24,19 +24,26 @@
 		wait   bool
 		reason manager.LocalityReason
 	}{
-		"short wait":                {func(*manager.LocalityInput) {}, true, ""},
-		"as long as a remote run":   {func(in *manager.LocalityInput) { in.NearAt = in.Now + 2000 }, false, manager.LocalityTooLong},
-		"backlog pays for it":       {func(in *manager.LocalityInput) { in.NearAt, in.BacklogMs = in.Now+2000, 1000 }, true, ""},
-		"the end has passed":        {func(in *manager.LocalityInput) { in.WaitUntil = in.Now }, false, manager.LocalityExpired},
-		"near only after the end":   {func(in *manager.LocalityInput) { in.WaitUntil = in.Now + 400 }, false, manager.LocalityTooLong},
-		"queue of the rack":         {func(in *manager.LocalityInput) { in.Ahead = 8 }, false, manager.LocalityQueue},
-		"queue no longer than pool": {func(in *manager.LocalityInput) { in.Ahead, in.BacklogMs = 8, 800 }, true, ""},
-		"queue after the decision":  {func(in *manager.LocalityInput) { in.Ahead, in.WaitUntil = 8, in.Now+1000 }, true, ""},
-		"remote start due":          {func(in *manager.LocalityInput) { in.LatestRemote = in.Now + 200 }, false, manager.LocalityObjective},
+		"short wait":              {func(*manager.LocalityInput) {}, true, ""},
+		"as long as a remote run": {func(in *manager.LocalityInput) { in.NearAt = in.Now + 2000 }, false, manager.LocalityTooLong},
+		"backlog pays for it":     {func(in *manager.LocalityInput) { in.NearAt, in.BacklogMs = in.Now+2000, 1000 }, true, ""},
+		"the end has passed":      {func(in *manager.LocalityInput) { in.WaitUntil = in.Now }, false, manager.LocalityExpired},
+		"near only after the end": {func(in *manager.LocalityInput) { in.WaitUntil = in.Now + 400 }, false, manager.LocalityTooLong},
+		"queue of the rack":       {func(in *manager.LocalityInput) { in.Ahead = 12 }, false, manager.LocalityQueue},
+		"queue, only near in time": {func(in *manager.LocalityInput) {
+			in.Ahead, in.LatestRemote, in.LatestStart = 12, in.Now+200, in.Now+2200
+		}, true, ""},
+		"queue no longer than pool": {func(in *manager.LocalityInput) { in.Ahead, in.BacklogMs = 12, 800 }, true, ""},
+		"queue after the decision":  {func(in *manager.LocalityInput) { in.Ahead, in.WaitUntil = 12, in.Now+1000 }, true, ""},
+		"remote start due":          {func(in *manager.LocalityInput) { in.LatestRemote, in.Since = in.Now+200, in.Now-1000 }, false, manager.LocalityObjective},
 		"near after remote start":   {func(in *manager.LocalityInput) { in.LatestRemote = in.Now + 700 }, false, manager.LocalityObjective},
 		"remote start due, backlog": {func(in *manager.LocalityInput) {
 			in.LatestRemote, in.LatestStart, in.BacklogMs = in.Now+200, in.Now+2200, 1000
 		}, true, ""},
+		"remote run may be late": {func(in *manager.LocalityInput) { in.LatestRemote, in.LatestStart = in.Now+200, in.Now+2200 }, true, ""},
+		"local run may be late": {func(in *manager.LocalityInput) {
+			in.LatestRemote, in.LatestStart, in.NearAt = in.Now+200, in.Now+2200, in.Now+900
+		}, false, manager.LocalityObjective},
 		"only a local run is on time": {func(in *manager.LocalityInput) { in.LatestRemote, in.LatestStart = in.Now-1000, in.Now+1000 }, true, ""},
 		"held":                        {func(in *manager.LocalityInput) { in.Idle, in.HeldMs = true, 2000 }, false, manager.LocalityHeld},
 		"would be held too long":      {func(in *manager.LocalityInput) { in.Idle, in.HeldMs = true, 1600 }, false, manager.LocalityHeld},
@@ -65,7 +72,7 @@
 		now := manager.Time(100_000)
 		at := func(n int) manager.Time { return now.Add(manager.Duration(rng.IntN(n) - n/3)) }
 		in := manager.LocalityInput{
-			Now: now, LocalMs: manager.Duration(rng.IntN(5000)), NearAt: now.Add(manager.Duration(rng.IntN(5000))), LatestStart: at(20_000),
+			Now: now, Since: now.Add(-manager.Duration(rng.IntN(3000))), LocalMs: manager.Duration(rng.IntN(5000)), NearAt: now.Add(manager.Duration(rng.IntN(5000))), LatestStart: at(20_000),
 			Ahead: rng.IntN(20), TurnMs: rng.Float64() * 100, Idle: rng.IntN(2) == 0, HeldMs: manager.Duration(rng.IntN(3000)),
 		}
 		in.RemoteMs = in.LocalMs * manager.Duration(1+rng.IntN(3))
@@ -82,7 +89,10 @@
 		require.Greater(t, o.Until, now)
 		require.True(t, !in.Idle || in.HeldMs < 2*manager.Second, "%+v", in)
 		require.True(t, in.WaitUntil == 0 || now < in.WaitUntil, "%+v", in)
-		require.True(t, in.LatestRemote < now || now.Add(300) < in.LatestRemote, "%+v", in)
+		margin := max(300, in.RemoteMs*15/100)
+		safe := in.Since.Add(margin) <= in.LatestRemote
+		require.True(t, !safe || now.Add(100) < in.LatestRemote, "%+v", in)
+		require.True(t, !safe || now.Add(margin) < in.LatestRemote || in.NearAt.Add(in.NearAt.Sub(now)+100) <= in.LatestRemote, "%+v", in)
 	}
 	require.Greater(t, waits, 1000)
 }
