localizer: don't start a job remote for an objective that it misses that way

Cause: a job that waited past its latest remote start, as no remote worker accepted it in time, was still sent remote first.

Change: the bound of the objective ends with the latest remote start.

--- a/pkg/manager/localizer/adaptive.go
+++ b/pkg/manager/localizer/adaptive.go
@@ -73,7 +73,7 @@
 	margin := remoteMargin(in)
 	thisRemote := in.LatestStart.Add(in.LocalMs - in.RemoteMs)
 	for _, latest := range []manager.Time{in.LatestRemote, thisRemote} {
-		if in.Since <= latest.Add(-margin) {
+		if in.Now <= latest && in.Since <= latest.Add(-margin) {
 			if due := latest.Add(-startMargin); in.NearAt.Add(in.NearAt.Sub(in.Now)) <= due {
 				// Even if the wait takes twice as long as expected, a remote start is in time.
 				margin = startMargin
