dispatcher: don't take remote runs for stalled

Cause: a run counts as stalled after 3 times the expected duration without progress.

Change: the limit is multiplied by the slowdown of the run.

--- a/pkg/manager/dispatcher/eviction.go
+++ b/pkg/manager/dispatcher/eviction.go
@@ -103,7 +103,7 @@
 		}
 		s := j.Steps[id.Step]
 		unchanged := now.Sub(m.unchangedSince)
-		limit := max(minStallTime, stallFactor*d.times.task(j.Queue, s))
+		limit := max(minStallTime, manager.DurationOf(stallFactor*float64(d.times.task(j.Queue, s))*d.slowdown(w, id)))
 		if s.LongRunning {
 			limit = minStallTime
 		}
--- a/pkg/manager/dispatcher/locality_bound_test.go
+++ b/pkg/manager/dispatcher/locality_bound_test.go
@@ -195,6 +195,18 @@
 	require.InDelta(t, 1000, float64(r.state.Times[queue].Estimate(near(0, 1))), 150)
 }
 
+// Guards against remote runs that are taken for stalled, as they last longer than a local one without progress may.
+func TestRemoteRunIsNotTakenForStalled(t *testing.T) {
+	r := racks(t, 3, 0, 2)
+	for _, w := range r.workers {
+		w.taskTime = 1200
+	}
+	r.submit("job", near(0, 1))
+	r.run(5 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, r.jobState("job"))
+	require.Len(t, r.startedOn("job"), 1)
+}
+
 // Guards against a new dispatcher that fails over runs whose racks it has not seen start.
 func TestNewDispatcherGoesOnWithRacks(t *testing.T) {
 	r := racks(t, 3, 2, 4)
