dispatcher: don't count on workers whose report is late

Change: forecasts leave out workers whose report is 0.3 s late. TestFixedWaits logs delay scheduling with fixed waits.

--- a/pkg/manager/dispatcher/locality_test.go
+++ b/pkg/manager/dispatcher/locality_test.go
@@ -84,3 +84,32 @@
 		})
 	}
 }
+
+// fixedWait is delay scheduling as published: each task waits for the same time at most.
+type fixedWait struct{ limit manager.Duration }
+
+// Decide implements manager.LocalityPolicy.
+func (f fixedWait) Decide(in manager.LocalityInput) manager.LocalityDecision {
+	if in.WaitUntil != 0 && in.Now >= in.WaitUntil {
+		return manager.LocalityDecision{Reason: manager.LocalityExpired}
+	}
+	return manager.LocalityDecision{Wait: true, Until: in.Now.Add(f.limit)}
+}
+
+// Logs the figures of docs/design/locality.md for waits of a fixed length. Guards against one that leaves a task waiting.
+func TestFixedWaits(t *testing.T) {
+	for _, l := range rackLoads() {
+		if l.factor != 3 || l.inRack != 8 || l.sensitive || l.extra {
+			continue
+		}
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			for _, limit := range []manager.Duration{500, 1500} {
+				r := newRackFleet(t, l, fixedWait{limit}, 0).play()
+				t.Logf("fixed wait of %d ms: %v", limit, r)
+				require.Zero(t, r.unfinished)
+			}
+			t.Logf("adaptive: %v", newRackFleet(t, l, localizer.Adaptive{}, 0).play())
+		})
+	}
+}
--- a/pkg/manager/dispatcher/rackforecast.go
+++ b/pkg/manager/dispatcher/rackforecast.go
@@ -12,6 +12,9 @@
 	// endDelay is the time from the end of a run to a report that shows it: a report that is held at that time is answered
 	// first, within DefaultBusyPoll.
 	endDelay = 100 * manager.Millisecond
+	// maxReportDelay is how late a report may be until the worker is not counted on. The workers of a lost rack are noticed
+	// that way half a second earlier than by maxCandidateAge.
+	maxReportDelay = 300 * manager.Millisecond
 	// overdueShare of the time for which a run has lasted is the least time that it is expected to go on, as estimates are
 	// rough.
 	overdueShare = 0.1
@@ -106,7 +109,8 @@
 // staysAvailable reports whether a worker is alive and may get finite tasks with one of its next reports.
 func (d *Dispatcher) staysAvailable(now manager.Time, w *worker) bool {
 	leaving := w.latest.Draining || w.evacuating || w.moveOrdered || w.movePending
-	return !leaving && (w.polling || now.Sub(w.heardAt) <= maxCandidateAge) && !w.health.excluded(now)
+	due := w.answeredAt.Add(d.reportPause() + maxReportDelay)
+	return !leaving && (w.polling || now <= due && now.Sub(w.heardAt) <= maxCandidateAge) && !w.health.excluded(now)
 }
 
 func (d *Dispatcher) forecastWorker(now manager.Time, w *worker, c *candidate) *workerForecast {
