--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
-	"github.com/mulberryhaven/mulberryhaven/pkg/manager/localizer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
@@ -160,9 +159,7 @@
 	setDefault(&o.NextMs, DefaultNext)
 	setDefault(&o.StopMs, DefaultStop)
 	setDefault(&o.OrderGapMs, DefaultOrderGap)
-	if o.Locality == nil {
-		o.Locality = localizer.Adaptive{}
-	}
+	setDefaultLocality(&o)
 	return &Dispatcher{
 		State: state, Token: token, Options: o, StartedAt: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
--- a/pkg/manager/dispatcher/gang_test.go
+++ b/pkg/manager/dispatcher/gang_test.go
@@ -9,6 +9,9 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 )
 
+// gangTimeout is how long a task of a gang waits for the others.
+const gangTimeout = 3 * manager.Second
+
 func gang(cores manager.MilliCores, count int) manager.GraphStep {
 	s := task(cores, count)
 	s.Gang = true
--- a/pkg/manager/dispatcher/locality.go
+++ b/pkg/manager/dispatcher/locality.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/localizer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
@@ -39,7 +40,7 @@
 	pressures map[manager.PoolID]*poolPressure
 }
 
-// localityWait is the wait of one task. It is kept after its end until the task starts.
+// localityWait is the wait of one task. It is kept until the task starts or its job ends.
 type localityWait struct {
 	rack  manager.Label
 	until manager.Time
@@ -66,6 +67,12 @@
 	PaidOff bool
 }
 
+func setDefaultLocality(o *Options) {
+	if o.Locality == nil {
+		o.Locality = localizer.Adaptive{}
+	}
+}
+
 func newLocality() locality {
 	return locality{waits: map[manager.TaskID]*localityWait{}, holds: map[manager.GraphID]*jobHold{}, steps: map[StepID]*stepRacks{}}
 }
@@ -103,7 +110,8 @@
 	remote := d.remoteTime(local)
 	in := manager.LocalityInput{
 		Now: now, Since: now, LocalMs: local, RemoteMs: remote, NearAt: n.at, Ahead: n.ahead, TurnMs: n.turnMs, Contested: n.contested,
-		LatestStart: r.latestStart, LatestRemote: d.objective(j).Add(-d.remotePath(now, j, id.Step)), BacklogMs: d.pressure(now, d.poolOf(j)).backlog(local, remote), Idle: j.OpenRuns() == 0,
+		LatestStart: r.latestStart, LatestRemote: d.objective(j).Add(-d.remotePath(now, j, id.Step)),
+		BacklogMs: d.pressure(now, d.poolOf(j)).backlog(local, remote), Idle: j.OpenRuns() == 0,
 	}
 	if w := d.locality.waits[id]; w != nil && now.Sub(w.at) <= d.holdGap() {
 		in.WaitUntil = w.until
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -297,9 +297,6 @@
 	}
 }
 
-// gangTimeout is how long a task of a gang waits for the others.
-const gangTimeout = 3 * manager.Second
-
 // lacksTask reports whether some task of a gang's run is on no worker.
 func (f *fleet) lacksTask(id manager.TaskID, n manager.RunNumber) bool {
 	j, t := f.state.Task(id)
