--- a/pkg/manager/dispatcher/customer_test.go
+++ b/pkg/manager/dispatcher/customer_test.go
@@ -63,6 +63,32 @@
 	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
 }
 
+// Tasks that have a rack are placed by code of their own.
+func TestTasksNearTheirDataStartWithinCap(t *testing.T) {
+	f := newFleet(t)
+	f.d = dispatcher.New(f.state, 1, dispatcher.Options{RemoteFactor: 3}, f.now)
+	f.configureCustomers(manager.CustomerSettings{Customer: large, Weight: 100, Cap: processors(4000)})
+	for i := range 4 {
+		w := f.worker(manager.WorkerID(fmt.Sprintf("w%d", i)), pool, 8000)
+		w.report.Rack = manager.Label(fmt.Sprintf("r%d", i/2))
+		w.report.Labels = []manager.Label{"a", w.report.Rack}
+	}
+	f.run(200)
+	near := task(1500, 8)
+	near.DataRack = "r0"
+	f.submitFor(large, "a", near)
+	together := task(1500, 8)
+	together.PreferSameRack = true
+	f.submitFor(large, "b", together)
+	for range 20 {
+		f.run(100)
+		require.LessOrEqual(t, f.running()[large], manager.MilliCores(4000))
+	}
+	f.run(20 * manager.Second)
+	require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+	require.Equal(t, manager.GraphCompleted, f.jobState("b"))
+}
+
 // A job whose tasks are larger than the cap of its customer would otherwise never start.
 func TestTaskLargerThanCapStartsAlone(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -58,6 +58,11 @@
 	MaxDirect int
 	// Shares decides which jobs are within the shares of their customers; nil stands for token buckets.
 	Shares manager.ShareMeter
+	// RemoteFactor is how many times as long a task lasts that runs remote from its data or its group. Up to 1, no task
+	// waits for a rack.
+	RemoteFactor float64
+	// Locality decides which tasks wait for a rack.
+	Locality manager.LocalityPolicy
 }
 
 // Defaults of Options.
@@ -102,6 +107,7 @@
 	lending     lending
 	schedule    schedule
 	advice      advice
+	locality    locality
 	// incompleteGangs holds the runs of gangs that lack a task from the start.
 	incompleteGangs map[StepID]manager.RunNumber
 	// direct counts the workers that report to this node directly.
@@ -137,6 +143,8 @@
 	Minor bool
 	// Ended is set on the line of a job that ended.
 	Ended *EndedJob
+	// Waited is set on the line of a task that waited for a rack.
+	Waited *EndedWait
 }
 
 // EndedJob holds what the metrics count of a job that ended.
@@ -158,12 +166,13 @@
 	if o.Shares == nil {
 		o.Shares = sharer.NewBuckets()
 	}
+	setDefaultLocality(&o)
 	return &Dispatcher{
 		State: state, Token: token, Options: o, StartedAt: now,
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refused: map[manager.GraphID]refusal{},
 		times: estimator{state: state}, initialStateAt: state.At, unresolved: unresolvedOrders(state),
-		incompleteGangs: map[StepID]manager.RunNumber{},
+		incompleteGangs: map[StepID]manager.RunNumber{}, locality: newLocality(),
 	}
 }
 
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -49,6 +49,14 @@
 	crashes     map[manager.TaskID]int
 	// brokenGangs holds the latest run in which a worker of a gang crashed, by the gang's first task.
 	brokenGangs map[manager.TaskID]manager.RunNumber
+	// options are those of each new dispatcher.
+	options dispatcher.Options
+	// duration, if set, returns how long a task takes on a worker, instead of the worker's taskTime.
+	duration func(*fakeWorker, manager.TaskID) manager.Duration
+	// onLog, if set, is called with each log line.
+	onLog func(dispatcher.LogLine)
+	// onChanges, if set, is called with the changes of each cycle.
+	onChanges func(recorder.Changes)
 }
 
 func newFleet(t require.TestingT) *fleet {
@@ -68,7 +76,7 @@
 
 // startDispatcher replaces the dispatcher, as after an election.
 func (f *fleet) startDispatcher(token manager.FencingToken) {
-	f.d = dispatcher.New(f.state, token, dispatcher.Options{}, f.now)
+	f.d = dispatcher.New(f.state, token, f.options, f.now)
 	for _, w := range f.workers {
 		w.call, w.nextReportAt = 0, f.now
 	}
@@ -93,10 +101,17 @@
 	f.events = nil
 	f.recordAnswers(answers)
 	if !c.Empty() {
+		if f.onChanges != nil {
+			f.onChanges(c)
+		}
 		f.state.Apply(c)
 		f.recordAnswers(f.d.Committed(f.now))
 	}
-	f.d.LogLines()
+	for _, line := range f.d.LogLines() {
+		if f.onLog != nil {
+			f.onLog(line)
+		}
+	}
 	for _, order := range f.d.PlatformOrders() {
 		f.platformOrders = append(f.platformOrders, order)
 		if f.acceptOrders {
@@ -255,12 +270,13 @@
 	if w.silent {
 		return
 	}
-	for id, at := range w.stopping {
-		if w.f.now >= at {
+	for _, id := range sortedTasks(w.stopping) {
+		if at := w.stopping[id]; w.f.now >= at {
 			w.end(id, manager.RunStopped)
 		}
 	}
-	for id, at := range w.runs {
+	for _, id := range sortedTasks(w.runs) {
+		at := w.runs[id]
 		j := w.f.state.Jobs[id.Graph]
 		if w.f.lacksTask(id, w.numbers[id]) {
 			if w.f.now.Sub(at) >= gangTimeout {
@@ -268,7 +284,7 @@
 			}
 			continue
 		}
-		if w.f.now.Sub(at) >= w.taskTime && (j == nil || !j.Steps[id.Step].LongRunning) {
+		if w.f.now.Sub(at) >= w.lasts(id) && (j == nil || !j.Steps[id.Step].LongRunning) {
 			how := manager.RunDone
 			if w.fails {
 				how = manager.RunFailed
@@ -281,9 +297,6 @@
 	}
 }
 
-// gangTimeout is how long a task of a gang waits for the others.
-const gangTimeout = 3 * manager.Second
-
 // lacksTask reports whether some task of a gang's run is on no worker.
 func (f *fleet) lacksTask(id manager.TaskID, n manager.RunNumber) bool {
 	j, t := f.state.Task(id)
@@ -382,13 +395,3 @@
 	}
 	w.stopping[s.Task] = w.f.now.Add(w.stopTime)
 }
-
-func task(cores manager.MilliCores, count int) manager.GraphStep {
-	return manager.GraphStep{Count: count, EstimateMs: 1000, PerTask: manager.Resources{ProcessorMilliCores: cores, MemoryMegaBytes: 100}}
-}
-
-func longRunning(cores manager.MilliCores, count, unavailable int) manager.GraphStep {
-	s := task(cores, count)
-	s.LongRunning, s.MaxUnavailable, s.MaxPerWorker = true, unavailable, 1
-	return s
-}
--- a/pkg/manager/dispatcher/placement.go
+++ b/pkg/manager/dispatcher/placement.go
@@ -39,12 +39,14 @@
 
 // place proposes starts of ready tasks, by pool and in the order of their jobs.
 func (d *Dispatcher) place(now manager.Time, c *recorder.Changes) {
+	d.startLocality(now)
 	d.backlog, d.startBytes = map[manager.PoolID]bool{}, 0
 	ready := d.readyPools()
 	if len(ready) == 0 {
 		return
 	}
 	pools := d.candidates(now, ready)
+	d.locality.candidates = pools
 	for _, p := range slices.Sorted(maps.Keys(ready)) {
 		if len(pools[p]) == 0 {
 			d.backlog[p] = true
@@ -154,7 +156,10 @@
 		}
 		list := d.permittedCandidates(now, j, s, all)
 		if step.Gang {
-			d.placeGang(now, j, s, list, c)
+			d.placeGang(now, t, s, list, c)
+			continue
+		}
+		if d.placeNear(now, t, s, list, len(list) == len(all), unmet, c) {
 			continue
 		}
 		d.placeStep(now, j, s, list, len(list) == len(all), unmet, c)
@@ -194,6 +199,7 @@
 
 // start returns the start of a task on a worker.
 func (d *Dispatcher) start(j *recorder.Job, s, i int, n manager.RunNumber, w *candidate) recorder.Start {
+	d.noteStart(j, s, w.worker)
 	return recorder.Start{
 		Task: manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}, Run: n, Instance: w.instance, VM: w.latest.VM,
 		Permit: d.permit(j, s, w.instance),
