--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -326,7 +326,7 @@
 	for w.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, controlTime)
 		n := w.fleet.Nodes[rng.IntN(len(w.fleet.Nodes))]
-		o := w.caller.Configure(ctx, n.At(portControl), version, Pool, mark, prefix)
+		o := w.caller.Configure(ctx, n.At(portControl), emulator.Document{Version: version, Pool: Pool, Mark: mark, Prefixes: []string{prefix}})
 		cancel()
 		if o == emulator.Taken {
 			w.mu.Lock()
