dispatcher: refuse the ID of a job that another customer submits in the same cycle

Two customers that submitted one ID between two cycles were both told that their job was accepted; the state kept the first one and dropped the other without a word. Cause: only recorded jobs were looked at. The submits of a cycle are now kept by ID until its commit: another customer gets 409, and a repeated submit of the same customer waits for the commit of the first one and no longer counts twice in the demand.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -21,10 +21,16 @@
 	refuse := func(err error) []Answer { return []Answer{{Call: call, Err: err}} }
 	if j := d.State.Jobs[g.Graph]; j != nil {
 		if j.Customer != g.Customer {
-			return refuse(manager.ErrConflict{Kind: "job", Name: string(g.Graph), Reason: "belongs to another customer"})
+			return refuse(errOtherCustomer(g.Graph))
 		}
 		return []Answer{{Call: call}}
 	}
+	if owner, ok := d.submitted[g.Graph]; ok {
+		if owner != g.Customer {
+			return refuse(errOtherCustomer(g.Graph))
+		}
+		return d.awaitCommit(call)
+	}
 	if at, ok := d.refusedUntil[g.Graph]; ok && now < at {
 		return refuse(manager.ErrOverloaded{RetryAfterMs: at.Sub(now)})
 	}
@@ -48,6 +54,7 @@
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
+	d.submitted[g.Graph] = g.Customer
 	if g.Repeat.Count == 0 {
 		d.recordDemand(now, q.Pool, g)
 	}
--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -28,6 +28,10 @@
 	return nil
 }
 
+func errOtherCustomer(id manager.GraphID) error {
+	return manager.ErrConflict{Kind: "job", Name: string(id), Reason: "belongs to another customer"}
+}
+
 // customerUse is what the tasks of a customer use during a cycle.
 type customerUse struct {
 	// started is what the starts of this cycle add to the recorded use.
--- a/pkg/manager/dispatcher/customer_test.go
+++ b/pkg/manager/dispatcher/customer_test.go
@@ -130,6 +130,22 @@
 	require.NoError(t, f.answers[again].Err)
 }
 
+// Of two customers that submit one ID between two cycles both were told that their job was accepted, and one job was dropped.
+func TestSubmitsOfOneIDInOneCycleConflict(t *testing.T) {
+	f := newFleet(t)
+	f.configureCustomers(manager.CustomerSettings{Customer: large}, manager.CustomerSettings{Customer: small})
+	f.runCycle()
+	first := f.submitFor(large, "a", task(1000, 1))
+	other := f.submitFor(small, "a", task(1000, 1))
+	again := f.submitFor(large, "a", task(1000, 1))
+	f.runCycle()
+	require.NoError(t, f.answers[first].Err)
+	require.True(t, manager.IsErrConflict(f.answers[other].Err))
+	require.Contains(t, f.answers, again)
+	require.NoError(t, f.answers[again].Err)
+	require.Equal(t, large, f.state.Jobs["a"].Customer)
+}
+
 // capModel adds customers with caps that change, and leave, to the model under faults.
 type capModel struct {
 	*model
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -110,6 +110,8 @@
 	freeByPool map[manager.PoolID]manager.Resources
 	// customers holds the use of customers during a cycle.
 	customers map[manager.CustomerID]customerUse
+	// submitted holds the customers of the jobs that a cycle accepts.
+	submitted map[manager.GraphID]manager.CustomerID
 	// startBytes is the estimated size of the starts of a cycle.
 	startBytes int
 	// fleetLimits caches the limits of the known VMs until one of them changes.
@@ -174,7 +176,7 @@
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
 	d.freeByPool, d.recorded = nil, nil
-	d.customers = map[manager.CustomerID]customerUse{}
+	d.customers, d.submitted = map[manager.CustomerID]customerUse{}, map[manager.GraphID]manager.CustomerID{}
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.handleEvent(now, e, &c)...)
