coordinator: hide a customer's job from calls of other customers through every queue

The state of a customer's job, and its cancellation, were open to a call without a key, or of another customer, through any queue that takes calls without keys, whichever queue the job was submitted to; on such a queue each customer saw the jobs of the others. Cause: the check looked at the queue of the call instead of that of the job, and let every customer through there.

Now a job of another customer does not exist for a customer.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -68,7 +68,7 @@
 		g.Graph, g.Queue, g.Customer = id, queue.Queue, customer
 		return l.await(ctx, dispatcher.Event{Submit: &g})
 	case manager.CallCancel:
-		l.Store.Inspect(func() { _, err = l.job(id, queue, customer) })
+		l.Store.Inspect(func() { _, err = l.job(id, customer) })
 		if err != nil {
 			return l.checked(manager.FleetReply{}, err)
 		}
@@ -81,23 +81,31 @@
 			return
 		}
 		var j *recorder.Job
-		if j, err = l.job(id, queue, customer); err == nil {
+		if j, err = l.job(id, customer); err == nil {
 			reply.State = j.State
 		}
 	})
 	return l.checked(reply, err)
 }
 
-// job returns a job that a customer may see. The jobs of other customers don't exist for it, except on queues that anyone
-// may call.
-func (l *Leader) job(id manager.GraphID, queue manager.QueueSettings, customer manager.CustomerID) (*recorder.Job, error) {
+// job returns a job that a customer may see. Another customer's job does not exist for it. A call without a key sees a
+// customer's job only if the job's own queue takes calls without keys: the queue of the call may be another one.
+func (l *Leader) job(id manager.GraphID, customer manager.CustomerID) (*recorder.Job, error) {
 	j := l.State.Jobs[id]
-	if j == nil || j.Customer != "" && j.Customer != customer && l.State.Configuration.RequiresKeys && !queue.AllowsAnonymous {
+	if j == nil || !l.visible(j, customer) {
 		return nil, manager.ErrNotExist{Kind: "job", Name: string(id)}
 	}
 	return j, nil
 }
 
+func (l *Leader) visible(j *recorder.Job, customer manager.CustomerID) bool {
+	if j.Customer == "" || j.Customer == customer || !l.State.Configuration.RequiresKeys {
+		return true
+	}
+	queue, ok := l.State.Configuration.Queue(j.Queue)
+	return customer == "" && ok && queue.AllowsAnonymous
+}
+
 // read answers from the replicated state.
 func (l *Leader) read(c manager.FleetCall) (manager.FleetReply, error) {
 	var reply manager.FleetReply
