soaker: customers whose keys come and go, floods and shrinking caps beside the other faults

Customers were proved only with nodes in one process and without faults. Each seed of TestSoak now needs keys: every configuration draws keys, customers that leave and return, and caps that shrink under running work; one customer sends floods; calls use acknowledged, new, removed and unknown keys, and call on jobs of other customers. Answers are judged by the configurations that may be in force from 2.5 s before the call until its answer; starts by the highest cap of the last 2.5 s; the logs are searched for keys.

--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -93,8 +93,11 @@
 	refused bool
 	// plain is the number of nodes without a disk; 0 stands for that of the flag.
 	plain int
-	watch *watch
-	work  sync.WaitGroup
+	// withCustomers makes every call need a key; floods draws the floods of one customer.
+	withCustomers bool
+	floods        *rand.Rand
+	watch         *watch
+	work          sync.WaitGroup
 	// busy are the nodes whose process is down, paused or stopping.
 	busyMu sync.Mutex
 	busy   map[*Node]bool
@@ -103,6 +106,7 @@
 func (s *soak) play(seed uint64) {
 	t := s.t
 	defer s.close()
+	s.withCustomers = true
 	s.start(seed, 3+int(seed%2))
 	s.plannedStops()
 	s.exchangeSeeds(seed)
@@ -117,7 +121,8 @@
 	t.Run("final-fault", s.playFinalFault)
 	s.watch.stop()
 	require.Empty(t, s.watch.failures())
-	t.Logf("%s, %d times a smaller capacity", s.watch.summary(), s.shrunk)
+	s.checkLogs()
+	t.Logf("%s, %d times a smaller capacity, %s", s.watch.summary(), s.shrunk, s.watch.customers.summary(&s.fleet.Ledger))
 }
 
 // start starts the fleet and waits until it serves.
@@ -128,6 +133,9 @@
 	s.fleet = &Fleet{Binary: binary, Folder: t.TempDir(), Core: core, Plain: cmp.Or(s.plain, *big), WorkerCount: 5, Seed: seed}
 	require.NoError(t, s.fleet.Start())
 	s.watch = newWatch(s.fleet, seed)
+	if s.withCustomers {
+		s.addCustomers(seed)
+	}
 	s.watch.start()
 	require.True(t, s.watch.await(patience, func() bool { return s.watch.completed() > 5 }), "nothing is served")
 }
@@ -161,6 +169,7 @@
 		s.addedFault(time.Duration(300+s.extra.IntN(2700)) * time.Millisecond)
 		s.shrinkWorker()
 		s.writeForeignBeat()
+		s.flood()
 		time.Sleep(time.Duration(100+s.rng.IntN(600)) * time.Millisecond)
 	}
 }
--- a/internal/soaker/watch_test.go
+++ b/internal/soaker/watch_test.go
@@ -28,7 +28,9 @@
 
 // job is what a caller knows of its job.
 type job struct {
-	id        string
+	id string
+	// customer is empty where no call needs a key.
+	customer  string
 	deadly    bool
 	accepted  bool
 	refused   int
@@ -49,9 +51,11 @@
 	fleet  *Fleet
 	seed   uint64
 	caller *emulator.Caller
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
+	// customers is nil where no call needs a key.
+	customers *customers
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
 
 	mu      sync.Mutex
 	jobs    []*job
@@ -180,14 +184,20 @@
 		if w.resting() {
 			continue
 		}
-		w.mu.Lock()
-		j := &job{id: jobID(w.seed, len(w.jobs)), deadly: len(w.jobs)%deadlyPeriod == deadlyPeriod-1}
-		w.jobs = append(w.jobs, j)
-		w.mu.Unlock()
-		w.fleet.Ledger.Expect(j.id, j.payload())
-		if w.handIn(rng, j) {
-			w.follow(rng, j)
-		}
+		w.playJob(rng, w.customers.draw())
+	}
+}
+
+// playJob hands in one job of a customer and follows it to its end.
+func (w *watch) playJob(rng *rand.Rand, customer string) {
+	w.mu.Lock()
+	j := &job{id: jobID(w.seed, len(w.jobs)), customer: customer, deadly: len(w.jobs)%deadlyPeriod == deadlyPeriod-1}
+	w.jobs = append(w.jobs, j)
+	w.mu.Unlock()
+	w.fleet.Ledger.Expect(j.id, j.payload())
+	w.fleet.Ledger.Own(j.id, customer)
+	if w.handIn(rng, j) {
+		w.follow(rng, j)
 	}
 }
 
@@ -196,12 +206,12 @@
 	t := emulator.Task{Payload: j.payload(), Count: 1 + rng.IntN(4), CPU: 500 + rng.IntN(1000)}
 	w.fleet.Ledger.Needs(j.id, t.CPU)
 	for range tries {
-		o := w.timed(rng, func(ctx context.Context, n *Node) emulator.Outcome {
-			return w.caller.Submit(ctx, n.At(portFront), prefix, j.id, t)
+		o := w.as(rng, j.customer, func(ctx context.Context, n *Node, c *emulator.Caller) emulator.Outcome {
+			return c.Submit(ctx, n.At(portFront), prefix, j.id, t)
 		})
 		w.mu.Lock()
 		j.attempts++
-		if o == emulator.NeverRuns || o == emulator.NotReached {
+		if o == emulator.NeverRuns || o == emulator.NotReached || o == emulator.Unauthorized {
 			j.refused++
 		}
 		j.accepted = j.accepted || o == emulator.Taken
@@ -241,9 +251,10 @@
 			return
 		}
 		var state string
-		o := w.timed(rng, func(ctx context.Context, n *Node) emulator.Outcome {
+		w.spy(rng, j)
+		o := w.as(rng, j.customer, func(ctx context.Context, n *Node, c *emulator.Caller) emulator.Outcome {
 			var o emulator.Outcome
-			state, o = w.caller.State(ctx, n.At(portFront), prefix, j.id)
+			state, o = c.State(ctx, n.At(portFront), prefix, j.id)
 			return o
 		})
 		switch {
@@ -287,8 +298,8 @@
 
 // cancelJob returns true once the cancel was acknowledged and nothing of the job runs.
 func (w *watch) cancelJob(rng *rand.Rand, j *job) bool {
-	o := w.timed(rng, func(ctx context.Context, n *Node) emulator.Outcome {
-		return w.caller.Cancel(ctx, n.At(portFront), prefix, j.id)
+	o := w.as(rng, j.customer, func(ctx context.Context, n *Node, c *emulator.Caller) emulator.Outcome {
+		return c.Cancel(ctx, n.At(portFront), prefix, j.id)
 	})
 	if o == emulator.Gone {
 		w.fail("job %s was accepted and is not known to a cancel", j.id)
@@ -311,6 +322,7 @@
 		w.version += 1 + rng.IntN(3)
 		version := w.version
 		w.mu.Unlock()
+		w.customers.offer(version)
 		var racers sync.WaitGroup
 		for i := range 1 + rng.IntN(2) {
 			source := rand.New(rand.NewPCG(w.seed, uint64(1000+2*n+i)))
@@ -326,9 +338,10 @@
 	for w.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(w.ctx, controlTime)
 		n := w.fleet.Nodes[rng.IntN(len(w.fleet.Nodes))]
-		o := w.caller.Configure(ctx, n.At(portControl), emulator.Document{Version: version, Pool: Pool, Mark: mark, Prefixes: []string{prefix}})
+		o := w.caller.Configure(ctx, n.At(portControl), w.customers.document(version, mark))
 		cancel()
 		if o == emulator.Taken {
+			w.customers.acknowledged(version)
 			w.mu.Lock()
 			w.acked = max(w.acked, version)
 			w.mu.Unlock()
