dispatcher: name the customer in the lines of its jobs, and log customers at their caps

From the ID of a job that waits, or was refused, an operator could not tell whose job it is, nor that the cap of its customer holds it. A refused call was logged with its reason and without its key already.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -186,8 +186,15 @@
 // around names the changes of the dispatcher while the subject was under way.
 func around(way, lines []Line) []string {
 	first, last := way[0].At.Add(-margin), way[len(way)-1].At.Add(margin)
+	customers := map[string]bool{}
+	for _, l := range way {
+		customers[l.Get("Customer")] = l.Get("Customer") != ""
+	}
 	var changes []Line
 	for _, l := range lines {
+		if l.Message == manager.LogCustomerAtCap && customers[l.Get("Customer")] && !l.At.Before(way[0].At) && l.At.Before(last) {
+			changes = append(changes, l)
+		}
 		switch l.Message {
 		case manager.LogDispatcherStarted, manager.LogDispatcherEnded, manager.LogChangesNotCommitted, manager.LogLinesDropped:
 			if l.At.After(first) && l.At.Before(last) {
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -49,7 +49,7 @@
 	}
 	if wait := d.overloadDelay(now, g, q); wait > 0 {
 		d.refusedUntil[g.Graph] = now.Add(wait)
-		d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run",
+		d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run",
 			"Load", d.lending.loads[q.Pool], "LoadAgeMs", now.Sub(d.lending.balancedAt), "ConfigurationVersion", d.State.Configuration.Version)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
@@ -58,7 +58,7 @@
 	if g.Repeat.Count == 0 {
 		d.recordDemand(now, q.Pool, g)
 	}
-	d.log(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.State.Configuration.Version)
+	d.logJob(g.Customer, manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "ConfigurationVersion", d.State.Configuration.Version)
 	return d.awaitCommit(call)
 }
 
--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
@@ -20,7 +22,7 @@
 	}
 	for _, s := range g.Steps {
 		if s.Gang && !within(s.Reserved().Times(int64(s.Count-1)), settings.Cap) {
-			d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "Customer", g.Customer, "RetryAfterMs", maxRetryAfter,
+			d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", maxRetryAfter,
 				"Outcome", "not-run", "Reason", "a gang is wider than the customer's cap")
 			return manager.ErrOverloaded{RetryAfterMs: maxRetryAfter}
 		}
@@ -38,6 +40,8 @@
 	started manager.Resources
 	// reserved means that the rest of the cap is kept for a task that is larger than what is left of it.
 	reserved bool
+	// waiting is the first job that the cap holds.
+	waiting manager.GraphID
 }
 
 // useOf returns what the runs of a customer use, with those that this cycle starts. A run that ends in this cycle still
@@ -59,14 +63,22 @@
 	}
 	use, need := d.useOf(j.Customer), j.Steps[s].Reserved()
 	fits := within(use.Add(need.Times(int64(n))), settings.Cap)
+	held := d.customers[j.Customer]
+	before := held
 	switch {
-	case d.customers[j.Customer].reserved:
-		return false
+	case held.reserved:
+		fits = false
 	case !fits && use == (manager.Resources{}):
-		return within(need.Times(int64(n-1)), settings.Cap)
+		fits = within(need.Times(int64(n-1)), settings.Cap)
 	case !fits && within(use.Times(2), settings.Cap):
 		// Later jobs would otherwise keep taking what this one needs.
-		d.customers[j.Customer] = customerUse{started: d.customers[j.Customer].started, reserved: true}
+		held.reserved = true
+	}
+	if !fits && held.waiting == "" {
+		held.waiting = j.Graph.Graph
+	}
+	if held != before {
+		d.customers[j.Customer] = held
 	}
 	return fits
 }
@@ -88,3 +100,29 @@
 	use.started = use.started.Add(j.Steps[s.Task.Step].Reserved())
 	d.customers[j.Customer] = use
 }
+
+// capLogPeriod is the least time between two log lines about one customer at its cap.
+const capLogPeriod = 1 * manager.Second
+
+// logHeldCustomers logs the customers with jobs that a cap keeps from starting.
+func (d *Dispatcher) logHeldCustomers(now manager.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.customers)) {
+		waiting := d.customers[id].waiting
+		if at, ok := d.heldLoggedAt[id]; waiting == "" || ok && now.Sub(at) < capLogPeriod {
+			continue
+		}
+		settings, _ := d.State.Customer(id)
+		d.heldLoggedAt[id] = now
+		d.log(manager.LogCustomerAtCap, "Customer", id, "FirstWaiting", waiting, "InUse", d.useOf(id), "Cap", settings.Cap)
+	}
+	maps.DeleteFunc(d.heldLoggedAt, func(_ manager.CustomerID, at manager.Time) bool { return now.Sub(at) >= capLogPeriod })
+}
+
+// logJob logs what became of a job, with its customer if it has one.
+func (d *Dispatcher) logJob(c manager.CustomerID, message string, fields ...any) {
+	if c != "" {
+		fields = append(fields, "Customer", c)
+	}
+	d.log(message, fields...)
+	d.logLines[len(d.logLines)-1].Customer = c
+}
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -110,6 +110,8 @@
 	freeByPool map[manager.PoolID]manager.Resources
 	// customers holds the use of customers during a cycle.
 	customers map[manager.CustomerID]customerUse
+	// heldLoggedAt is when customers at their caps were logged last.
+	heldLoggedAt map[manager.CustomerID]manager.Time
 	// submitted holds the customers of the jobs that a cycle accepts.
 	submitted map[manager.GraphID]manager.CustomerID
 	// startBytes is the estimated size of the starts of a cycle.
@@ -135,6 +137,8 @@
 	Fields  []any
 	// Minor lines are dropped first when the log can't keep up.
 	Minor bool
+	// Customer is set on the lines of accepted, refused and ended jobs that have one.
+	Customer manager.CustomerID
 	// Ended is set on the line of a job that ended.
 	Ended *EndedJob
 }
@@ -160,7 +164,7 @@
 		workers: map[manager.WorkerID]*worker{}, byVM: map[manager.VMID]*worker{},
 		byAddress: map[manager.Address]*worker{}, refusedUntil: map[manager.GraphID]manager.Time{},
 		times: estimator{state: state}, initialStateAt: state.At, unresolved: unresolvedOrders(state),
-		incompleteGangs: map[StepID]manager.RunNumber{},
+		incompleteGangs: map[StepID]manager.RunNumber{}, heldLoggedAt: map[manager.CustomerID]manager.Time{},
 	}
 }
 
@@ -188,6 +192,7 @@
 	d.updateMaintenance(now, &c)
 	d.balancePools(now, &c)
 	d.place(now, &c)
+	d.logHeldCustomers(now)
 	d.invalidateUsage(&c)
 	d.inFlight = c
 	if c.Empty() {
@@ -304,7 +309,7 @@
 		seen[id] = true
 		d.markJobRuns(j)
 		took, objective := j.EndedAt.Sub(j.ReleaseTime()), d.objective(j).Sub(j.ReleaseTime())
-		d.log(manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
+		d.logJob(j.Customer, manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
 			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
 		d.logLines[len(d.logLines)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
 	}
--- a/pkg/manager/dispatcher/main_test.go
+++ b/pkg/manager/dispatcher/main_test.go
@@ -33,6 +33,8 @@
 
 // fleet drives a dispatcher in virtual time. The changes of every cycle are committed at once.
 type fleet struct {
+	// logged gets every log line, if it is set.
+	logged         func(dispatcher.LogLine)
 	t              require.TestingT
 	now            manager.Time
 	state          *recorder.State
@@ -96,7 +98,11 @@
 		f.state.Apply(c)
 		f.recordAnswers(f.d.Committed(f.now))
 	}
-	f.d.LogLines()
+	for _, line := range f.d.LogLines() {
+		if f.logged != nil {
+			f.logged(line)
+		}
+	}
 	for _, order := range f.d.PlatformOrders() {
 		f.platformOrders = append(f.platformOrders, order)
 		if f.acceptOrders {
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -19,6 +19,7 @@
 	LogChangesNotCommitted           = "Changes not committed"
 	LogStaleConfigurationIgnored     = "Configuration overtaken"
 	LogConfigurationAccepted         = "Configuration taken"
+	LogCustomerAtCap                 = "Customer at cap"
 	LogDataFolderCleared             = "Data folder cleared because the group removed this replica"
 	LogDispatcherEnded               = "Dispatcher ended"
 	LogDispatcherStarted             = "Dispatcher started"
@@ -102,19 +103,20 @@
 		{LogChangesNotCommitted, "Leader", "A commit failed. Its callers get no definite answer, and the dispatcher restarts."},
 		{LogStaleConfigurationIgnored, "Leader", "A configuration that is not newer than the current one was acknowledged without effect."},
 		{LogConfigurationAccepted, "Leader", "A newer configuration is being committed."},
+		{LogCustomerAtCap, "Leader", "The cap of a customer keeps jobs from starting, FirstWaiting first; once a second for each customer while that lasts. InUse is what its open runs use."},
 		{LogDataFolderCleared, "Replica", "The disk joins the group again as a new one."},
 		{LogDispatcherEnded, "Leader", "This node stops dispatching."},
 		{LogDispatcherStarted, "Leader", "This node starts dispatching, with Token as its fencing token."},
 		{LogElectionNotWon, "Replica", "This replica has sought votes for ForMs without a winner. Granted, Refused and Unheard are the voters by their latest answer."},
 		{LogGroupCreated, "Replica", "The replica group was bootstrapped, which happens once in the lifetime of the system."},
 		{LogHeartbeatRefused, "Any", "A heartbeat names no usable worker and is answered with 400. Each worker is logged once in ten minutes."},
-		{LogJobAccepted, "Leader", "A job is being committed."},
+		{LogJobAccepted, "Leader", "A job is being committed; Customer is who submitted it, if it has a customer."},
 		{LogJobCancelled, "Leader", "The cancellation of a job is being committed."},
-		{LogJobEnded, "Leader", "A job has ended; InTime tells whether it met its objective, and WaitedMs how long its first task waited."},
+		{LogJobEnded, "Leader", "A job has ended; InTime tells whether it met its objective, and WaitedMs how long its first task waited. Customer is who submitted it, if it has a customer."},
 		{LogJobGivenUp, "Leader", "A job fails because workers crash when they start one of its tasks; Crashes counts them."},
-		{LogJobRefused, "Any", "A job was refused and never runs."},
+		{LogJobRefused, "Any", "A job was refused and never runs; Customer is who submitted it, if it has a customer."},
 		{LogLinesDropped, "Any", "Log lines were written faster than they are read; Minor and Essential count the missing lines."},
-		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code."},
+		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code, Reason why. No line names an API key."},
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
 		{LogLeaderNotFound, "Any", "No node has named a leader for ForMs; the search goes on. Unreached nodes did not answer, Unaware ones know no leader."},
 		{LogListEntryNotUsed, "Leader", "An entry of the platform's list of VMs is unusable for Reason. Its VM keeps its place in waves and is not lent; without a VM, no VM counts as gone. The first entries with each reason are logged."},
