meter: count the jobs of customers with at most 33 labels

No metric told whether the jobs of one customer were accepted, refused, or ended late. mulberryhaven_customer_jobs_total{customer,event} counts them at the leader; the first 32 customers in the order of their names have labels of their own and the others share 'other'. The counters of a customer that loses its label are removed, so that names that come and go don't add up.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -48,6 +48,7 @@
 	listFailures   failureNotes
 	adviceFailures failureNotes
 	calls          map[dispatcher.CallID]chan outcome
+	customers      meter.Customers
 	current        *dispatcher.Dispatcher
 	term           manager.Term
 	// startAt is when a dispatcher may start again after a commit that failed.
@@ -237,6 +238,7 @@
 func (l *Leader) performEffects() {
 	for _, n := range l.current.LogLines() {
 		meter.Decisions(n.Message).Inc()
+		l.countCustomer(n)
 		if e := n.Ended; e != nil {
 			meter.JobSeconds(e.Queue, e.State).Update(e.TookMs.Std().Seconds())
 			if e.State == manager.GraphCompleted && !e.InTime {
@@ -260,3 +262,22 @@
 		go l.list()
 	}
 }
+
+// countCustomer counts what a log line says of a customer's job.
+func (l *Leader) countCustomer(n dispatcher.LogLine) {
+	if n.Customer == "" {
+		return
+	}
+	l.Store.Inspect(func() { l.customers.Use(l.State.Configuration) })
+	switch e := n.Ended; {
+	case n.Message == manager.LogJobAccepted:
+		l.customers.Count(n.Customer, meter.JobAccepted)
+	case n.Message == manager.LogJobRefused:
+		l.customers.Count(n.Customer, meter.JobRefused)
+	case e == nil || e.State != manager.GraphCompleted:
+	case e.InTime:
+		l.customers.Count(n.Customer, meter.JobInTime)
+	default:
+		l.customers.Count(n.Customer, meter.JobLate)
+	}
+}
