--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -183,6 +183,9 @@
 // margin is how long before and after the subject's own lines a change of the dispatcher counts.
 const margin = 5 * time.Second
 
+// heldPeriod is the time that one line about a customer at its cap stands for: the dispatcher logs them once a second.
+const heldPeriod = time.Second
+
 // around names the changes of the dispatcher while the subject was under way.
 func around(way, lines []Line) []string {
 	first, last := way[0].At.Add(-margin), way[len(way)-1].At.Add(margin)
@@ -192,7 +195,7 @@
 	}
 	var changes []Line
 	for _, l := range lines {
-		if l.Message == manager.LogCustomerAtCap && customers[l.Get("Customer")] && !l.At.Before(way[0].At) && l.At.Before(last) {
+		if l.Message == manager.LogCustomerAtCap && customers[l.Get("Customer")] && l.At.After(way[0].At.Add(-heldPeriod)) && l.At.Before(last) {
 			changes = append(changes, l)
 		}
 		switch l.Message {
