dispatcher: withdraw starts that have not begun beyond a reduced cap

A customer ran four times its cap: its start orders did not reach a worker, its cap was reduced, and 5 s after the acknowledgement the orders were repeated and four tasks of 1,000 began under a cap of 1,000. Cause: a start was checked against the cap only when it was recorded, and its order is repeated for as long as the worker's lease lasts.

A run that a worker's report does not show is now withdrawn, as for a worker that has shrunk, where it exceeds the cap of its customer by more than itself; its task is placed again. Runs that began go on. Without a reduced cap nothing changes: recorded starts keep this bound.

--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -83,6 +83,27 @@
 	return fits
 }
 
+// keepsCap reports whether a recorded run that has not begun exceeds the cap of its customer by no more than itself. The cap may
+// have been reduced since the run was placed. Withdrawn runs don't count, as they no longer begin.
+func (d *Dispatcher) keepsCap(j *recorder.Job, need manager.Resources) bool {
+	if j.Customer == "" {
+		return true
+	}
+	settings, ok := d.State.Customer(j.Customer)
+	others := d.State.InUse(j.Customer).Sub(need)
+	if !ok || within(others, settings.Cap) {
+		return true
+	}
+	for _, w := range d.workers {
+		for id, n := range w.withdrawn {
+			if other := d.State.Jobs[id.Graph]; other != nil && other.Customer == j.Customer && d.State.OpenRun(id, n) != nil {
+				others = others.Sub(d.taskResources(id))
+			}
+		}
+	}
+	return within(others, settings.Cap)
+}
+
 // within reports whether a use stays within a cap, of which a resource of 0 is not limited.
 func within(use, limit manager.Resources) bool {
 	return (limit.ProcessorMilliCores == 0 || use.ProcessorMilliCores <= limit.ProcessorMilliCores) &&
--- a/pkg/manager/dispatcher/customer_test.go
+++ b/pkg/manager/dispatcher/customer_test.go
@@ -146,6 +146,41 @@
 	require.Equal(t, large, f.state.Jobs["a"].Customer)
 }
 
+// An order is lost, and the cap of the customer is reduced before the order is repeated.
+func TestLostOrderIsNotRepeatedBeyondReducedCap(t *testing.T) {
+	gang := task(1000, 4)
+	gang.Gang = true
+	for name, step := range map[string]manager.GraphStep{"tasks": task(1000, 4), "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			caps := func(cpu manager.MilliCores) manager.CustomerSettings {
+				return manager.CustomerSettings{Customer: large, Weight: 100, Cap: processors(cpu)}
+			}
+			f.configureCustomers(caps(4000))
+			w := f.worker("w1", pool, 8000)
+			f.run(200)
+			f.submitFor(large, "a", step)
+			f.loseAnswers(w, 300)
+			require.Equal(t, 4, f.state.Jobs["a"].OpenRuns())
+			require.Empty(t, w.started)
+			f.configureCustomers(caps(1000))
+			f.loseAnswers(w, configurationTime+500)
+			most := manager.MilliCores(0)
+			for range 1500 {
+				f.run(10)
+				most = max(most, f.running()[large])
+			}
+			require.LessOrEqual(t, most, manager.MilliCores(1000+100+1000))
+			if step.Gang {
+				require.Zero(t, most, "a part of a gang began")
+				f.configureCustomers(caps(4000))
+				f.run(6 * manager.Second)
+			}
+			require.Equal(t, manager.GraphCompleted, f.jobState("a"))
+		})
+	}
+}
+
 // capModel adds customers with caps that change, and leave, to the model under faults.
 type capModel struct {
 	*model
--- a/pkg/manager/dispatcher/withdrawal.go
+++ b/pkg/manager/dispatcher/withdrawal.go
@@ -8,8 +8,8 @@
 )
 
 // startOrders returns the start orders of a worker: the open runs that its latest report doesn't show. A run that no
-// longer fits beside what the worker runs is withdrawn: its start order was lost or not sent yet, and the capacity has
-// shrunk since the run was placed.
+// longer fits beside what the worker runs, or within the cap of its customer, is withdrawn: its start order was lost or not
+// sent yet, and the capacity or the cap has shrunk since the run was placed.
 func (d *Dispatcher) startOrders(w *worker) []manager.StartOrder {
 	runs := d.State.Runs(w.instance)
 	maps.DeleteFunc(w.withdrawn, func(id manager.TaskID, n manager.RunNumber) bool { return d.State.OpenRun(id, n) == nil })
@@ -26,7 +26,7 @@
 			continue
 		}
 		need := d.taskResources(id)
-		if !free.Fits(need) {
+		if !free.Fits(need) || !d.keepsCap(j, need) {
 			d.withdraw(w, id, r.Number)
 			continue
 		}
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -150,7 +150,7 @@
 		{LogRunEvicted, "Leader", "A long-running task is to be stopped and started on another worker, within the budget of its step."},
 		{LogRunStalled, "Leader", "A run makes no progress and is to be started on another worker."},
 		{LogRunStopped, "Leader", "A worker is told to stop a run."},
-		{LogRunWithdrawn, "Leader", "A run that has not begun no longer fits, as the worker's capacity has shrunk; its task is placed again."},
+		{LogRunWithdrawn, "Leader", "A run that has not begun no longer fits, as the worker's capacity or the cap of the job's customer has shrunk; its task is placed again."},
 		{LogSeedNotUsed, "Any", "An entry of the seeds holds no IP address; the others are used. It is looked at again when the settings change."},
 		{LogSeedsChanged, "Any", "The settings list other seeds."},
 		{LogReloadingSettings, "Any", "A signal was received or the settings file changed."},
