coordinator: confirm the leadership before a call is refused for its key

A leader that is paused while it looks a key up, and replaced meanwhile, answered 401 by its old version, also for a key that was in force by then; a state or a count is confirmed after the reading, a refusal was not. It is confirmed now, so that the node searches the new leader instead. The same holds for a queue that the old version does not have (404).

Measured: TestReplacedLeaderDoesNotRefuseKeys fails before (unauthorized) and passes now, three times.

--- a/internal/coordinator/calls.go
+++ b/internal/coordinator/calls.go
@@ -60,7 +60,7 @@
 		}
 	})
 	if err != nil {
-		return manager.FleetReply{}, err
+		return l.checked(manager.FleetReply{}, err)
 	}
 	switch c.Kind {
 	case manager.CallSubmit:
