dispatcher: log customers at their caps as minor lines

With 1,000 customers at their caps the lines, one a second for each, took two thirds of the 1,500 lines that the log writes in a second, and were dropped no earlier than those of accepted jobs. They are minor now and are dropped first.

--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -125,7 +125,8 @@
 // capLogPeriod is the least time between two log lines about one customer at its cap.
 const capLogPeriod = 1 * manager.Second
 
-// logHeldCustomers logs the customers with jobs that a cap keeps from starting.
+// logHeldCustomers logs the customers with jobs that a cap keeps from starting. The lines are minor: with 1,000 customers at their
+// caps they take two thirds of what the log writes in a second.
 func (d *Dispatcher) logHeldCustomers(now manager.Time) {
 	for _, id := range slices.Sorted(maps.Keys(d.customers)) {
 		waiting := d.customers[id].waiting
@@ -134,7 +135,7 @@
 		}
 		settings, _ := d.State.Customer(id)
 		d.heldLoggedAt[id] = now
-		d.log(manager.LogCustomerAtCap, "Customer", id, "FirstWaiting", waiting, "InUse", d.useOf(id), "Cap", settings.Cap)
+		d.logMinor(manager.LogCustomerAtCap, "Customer", id, "FirstWaiting", waiting, "InUse", d.useOf(id), "Cap", settings.Cap)
 	}
 	maps.DeleteFunc(d.heldLoggedAt, func(_ manager.CustomerID, at manager.Time) bool { return now.Sub(at) >= capLogPeriod })
 }
