--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -28,10 +28,16 @@
 	refuse := func(err error) []Answer { return []Answer{{Call: call, Err: err}} }
 	if j := d.State.Jobs[g.Graph]; j != nil {
 		if j.Customer != g.Customer {
-			return refuse(manager.ErrConflict{Kind: "job", Name: string(g.Graph), Reason: "belongs to another customer"})
+			return refuse(errOtherCustomer(g.Graph))
 		}
 		return []Answer{{Call: call}}
 	}
+	if owner, ok := d.submitted[g.Graph]; ok {
+		if owner != g.Customer {
+			return refuse(errOtherCustomer(g.Graph))
+		}
+		return d.awaitCommit(call)
+	}
 	if r, ok := d.refused[g.Graph]; ok && now < r.until {
 		return refuse(manager.ErrOverloaded{RetryAfterMs: r.until.Sub(now)})
 	}
@@ -51,15 +57,16 @@
 	g.Surplus = d.isSurplus(now, g, c)
 	if wait := d.overloadDelay(now, g, q, c); wait > 0 {
 		d.refused[g.Graph] = refusal{until: now.Add(wait), surplus: g.Surplus}
-		d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run", "Surplus", g.Surplus,
+		d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run", "Surplus", g.Surplus,
 			"Load", d.lending.loads[q.Pool], "LoadAgeMs", now.Sub(d.lending.balancedAt), "ConfigurationVersion", d.State.Configuration.Version)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
 	c.Submit = append(c.Submit, g)
+	d.submitted[g.Graph] = g.Customer
 	if g.Repeat.Count == 0 && !g.Surplus {
 		d.recordDemand(now, q.Pool, g)
 	}
-	d.log(manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "Surplus", g.Surplus, "ConfigurationVersion", d.State.Configuration.Version)
+	d.logJob(g.Customer, manager.LogJobAccepted, "RequestID", g.Graph, "Queue", g.Queue, "Pool", q.Pool, "Steps", len(g.Steps), "Surplus", g.Surplus, "ConfigurationVersion", d.State.Configuration.Version)
 	return d.awaitCommit(call)
 }
 
--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
@@ -24,7 +26,7 @@
 	}
 	for _, s := range g.Steps {
 		if s.Gang && !within(s.Reserved().Times(int64(s.Count-1)), settings.Cap) {
-			d.log(manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "Customer", g.Customer, "RetryAfterMs", maxRetryAfter,
+			d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", maxRetryAfter,
 				"Outcome", "not-run", "Reason", "a gang is wider than the customer's cap")
 			return manager.ErrOverloaded{RetryAfterMs: maxRetryAfter}
 		}
@@ -51,12 +53,18 @@
 	return !d.Options.Shares.Take(now, g.Customer, d.weight(g.Customer, c))
 }
 
+func errOtherCustomer(id manager.GraphID) error {
+	return manager.ErrConflict{Kind: "job", Name: string(id), Reason: "belongs to another customer"}
+}
+
 // customerUse is what the tasks of a customer use during a cycle.
 type customerUse struct {
 	// started is what the starts of this cycle add to the recorded use.
 	started manager.Resources
 	// reserved means that the rest of the cap is kept for a task that is larger than what is left of it.
 	reserved bool
+	// waiting is the first job that the cap holds.
+	waiting manager.GraphID
 }
 
 // useOf returns what the runs of a customer use, with those that this cycle starts. A run that ends in this cycle still
@@ -92,15 +100,18 @@
 	return s.Cap, s.Cap != (manager.Resources{})
 }
 
-// reserveCap keeps the rest of a customer's cap for a step that does not fit into it although less than half of it is used.
-// Later jobs of the customer would otherwise keep taking what the step needs.
-func (d *Dispatcher) reserveCap(j *recorder.Job) {
+// holdForCap notes that a step of a job waits for the cap of its customer. If less than half of the cap is used, the rest of it is
+// kept for the step: later jobs of the customer would otherwise keep taking what it needs.
+func (d *Dispatcher) holdForCap(j *recorder.Job) {
 	limit, ok := d.capOf(j.Customer)
-	if !ok || !within(d.useOf(j.Customer).Times(2), limit) {
+	if !ok {
 		return
 	}
 	use := d.customers[j.Customer]
-	use.reserved = true
+	if use.waiting == "" {
+		use.waiting = j.Graph.Graph
+	}
+	use.reserved = use.reserved || within(d.useOf(j.Customer).Times(2), limit)
 	d.customers[j.Customer] = use
 }
 
@@ -145,6 +156,27 @@
 	return total
 }
 
+// keepsCap reports whether a recorded run that has not begun exceeds the cap of its customer by no more than itself. The cap may
+// have been reduced since the run was placed. Withdrawn runs don't count, as they no longer begin.
+func (d *Dispatcher) keepsCap(j *recorder.Job, need manager.Resources) bool {
+	if j.Customer == "" {
+		return true
+	}
+	settings, ok := d.State.Customer(j.Customer)
+	others := d.State.InUse(j.Customer).Sub(need)
+	if !ok || within(others, settings.Cap) {
+		return true
+	}
+	for _, w := range d.workers {
+		for id, n := range w.withdrawn {
+			if other := d.State.Jobs[id.Graph]; other != nil && other.Customer == j.Customer && d.State.OpenRun(id, n) != nil {
+				others = others.Sub(d.taskResources(id))
+			}
+		}
+	}
+	return within(others, settings.Cap)
+}
+
 // within reports whether a use stays within a cap, of which a resource of 0 is not limited.
 func within(use, limit manager.Resources) bool {
 	return (limit.ProcessorMilliCores == 0 || use.ProcessorMilliCores <= limit.ProcessorMilliCores) &&
@@ -162,3 +194,30 @@
 	use.started = use.started.Add(j.Steps[s.Task.Step].Reserved())
 	d.customers[j.Customer] = use
 }
+
+// capLogPeriod is the least time between two log lines about one customer at its cap.
+const capLogPeriod = 1 * manager.Second
+
+// logHeldCustomers logs the customers with jobs that a cap keeps from starting. The lines are minor: with 1,000 customers at their
+// caps they take two thirds of what the log writes in a second.
+func (d *Dispatcher) logHeldCustomers(now manager.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.customers)) {
+		waiting := d.customers[id].waiting
+		if at, ok := d.heldLoggedAt[id]; waiting == "" || ok && now.Sub(at) < capLogPeriod {
+			continue
+		}
+		settings, _ := d.State.Customer(id)
+		d.heldLoggedAt[id] = now
+		d.logMinor(manager.LogCustomerAtCap, "Customer", id, "FirstWaiting", waiting, "InUse", d.useOf(id), "Cap", settings.Cap)
+	}
+	maps.DeleteFunc(d.heldLoggedAt, func(_ manager.CustomerID, at manager.Time) bool { return now.Sub(at) >= capLogPeriod })
+}
+
+// logJob logs what became of a job, with its customer if it has one.
+func (d *Dispatcher) logJob(c manager.CustomerID, message string, fields ...any) {
+	if c != "" {
+		fields = append(fields, "Customer", c)
+	}
+	d.log(message, fields...)
+	d.logLines[len(d.logLines)-1].Customer = c
+}
--- a/pkg/manager/dispatcher/gang.go
+++ b/pkg/manager/dispatcher/gang.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if !d.fitsCap(j, s, j.Steps[s].Count) {
-		d.reserveCap(j)
+		d.holdForCap(j)
 		return
 	}
 	places := d.gangPlaces(now, j, s, list)
