Bound the log on a replica's disk by bytes

The format is unchanged.

Evidence: on the code before, TestLargeEntriesDoNotFillTheDisk stops at entry 168 of 200 on disks of 12 MiB, TestDiskFilledByTheLogIsFreed commits nothing after the restart, and TestLaggingFollowerGetsSnapshotOfLargeEntries fails as well; TestChangesAreCommittedOnceThereIsSpaceAgain and TestSmallEntriesTakeNoSnapshotForTheirBytes pass before and after. On this code all five pass in the last four of four runs of the package.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -35,6 +35,9 @@
 	directSharePercent = 25
 	// minFreeDiskShare is the share of the disk below which no change is taken.
 	minFreeDiskShare = 8
+	// snapshotDiskShare is the share of the disk that the log may take between two snapshots. With the entries kept before a
+	// snapshot (half as much) and a segment of 8 MiB, a disk of 128 MB has free space for two snapshots of 40 MB.
+	snapshotDiskShare = 8
 	// heartbeatPeriod and electionTimeout are shorter than the replicator's own, as all replicas are in one
 	// region; the time-out still holds several syncs of a slow disk.
 	heartbeatPeriod = 150 * manager.Millisecond
@@ -117,8 +120,8 @@
 	f.store = &storer.Replicated{
 		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{State: state},
 		MinFreeBytes:  uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
-		SnapshotEvery: snapshotEvery,
-		Options:       replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
+		SnapshotEvery: snapshotEvery, SnapshotBytes: snapshotBytes(s.DiskMegaBytes),
+		Options: replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
 	}
 	if s.Found {
 		f.store.Replica, f.store.Initial = seedMembers(s)
@@ -155,6 +158,11 @@
 	return nil
 }
 
+// snapshotBytes returns the size of the log between two snapshots on a disk of the given size, or 0 for the default.
+func snapshotBytes(diskMegaBytes int64) int64 {
+	return min(diskMegaBytes<<20/snapshotDiskShare, storer.DefaultSnapshotBytes)
+}
+
 // fail reports the end of a part; the first report is enough.
 func (f *FleetNode) fail(err error) {
 	select {
--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -168,6 +168,7 @@
 	case err != nil:
 		return fmt.Errorf("%s: %w", name, err)
 	}
+	s.bytes = int64(len(b))
 	c.segments = append(c.segments, s)
 	c.lastRecord, c.lastOffset = b[start:end], int64(start)
 	c.Files++
--- a/internal/journaler/log.go
+++ b/internal/journaler/log.go
@@ -25,14 +25,16 @@
 )
 
 const (
-	// segmentBytes is the default size at which the log starts a new segment; only whole segments are
+	// DefaultSegmentBytes is the default size at which the log starts a new segment; only whole segments are
 	// deleted.
-	segmentBytes = 8 << 20
+	DefaultSegmentBytes = 8 << 20
 	// snapshotFrameBytes is the size of a snapshot's frames; it must stay under maxFrameBytes.
 	snapshotFrameBytes = 16 << 20
 	// MinFreeBytes is the default free space below which no change is accepted, so that terms, votes and
 	// a snapshot still fit on the disk.
 	MinFreeBytes = 64 << 20
+	// trimShare is the share of the least free space below which the log is not what fills the disk.
+	trimShare = 8
 )
 
 // record is one batch in a segment; it is written and synced as a unit.
@@ -75,6 +77,8 @@
 	number uint64
 	// last is the highest entry index in the segment.
 	last manager.Index
+	// bytes is the size of a segment that is no longer written to.
+	bytes int64
 }
 
 func (l *Log) disk() Disk {
@@ -157,6 +161,7 @@
 	}
 	if l.file != nil {
 		l.file.Close()
+		l.segments[len(l.segments)-1].bytes = l.size
 	}
 	l.file, l.size = f, int64(len(data))
 	l.segments = append(l.segments, segment{number: number})
@@ -242,7 +247,7 @@
 func (l *Log) rotate() {
 	limit := l.SegmentBytes
 	if limit == 0 {
-		limit = segmentBytes
+		limit = DefaultSegmentBytes
 	}
 	if l.size >= limit {
 		_ = l.openSegment(l.segments[len(l.segments)-1].number+1, false)
@@ -305,14 +310,55 @@
 	}
 }
 
+// Trim deletes the segments without entries after keepAfter, which a stored snapshot has to cover. If that includes the
+// segment that is written to, it starts a new one.
+func (l *Log) Trim(keepAfter manager.Index) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.file == nil {
+		return
+	}
+	// The older segments go first, as the disk may have no space for a new one yet.
+	l.deleteSegments(keepAfter)
+	current := l.segments[len(l.segments)-1]
+	if len(l.segments) > 1 || current.last == 0 || current.last > keepAfter || l.repair() != nil {
+		return
+	}
+	if l.openSegment(current.number+1, false) == nil {
+		l.deleteSegments(keepAfter)
+	}
+}
+
+// Bytes returns the size of the log without the snapshot.
+func (l *Log) Bytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := l.size
+	for _, s := range l.segments {
+		total += s.bytes
+	}
+	return total
+}
+
 // HasFreeSpace reports whether the disk has enough free space to accept changes.
-func (l *Log) HasFreeSpace() bool {
-	limit := l.MinFree
-	if limit == 0 {
-		limit = MinFreeBytes
+func (l *Log) HasFreeSpace() bool { return l.hasFree(0) }
+
+// LacksSpace reports whether the disk has too little free space to accept changes beside a new snapshot of the given size,
+// and the log is large enough to be a cause of it.
+func (l *Log) LacksSpace(snapshot int64) bool {
+	return uint64(l.Bytes()) >= l.minFree()/trimShare && !l.hasFree(uint64(snapshot))
+}
+
+func (l *Log) minFree() uint64 {
+	if l.MinFree == 0 {
+		return MinFreeBytes
 	}
+	return l.MinFree
+}
+
+func (l *Log) hasFree(more uint64) bool {
 	free, err := l.disk().FreeBytes(l.Folder)
-	return err == nil && free >= limit
+	return err == nil && free >= l.minFree()+more
 }
 
 // Close closes the log; later writes return os.ErrClosed.
--- a/internal/journaler/model_test.go
+++ b/internal/journaler/model_test.go
@@ -65,13 +65,16 @@
 		m.restart()
 		return
 	}
-	switch m.rand.IntN(12) {
+	switch m.rand.IntN(13) {
 	case 0:
 		m.restart()
 	case 1:
 		m.install()
 	case 2, 3:
 		m.saveSnapshot()
+	case 4:
+		_, snapshot := m.acknowledged()
+		m.log.Trim(snapshot.Meta.Index)
 	default:
 		m.save()
 	}
--- a/internal/storer/applying.go
+++ b/internal/storer/applying.go
@@ -1,12 +1,10 @@
 package storer
 
 import (
-	"errors"
 	"fmt"
 
 	"k8s.io/klog/v2"
 
-	"github.com/mulberryhaven/mulberryhaven/internal/journaler"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
@@ -18,7 +16,7 @@
 		if err := r.Machine.Restore(s.Data); err != nil {
 			return fmt.Errorf("restore snapshot: %w", err)
 		}
-		r.applied = s.Meta.Index
+		r.applied, r.uncovered = s.Meta.Index, 0
 	}
 	before := r.state.ConfigurationRevision()
 	for _, e := range ready.Committed {
@@ -38,6 +36,7 @@
 
 func (r *Replicated) applyEntry(e manager.Entry) error {
 	r.applied = e.Index
+	r.uncovered += storedBytes(e)
 	var result manager.Result
 	if e.Kind == manager.EntryCommand {
 		var err error
@@ -103,30 +102,3 @@
 		r.view.confirmed = at
 	}
 }
-
-// snapshotIfDue stores a snapshot once SnapshotEvery entries were applied since the last one.
-func (r *Replicated) snapshotIfDue() error {
-	now := r.Clock.Now()
-	if r.applied < r.snapshot.Index+manager.Index(r.SnapshotEvery) || len(r.unsaved) > 0 || now < r.disk.snapshotAt {
-		return nil
-	}
-	meta := r.replica.SnapshotMeta(r.applied)
-	data, err := r.Machine.Snapshot()
-	if err != nil {
-		return fmt.Errorf("take snapshot: %w", err)
-	}
-	meta.Bytes = int64(len(data))
-	keepFrom := max(meta.Index, keptEntries) - keptEntries
-	err = r.log.SaveSnapshot(replicator.Snapshot{Meta: meta, Data: data}, keepFrom)
-	if errors.Is(err, journaler.ErrUnwritten) {
-		r.disk.snapshotAt = now.Add(snapshotRetryPause)
-		klog.ErrorS(err, manager.LogSnapshotNotStored, "Cause", errorCause(err), "Replica", r.Replica)
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("save snapshot: %w", err)
-	}
-	r.snapshot = meta
-	r.replica.Compact(meta, keptEntries)
-	return nil
-}
--- a/internal/storer/disk.go
+++ b/internal/storer/disk.go
@@ -34,6 +34,8 @@
 	retryAt      manager.Time
 	reportedAt   manager.Time
 	snapshotAt   manager.Time
+	// lowSpaceAt is the time at which the replica next checks whether the log has to free space.
+	lowSpaceAt manager.Time
 }
 
 // noteFailure records that a write was not stored and is to be repeated.
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -32,9 +32,6 @@
 	// DefaultSnapshotEvery is the default number of applied entries between two snapshots; a larger
 	// number makes restarts and the log longer.
 	DefaultSnapshotEvery = 10_000
-	// keptEntries is the number of entries before a snapshot that stay in the log, so that followers a
-	// little behind need no snapshot.
-	keptEntries = 1_000
 )
 
 // Replicated is the Store that commits commands on a quorum of replicas.
@@ -51,6 +48,9 @@
 	Seed    uint64
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery int
+	// SnapshotBytes is the size of the applied entries after which a snapshot is taken although there are fewer than
+	// SnapshotEvery of them; 0 means DefaultSnapshotBytes.
+	SnapshotBytes int64
 	Options       replicator.Options
 	// Machine is the state machine to which entries are applied; nil means the applier's state.
 	Machine StateMachine
@@ -68,10 +68,12 @@
 	nextRead     replicator.ReadID
 	unsaved      []replicator.Ready
 	snapshot     manager.SnapshotMeta
-	probeAt      manager.Time
-	disk         diskWatch
-	reporter     reporter
-	peers        *peerSet
+	// uncovered is the size of the entries applied since the snapshot.
+	uncovered int64
+	probeAt   manager.Time
+	disk      diskWatch
+	reporter  reporter
+	peers     *peerSet
 
 	inbox inbox
 	stop  chan struct{}
@@ -117,6 +119,9 @@
 	if r.SnapshotEvery == 0 {
 		r.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if r.SnapshotBytes == 0 {
+		r.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if err := r.openIdentity(); err != nil {
 		return err
 	}
@@ -126,7 +131,7 @@
 		}
 	}
 	r.diskID = r.identity.Disk
-	r.log = &journaler.Log{Folder: r.Folder, Disk: r.Disk, MinFree: r.MinFreeBytes}
+	r.log = &journaler.Log{Folder: r.Folder, Disk: r.Disk, MinFree: r.MinFreeBytes, SegmentBytes: segmentBytes(r.SnapshotBytes)}
 	stored, data, err := r.log.Open()
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
@@ -222,7 +227,7 @@
 	}
 	r.dropIfNotLeader()
 	r.publish()
-	return r.snapshotIfDue()
+	return r.compact()
 }
 
 func (r *Replicated) stepReplica(now manager.Time, b *batch) {
--- a/internal/storer/replicated_test.go
+++ b/internal/storer/replicated_test.go
@@ -32,6 +32,9 @@
 	// disk is set on every replica; machine creates the state machine of each.
 	disk    journaler.Disk
 	machine func() storer.StateMachine
+	// minFree and snapshotBytes are the limits in bytes of every replica.
+	minFree       uint64
+	snapshotBytes int64
 
 	mu     sync.Mutex
 	stores []*storer.Replicated
@@ -102,6 +105,7 @@
 		Clock: timekeeper.New(), Replica: g.members[i].Replica, Initial: g.members, Folder: g.path(i), Disk: g.disk,
 		HTTP: &http.Client{Transport: &http.Transport{}}, Seed: uint64(i),
 		Options: replicator.Options{HeartbeatPeriod: 100, ElectionTimeout: 600}, SnapshotEvery: 50,
+		MinFreeBytes: g.minFree, SnapshotBytes: g.snapshotBytes,
 	}
 	if g.machine != nil {
 		s.Machine, s.SnapshotEvery = g.machine(), 0
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -74,6 +74,7 @@
 	LogUnreachableReplicaRemoved     = "Unreachable replica removed"
 	LogSlowSync                      = "Slow sync"
 	LogTransferringLeadership        = "Transferring leadership because the disk takes no changes"
+	LogFreeingDiskSpace              = "Freeing disk space"
 	LogSnapshotNotStored             = "Snapshot not stored"
 	LogTaskPlaced                    = "Task placed"
 	LogTaskUnplaceable               = "Task stranded"
@@ -159,6 +160,7 @@
 		{LogWriteNotStored, "Replica", "The disk has not taken a write for ForMs; it is repeated and nothing is acknowledged meanwhile. Cause is the operating system's error."},
 		{LogWritesStoredAgain, "Replica", "The disk takes writes again after ForMs."},
 		{LogSlowSync, "Replica", "A write to the disk was so slow that elections and commits are delayed."},
+		{LogFreeingDiskSpace, "Replica", "The disk is nearly full; a snapshot is taken and the log that it covers is deleted."},
 		{LogSnapshotNotStored, "Replica", "The disk has no space for a snapshot; the log keeps growing."},
 		{LogTaskPlaced, "Leader", "A run of a task was assigned to a worker; its order is sent with the answer to a report."},
 		{LogTaskUnplaceable, "Leader", "No worker has enough resources for a task or gang beside the long-running tasks, so its pool gets another VM."},
--- a/pkg/manager/replicator/snapshot.go
+++ b/pkg/manager/replicator/snapshot.go
@@ -21,6 +21,20 @@
 	}
 }
 
+// CountBefore returns how many entries up to i the log holds, counted back from i until there are most of them or the
+// next one would bring their size above maxBytes.
+func (r *Replica) CountBefore(i manager.Index, most int, maxBytes int64) int {
+	n, size := 0, int64(0)
+	for k := min(i, r.log.last()); k > r.log.base && n < most; k-- {
+		size += int64(entryBytes(r.log.entries[k-r.log.base-1]))
+		if size > maxBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // SnapshotMeta returns the metadata of a snapshot at an applied entry.
 func (r *Replica) SnapshotMeta(i manager.Index) manager.SnapshotMeta {
 	t, _ := r.log.term(i)
