coordinator: keep workers' reports out of the line of waiting calls

Cause: reports waited behind callers, and the leader holds those that it gets for up to 0.6 s of the 12 calls that a node sends at once, so that a new leader learned its workers late.

Reports are retried on their own, as they were before; their answers show no configuration. The new test fails before (0 of 10 reports arrived).

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -57,6 +57,7 @@
 	// calledAt is when the first call came.
 	calledAt atomicTime
 	waiters  waiters
+	reports  waitingReports
 	shown    shownTerm
 	packer   packer
 }
@@ -81,16 +82,19 @@
 func (n *Node) call(ctx context.Context, c manager.FleetCall) (manager.FleetReply, error) {
 	start, sent := n.Clock.Now(), false
 	n.calledAt.setOnce(start)
+	if c.Kind == manager.CallReport {
+		return n.report(ctx, start, c)
+	}
 	w, answered := n.waiters.join(start, c.Kind), false
 	defer func() { n.waiters.leave(w, answered) }()
 	var err error = manager.ErrNotLeader{}
-	for n.pause(ctx, start, c, w) {
+	for n.pause(ctx, start, w) {
 		var reply manager.FleetReply
 		var reached bool
 		reply, reached, err = n.attempt(ctx, start, c, w)
 		if err == nil || final(err) {
 			answered = true
-			n.servedAt.set(n.Clock.Now())
+			n.noteAnswer()
 			if sent && manager.IsErrUnavailable(err) {
 				// An earlier attempt may have been taken; this refusal speaks only of the latest one.
 				n.noteUnanswered(c, sent, err)
@@ -102,14 +106,8 @@
 			n.waiters.fail(w)
 		}
 		sent = sent || reached
-		if c.Kind == manager.CallReport && reached {
-			return reply, err
-		}
 		n.Finder.Refresh()
 	}
-	if c.Kind == manager.CallReport && ctx.Err() == nil && n.old(start, c) {
-		return manager.FleetReply{}, err
-	}
 	n.noteUnanswered(c, sent, err)
 	if sent {
 		return manager.FleetReply{}, manager.ErrOutcomeUnknown{}
@@ -117,11 +115,6 @@
 	return manager.FleetReply{}, manager.ErrUnavailable{Component: "leader", Reason: "none was reached in time"}
 }
 
-// old reports whether a call is a report that has waited too long to be sent.
-func (n *Node) old(start manager.Time, c manager.FleetCall) bool {
-	return c.Kind == manager.CallReport && n.Clock.Now().Sub(start) >= reportPatience
-}
-
 // addPause adds to a refusal when the caller should try again.
 func (n *Node) addPause(ctx context.Context, c manager.FleetCall, err error) error {
 	e, ok := errors.AsType[manager.ErrUnavailable](err)
@@ -178,16 +171,14 @@
 func (n *Node) LeaderFound(leader manager.Address) {
 	if leader != n.Own || n.Leader != nil {
 		n.waiters.found(leader)
+		n.reports.wake()
 	}
 }
 
 // pause waits until the next try and returns false if the call should end without one.
-func (n *Node) pause(ctx context.Context, start manager.Time, c manager.FleetCall, w *waitingCall) bool {
-	for !n.old(start, c) {
+func (n *Node) pause(ctx context.Context, start manager.Time, w *waitingCall) bool {
+	for {
 		limited, cancel := n.limit(ctx, start)
-		if c.Kind == manager.CallReport {
-			limited, cancel = n.limitReport(limited, cancel, start)
-		}
 		released := n.waiters.wait(limited, w)
 		cancel()
 		if released || ctx.Err() != nil {
@@ -197,15 +188,6 @@
 			return false
 		}
 	}
-	return false
-}
-
-// limitReport bounds ctx by the age up to which a report is sent; the function it returns also cancels ctx.
-func (n *Node) limitReport(
-	ctx context.Context, cancel context.CancelFunc, start manager.Time,
-) (context.Context, context.CancelFunc) {
-	limited, cancelLimited := context.WithTimeout(ctx, start.Add(reportPatience).Sub(n.Clock.Now()).Std())
-	return limited, func() { cancelLimited(); cancel() }
 }
 
 // limit bounds ctx by the patience of a call that came at start. On a node that is cut off it is short: without an
--- a/internal/coordinator/waiters.go
+++ b/internal/coordinator/waiters.go
@@ -26,7 +26,7 @@
 	outageTime = 300 * time.Millisecond
 	// holdTime is how long a call that was sent holds back later ones, unless it is answered earlier. The leader reads its
 	// configuration when a call arrives, but commits are slow under load: a line that waits for them would grow faster than
-	// it is sent. A report counts among the calls sent at once for that time, as the leader holds it up to 0.6 s.
+	// it is sent.
 	holdTime = 100 * time.Millisecond
 )
 
@@ -266,7 +266,6 @@
 		defer w.mu.Unlock()
 		if c.tries == tries && c.holding {
 			c.holding = false
-			c.counted = c.counted && c.shows
 			w.dispatch()
 		}
 	})
--- a/internal/coordinator/waitingcalls_test.go
+++ b/internal/coordinator/waitingcalls_test.go
@@ -246,3 +246,33 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Workers whose reports waited behind the callers of a new leader were not known to it, so that a pool's capacity came back late.
+func TestReportsDoNotWaitBehindCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{leaders: map[string]*fakeLeader{"10.0.0.1:1": {version: 4}}, latency: 400 * time.Millisecond}
+		n := g.node()
+		for range 60 {
+			go callPath(t.Context(), n, "caller")
+		}
+		time.Sleep(10 * time.Millisecond)
+		for range 10 {
+			go func() {
+				n.Call(t.Context(), manager.FleetCall{Kind: manager.CallReport, Report: &manager.WorkerReport{}, Path: "report"})
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		n.Finder.Learn(finder.View{Term: 1, Leader: "10.0.0.1:1"})
+		time.Sleep(50 * time.Millisecond)
+		g.set(func() {
+			reports := 0
+			for _, path := range g.arrived {
+				if path == "report" {
+					reports++
+				}
+			}
+			require.Equal(t, 10, reports)
+		})
+		time.Sleep(10 * time.Second)
+	})
+}
