--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -104,9 +104,10 @@
 	pause := wait - slack
 	if g.Surplus {
 		pause = max(pause, d.Options.Shares.ReturnAfter(now, g.Customer, d.weight(g.Customer, c)))
-		if pause > maxRetryAfter {
-			return retrier.Spread(maxRetryAfter/2, maxRetryAfter, string(g.Graph))
-		}
+	}
+	if g.Customer != "" && pause > maxRetryAfter {
+		// The callers of a flood would otherwise all return after the longest pause.
+		return retrier.Spread(maxRetryAfter/2, maxRetryAfter, string(g.Graph))
 	}
 	return min(maxRetryAfter, max(minRetryAfter, pause))
 }
--- a/pkg/manager/dispatcher/runnable.go
+++ b/pkg/manager/dispatcher/runnable.go
@@ -54,3 +54,14 @@
 	}
 	return total
 }
+
+// graphWork returns the work of a job that is not accepted yet.
+func (d *Dispatcher) graphWork(g manager.Graph) work {
+	var total work
+	for i, s := range g.Steps {
+		if d.runnable(&g.Steps[i]) {
+			total.add(s, float64(s.Count)*float64(min(maxTaskLoad, d.times.task(g.Queue, s))))
+		}
+	}
+	return total
+}
