--- a/pkg/manager/dispatcher/share_test.go
+++ b/pkg/manager/dispatcher/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -176,3 +177,25 @@
 	f.run(100)
 	require.NoError(t, f.answers[call].Err)
 }
+
+// A fleet without customers must decide as one whose dispatcher knows no shares, whatever its load.
+func TestFleetWithoutCustomersDecidesAsWithoutShares(t *testing.T) {
+	play := func(seed uint64, shares manager.ShareMeter) []byte {
+		m := &model{fleet: newFleet(t), rng: rand.New(rand.NewPCG(seed, 47)), cancelled: map[manager.GraphID]bool{}, token: 1, calls: map[manager.GraphID][]dispatcher.CallID{}}
+		m.options.Shares = shares
+		m.startDispatcher(1)
+		for i := range 4 {
+			m.worker(manager.WorkerID(fmt.Sprintf("w%d", i)), pool, 4000).leased = true
+		}
+		for range 300 {
+			m.fault()
+			m.tick()
+		}
+		data, err := m.state.Snapshot()
+		require.NoError(t, err)
+		return data
+	}
+	for seed := range uint64(20) {
+		require.Equal(t, string(play(seed, sharer.Unlimited{})), string(play(seed, nil)), "seed %d", seed)
+	}
+}
