--- a/pkg/manager/dispatcher/customer.go
+++ b/pkg/manager/dispatcher/customer.go
@@ -70,12 +70,3 @@
 	}
 	maps.DeleteFunc(d.heldLoggedAt, func(_ manager.CustomerID, at manager.Time) bool { return now.Sub(at) >= capLogPeriod })
 }
-
-// logJob logs what became of a job, with its customer if it has one.
-func (d *Dispatcher) logJob(c manager.CustomerID, message string, fields ...any) {
-	if c != "" {
-		fields = append(fields, "Customer", c)
-	}
-	d.log(message, fields...)
-	d.logLines[len(d.logLines)-1].Customer = c
-}
