--- a/pkg/manager/dispatcher/rackcrash.go
+++ b/pkg/manager/dispatcher/rackcrash.go
@@ -46,21 +46,25 @@
 // have crashed them all.
 func (d *Dispatcher) sharesRackCrash(now manager.Time, r manager.WorkerReport, victims []victim, c *recorder.Changes) bool {
 	d.rackCrashes = slices.DeleteFunc(d.rackCrashes, func(k *rackCrash) bool { return now.Sub(k.at) > rackCrashMemory })
+	var counted []*rackCrash
+	for _, k := range d.rackCrashes {
+		if restartedTogether(r, k.rack, k.restartedAt) {
+			counted = append(counted, k)
+		}
+	}
+	if r.Rack == "" || len(victims)+len(counted) == 0 {
+		// A new dispatcher hears of thousands of workers in a cycle; nearly none of them has crashed.
+		return false
+	}
 	restarted := 1
 	for _, w := range d.workers {
 		if w.instance.Worker != r.Instance.Worker && restartedTogether(r, w.latest.Rack, w.instance.StartedAt) {
 			restarted++
 		}
 	}
-	if r.Rack == "" || restarted < rackCrashSize {
+	if restarted < rackCrashSize {
 		return false
 	}
-	var counted []*rackCrash
-	for _, k := range d.rackCrashes {
-		if restartedTogether(r, k.rack, k.restartedAt) {
-			counted = append(counted, k)
-		}
-	}
 	if startsOnAll(startingJobs(victims), counted, restarted) {
 		return false
 	}
