Comments that were not true of their code, or unclear

LatestRemote counts steps whose rack has no capacity, a retracted crash still counts against finite tasks, and a weight orders no customers.

--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -10,7 +10,7 @@
 
 // waitingReports are the workers' reports on a node that no leader has answered. Together they are retried as often as one
 // would be, and all as soon as a leader is found or has answered. They don't join the line of calls: their answers show no
-// configuration, the leader holds them while it has no orders, and in the line they kept it from calls and it from workers.
+// configuration, the leader holds them while it has no orders, and a new leader that gets them late knows its workers late.
 type waitingReports struct {
 	mu    sync.Mutex
 	count int
--- a/pkg/manager/customer.go
+++ b/pkg/manager/customer.go
@@ -28,7 +28,7 @@
 type CustomerSettings struct {
 	Customer CustomerID
 	Keys     []KeyDigest `json:",omitempty"`
-	// Weight is the number of jobs per second that the customer is owed service for, and its share of a full fleet.
+	// Weight is the number of jobs per second that the customer is entitled to have served; others are surplus.
 	Weight float64 `json:",omitempty"`
 	// Cap limits what the customer's tasks use on all workers together. A resource of 0 is not limited.
 	Cap Resources `json:",omitzero"`
--- a/pkg/manager/dispatcher/rackcrash.go
+++ b/pkg/manager/dispatcher/rackcrash.go
@@ -10,8 +10,8 @@
 const (
 	// rackCrashSize is the number of workers of a rack that crash together from which the rack is taken to be the cause.
 	rackCrashSize = 2
-	// rackRestartSpread is how far apart the workers of a rack start that lost and got back their power together. Workers that crashed under
-	// their tasks come back one by one, seconds apart.
+	// rackRestartSpread is how far apart the workers of a rack start after they lost power together. Workers that crashed
+	// under their tasks come back one by one, seconds apart.
 	rackRestartSpread = 300 * manager.Millisecond
 	// rackCrashMemory is how long a crash is remembered until the others of its rack report.
 	rackCrashMemory = 5 * manager.Second
@@ -26,7 +26,7 @@
 	// restartedAt is the start of the instance that showed the crash.
 	restartedAt manager.Time
 	at          manager.Time
-	// retracted means that the crash counts against no task any more.
+	// retracted means that the crash counts against no long-running task any more.
 	retracted bool
 }
 
@@ -41,9 +41,9 @@
 }
 
 // sharesRackCrash reports whether the worker of a report, with these victims, crashed together with others of its rack, and
-// retracts what the crashes of those counted against long-running tasks. It is made for racks that lose power again and again: each time all tasks there
-// lose their workers, and sound jobs would be given up as the cause. A job that was just starting on each of the workers may
-// have crashed them all.
+// retracts what the crashes of those counted against long-running tasks. It is made for racks that lose power again and
+// again: each time all tasks there lose their workers, and sound jobs would be given up as the cause. A job that was just
+// starting on each of the workers may have crashed them all.
 func (d *Dispatcher) sharesRackCrash(now manager.Time, r manager.WorkerReport, victims []victim, c *recorder.Changes) bool {
 	d.rackCrashes = slices.DeleteFunc(d.rackCrashes, func(k *rackCrash) bool { return now.Sub(k.at) > rackCrashMemory })
 	var counted []*rackCrash
--- a/pkg/manager/locality.go
+++ b/pkg/manager/locality.go
@@ -16,7 +16,7 @@
 	NearAt Time
 	// LatestStart is the latest time at which the rest of the job, run near its data, still meets the objective.
 	LatestStart Time
-	// LatestRemote is the latest time at which the rest of the job, all of it run remote, still meets the objective.
+	// LatestRemote is the same with this step run remote, and each other step whose rack has no capacity now.
 	LatestRemote Time
 	// Ahead is the number of tasks that already wait for the rack, and TurnMs the mean time in which the rack completes one.
 	Ahead  int
--- a/pkg/manager/localizer/adaptive.go
+++ b/pkg/manager/localizer/adaptive.go
@@ -18,8 +18,8 @@
 	// remoteMarginShare makes that margin at least this share of the remote run: durations differ from their estimates by as
 	// much, so that a job with less time left may be late when it is run remote.
 	remoteMarginShare = 0.15
-	// othersWeight is the weight of what a remote run costs the tasks behind it in a backlog: some of these miss their
-	// objective for it. With 1, 0.688 of the jobs of a burst were in time, with 1.5 0.708 (factor 1.5, racks of 20).
+	// othersWeight is the weight of what a remote run costs the tasks behind it in a backlog. It is above 1, as some of
+	// these miss their objective for it.
 	othersWeight = 1.5
 	// gainMargin is the least gain for which a task waits, about the time that an order takes to be delivered.
 	gainMargin = 50 * manager.Millisecond
--- a/pkg/manager/recorder/changes.go
+++ b/pkg/manager/recorder/changes.go
@@ -8,7 +8,7 @@
 	At        manager.Time
 	Configure *manager.FleetConfiguration `json:",omitempty"`
 	Crash     []Crash                     `json:",omitempty"`
-	// RetractCrash holds crashes that no longer count against their tasks.
+	// RetractCrash holds recorded crashes, with only those of their tasks against which they no longer count.
 	RetractCrash []Crash `json:",omitempty"`
 	End          []End   `json:",omitempty"`
 	// ClearCrashes names tasks with a run that has outlasted CrashWindow.
