--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -325,3 +326,55 @@
 	}
 	return nil
 }
+
+// playLosses adds a machine to the core, and removes another one of it for good 12 s later, without notice. 0.4 s after that, one
+// that is left loses its disk.
+func playLosses(s *stage) error {
+	path := "/watch/" + id(1)
+	watch := job(spec{Lasts: true, CPU: []int{1000}, MemMb: []int{256}},
+		map[string]any{"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 500, "perpetual": true})
+	if !s.caller.submit(hostName, path, watch) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	voters := append([]*node(nil), s.nodes.list[:3]...)
+	if err := s.nodes.start(s.nodes.add(zones[0]), false); err != nil {
+		return err
+	}
+	time.Sleep(12 * time.Second)
+	leader := s.nodes.leader()
+	if leader == nil || !slices.Contains(voters, leader) {
+		return fmt.Errorf("no leader among the first machines")
+	}
+	if err := s.nodes.remove(leader); err != nil {
+		return err
+	}
+	s.caller.fronts = s.nodes.fronts()
+	if s.trouble {
+		time.Sleep(400 * time.Millisecond)
+		other := voters[0]
+		if other == leader {
+			other = voters[1]
+		}
+		if err := s.nodes.wipe(other); err != nil {
+			return err
+		}
+	}
+	// recoveryS is 12.
+	time.Sleep(30 * time.Second)
+	state := s.caller.state(hostName, path)
+	read := 0
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end) && read == 0; time.Sleep(500 * time.Millisecond) {
+		for _, to := range s.nodes.controls() {
+			if status, _ := operate(s.record, http.MethodGet, to, nil); status == http.StatusOK {
+				read++
+			}
+		}
+	}
+	if state != "running" && read == 0 {
+		return fmt.Errorf("%w: LOST: 30 s after the losses the accepted job gets %q, and no node can read back the manifest", errBroken, state)
+	}
+	if state != "running" {
+		return fmt.Errorf("%w: LOST: the accepted job gets %q", errBroken, state)
+	}
+	return nil
+}
--- a/review/stand2/nodes.go
+++ b/review/stand2/nodes.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -94,6 +96,55 @@
 	return next
 }
 
+// add names another machine with an empty disk.
+func (c *nodes) add(zone string) *node {
+	last := c.list[len(c.list)-1]
+	n := &node{name: "front-" + zone + "-9", zone: zone, ip: last.ip + "0", core: true}
+	c.list = append(c.list, n)
+	return n
+}
+
+// remove ends a machine for good.
+func (c *nodes) remove(n *node) error {
+	c.record.write("the machine of %s is removed", n.name)
+	if err := n.process.Process.Kill(); err != nil {
+		return err
+	}
+	<-n.done
+	c.list = slices.DeleteFunc(c.list, func(o *node) bool { return o == n })
+	return nil
+}
+
+// wipe lets a machine lose its disk; it is back after a second.
+func (c *nodes) wipe(n *node) error {
+	c.record.write("%s loses its disk", n.name)
+	if err := n.process.Process.Kill(); err != nil {
+		return err
+	}
+	<-n.done
+	if err := os.RemoveAll(filepath.Join(c.folder, "disk-"+n.name)); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	return c.start(n, false)
+}
+
+// leader returns the machine that answers an operator itself instead of naming another one.
+func (c *nodes) leader() *node {
+	client := &http.Client{Timeout: time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	for _, n := range c.list {
+		response, err := client.Get("http://" + n.at(portControl) + "/config")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if n.core && response.StatusCode == http.StatusOK {
+			return n
+		}
+	}
+	return nil
+}
+
 // settings are what deploy/settings.json.tmpl makes of a machine's settings.
 func (c *nodes) settings(n *node, bootstrap bool) map[string]any {
 	s := map[string]any{
