--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -378,3 +379,45 @@
 	}
 	return nil
 }
+
+// playForeign sends one heartbeat of another writer, whose bytes are no JSON text. It bears the machine and the address of a minion
+// that works, and a later start. It must name no minion: no task may run twice.
+func playForeign(s *stage) error {
+	const tasks = 4
+	one := job(spec{WorkMs: []int{12000}, CPU: []int{2000}, MemMb: []int{256}},
+		map[string]any{"count": tasks, "cpu": 2000, "memMb": 256, "estimatedMs": 12000})
+	if !s.caller.submit(hostName, "/quote/"+id(1), one) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	m := s.runs(id(1) + ".0.0.0")
+	if m == nil {
+		return fmt.Errorf("the job does not run")
+	}
+	if s.trouble {
+		data, err := json.Marshal(map[string]any{
+			"machine": m.id, "born": time.Now().UnixMilli(), "service": poolMain, "address": m.address, "zone": m.zone, "version": "v1",
+			"slots": 8, "state": "ready", "coldRemainingMs": 0, "capacity": map[string]int{"cpu": m.cpu, "memMb": m.mem, "gpu": 0},
+			"labels": []string{m.kind, m.rack}, "clockMs": 5, "sequence": 1, "running": []any{}, "endedRuns": []any{},
+		})
+		if err != nil {
+			return err
+		}
+		a, err := put(context.Background(), http.DefaultClient, s.fleet.nodes[0], "i-other", append(data, '}'))
+		s.record.write("the odd heartbeat: %+v %v", a, err)
+	}
+	most := 0
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		twice := 0
+		for k := range tasks {
+			if open, _, _ := s.fleet.ledger.tally(fmt.Sprintf("%s.0.0.%d", id(1), k)); open > 1 {
+				twice++
+			}
+		}
+		most = max(most, twice)
+	}
+	if most > 0 {
+		return fmt.Errorf("%w: TWICE: %d tasks ran twice at the same time, on minions that are up", errBroken, most)
+	}
+	return nil
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -22,7 +22,10 @@
 
 type caseFunc func(s *stage) error
 
-var cases = map[string]caseFunc{"gang": playGang, "crashes": playCrashes, "kinds": playKinds, "start": playStart, "manifest": playManifest, "losses": playLosses}
+var cases = map[string]caseFunc{
+	"losses": playLosses, "gang": playGang, "manifest": playManifest, "kinds": playKinds, "start": playStart,
+	"crashes": playCrashes, "foreign": playForeign,
+}
 
 // openers open the stage of a case in another way.
 var openers = map[string]func(s *stage, root, folder string) error{"start": openStart}
