replicator: let two of four go on when one voter is removed and another one loses its disk

Cause: the successor had no vote, and the vote of the lost disk went on counting, as only a leader could learn of the loss. One vote of three was left, though two nodes held every acknowledged entry.

Change: a member beyond the founders votes as soon as it has caught up. A voter at whose address another disk answers is left out of an even number of voters, in elections that follow the proof and in their terms.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -143,7 +143,7 @@
 	f.node.Leader = f.leader
 	f.finder.Local = f.localView
 	joiner := &coordinator.Joiner{
-		Request: coordinator.JoinRequest{Address: s.Peer(), AvailabilityZone: s.AvailabilityZone},
+		Request: coordinator.JoinRequest{Address: s.Peer(), AvailabilityZone: s.AvailabilityZone, Founder: s.Found},
 		Store:   f.store, Leader: f.leader, Finder: f.finder, HTTP: client, Founded: len(s.Seeds),
 		Removed: func() { f.removedOnce.Do(func() { close(f.Removed) }) },
 	}
--- a/internal/coordinator/joiner.go
+++ b/internal/coordinator/joiner.go
@@ -36,6 +36,8 @@
 	Disk             manager.DiskID
 	// Replica is the id that the disk holds, 0 for an empty one.
 	Replica manager.ReplicaID
+	// Founder means that the node belongs to the first start of the group.
+	Founder bool `json:",omitempty"`
 }
 
 // KindRemoved is the kind of the conflict that is returned to a replica that was removed.
@@ -59,7 +61,11 @@
 			return l.Store.RemoveReplica(ctx, m.Replica)
 		}
 	}
-	err := l.Store.AddReplica(ctx, manager.ReplicaMember{
+	add := l.Store.AddReplica
+	if q.Founder {
+		add = l.Store.AddFounder
+	}
+	err := add(ctx, manager.ReplicaMember{
 		Replica: s.Members.LastReplica + 1, Address: q.Address, AvailabilityZone: q.AvailabilityZone, Disk: q.Disk,
 	})
 	if err != nil {
--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -66,6 +66,7 @@
 
 	seedsMu sync.Mutex
 
+	network string
 	Network Network
 	Nodes   []*Node
 	Ledger  emulator.Ledger
@@ -84,12 +85,9 @@
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	cloud := &emulator.Cloud{}
 	f.cloud = httptest.NewServer(cloud)
-	const first, listen = 11, 111
+	f.network = network
 	for i := range f.Core + f.Plain {
-		f.Nodes = append(f.Nodes, &Node{
-			Name: fmt.Sprintf("node-%d", i+1), Core: i < f.Core,
-			Address: fmt.Sprintf("%s.%d", network, first+i), Listen: fmt.Sprintf("%s.%d", network, listen+i),
-		})
+		f.addNode(i < f.Core)
 	}
 	for _, n := range f.Nodes {
 		if err := f.relay(n); err != nil {
@@ -107,6 +105,26 @@
 	return nil
 }
 
+func (f *Fleet) addNode(core bool) *Node {
+	const first, listen = 11, 111
+	i := len(f.Nodes)
+	n := &Node{
+		Name: fmt.Sprintf("node-%d", i+1), Core: core,
+		Address: fmt.Sprintf("%s.%d", f.network, first+i), Listen: fmt.Sprintf("%s.%d", f.network, listen+i),
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n
+}
+
+// AddCore starts another node with an empty disk beside the nodes of the first start.
+func (f *Fleet) AddCore() (*Node, error) {
+	n := f.addNode(true)
+	if err := f.relay(n); err != nil {
+		return n, err
+	}
+	return n, f.Launch(n, false)
+}
+
 func (f *Fleet) addWorker(i int, rng *rand.Rand) {
 	w := &emulator.Worker{
 		ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Pool: Pool, Address: fmt.Sprintf("10.0.0.%d:80", i),
--- a/internal/soaker/handover_test.go
+++ b/internal/soaker/handover_test.go
@@ -77,6 +77,39 @@
 	}
 }
 
+// TestGroupSurvivesLostDiskBesideRemoval guards against the end of a group when a node is removed without notice, its successor
+// has run for its time to catch up, and another node loses its disk right before or after the removal.
+func TestGroupSurvivesLostDiskBesideRemoval(t *testing.T) {
+	t.Parallel()
+	const catchUp = 4 * time.Second
+	for i, removed := range []string{"leader", "follower"} {
+		for k, lost := range []string{"founder", "successor"} {
+			t.Run(fmt.Sprintf("removed=%s,lost=%s", removed, lost), func(t *testing.T) {
+				t.Parallel()
+				s := &soak{t: t}
+				defer s.close()
+				s.start(uint64(81+2*i+k), 3)
+				successor, err := s.fleet.AddCore()
+				require.NoError(t, err)
+				time.Sleep(catchUp)
+				g := s.fleet.Group()
+				require.NotNil(t, g.Leader)
+				gone, rest := g.Leader, others(others(g.Voters, g.Leader), successor)
+				if removed == "follower" {
+					gone, rest = rest[0], append(rest[1:], g.Leader)
+				}
+				next := rest[0]
+				if lost == "successor" {
+					next = successor
+				}
+				require.NoError(t, s.fleet.Kill(gone))
+				time.Sleep(time.Duration(k) * 400 * time.Millisecond)
+				s.loseNextDisk(next, gone)
+			})
+		}
+	}
+}
+
 // loseNextDisk lets a node lose its disk after another one was removed, and requires that the rest serve and end all work.
 func (s *soak) loseNextDisk(n, gone *Node) {
 	require.NoError(s.t, s.fleet.Kill(n))
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -189,6 +189,15 @@
 
 // AddReplica adds a running replica with an empty disk; it becomes a voter once it has caught up.
 func (r *Replicated) AddReplica(ctx context.Context, m manager.ReplicaMember) error {
+	return r.addReplica(ctx, m, func(now manager.Time, m manager.ReplicaMember) error { return r.replica.AddMember(now, m) })
+}
+
+// AddFounder adds a running replica that belongs to the first start of the group.
+func (r *Replicated) AddFounder(ctx context.Context, m manager.ReplicaMember) error {
+	return r.addReplica(ctx, m, func(now manager.Time, m manager.ReplicaMember) error { return r.replica.AddFounder(now, m) })
+}
+
+func (r *Replicated) addReplica(ctx context.Context, m manager.ReplicaMember, add func(manager.Time, manager.ReplicaMember) error) error {
 	a, err := r.peers.probe(ctx, m.Address)
 	if err != nil {
 		return fmt.Errorf("probe new replica: %w", err)
@@ -198,7 +207,7 @@
 		return manager.ErrConflict{Kind: "replica", Name: fmt.Sprint(m.Replica), Reason: reason}
 	}
 	m.Disk = a.Disk
-	return r.change(ctx, func(now manager.Time) error { return r.replica.AddMember(now, m) })
+	return r.change(ctx, func(now manager.Time) error { return add(now, m) })
 }
 
 // RemoveReplica removes a replica permanently; its ID is never used again.
--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -15,8 +15,13 @@
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
-// probePeriod is the interval between two probes of the other replicas before the group is bootstrapped.
-const probePeriod = 500 * manager.Millisecond
+const (
+	// probePeriod is the interval between two probes of the other replicas before the group is bootstrapped, and the
+	// time-out of a probe.
+	probePeriod = 500 * manager.Millisecond
+	// unheardProbePeriod is the interval between two probes of voters that are not heard.
+	unheardProbePeriod = 200 * manager.Millisecond
+)
 
 // ErrWrongFolder reports a data folder that belongs to another replica.
 var ErrWrongFolder = eris.New("the data folder belongs to another replica")
@@ -134,6 +139,37 @@
 	}
 }
 
+// probeUnheard asks the processes at the addresses of voters that are not heard which disks they have.
+func (r *Replicated) probeUnheard(now manager.Time) {
+	if now < r.probeAt {
+		return
+	}
+	unheard := r.replica.UnheardVoters(now)
+	if len(unheard) == 0 {
+		return
+	}
+	r.probeAt = now.Add(unheardProbePeriod)
+	for _, m := range unheard {
+		r.peers.work.Go(func() {
+			ctx, cancel := context.WithTimeout(r.peers.ctx, probePeriod.Std())
+			defer cancel()
+			a, err := r.peers.probe(ctx, m.Address)
+			if err != nil {
+				klog.V(2).InfoS("Replica not reached", "Replica", m.Replica, "Error", err.Error())
+				return
+			}
+			r.inbox.control(func(now manager.Time) { r.noteDisk(now, m, a.Disk) })
+		})
+	}
+}
+
+func (r *Replicated) noteDisk(now manager.Time, m manager.ReplicaMember, disk manager.DiskID) {
+	if disk != "" && disk != m.Disk {
+		klog.InfoS(manager.LogVoterLostDisk, "Replica", m.Replica, "Address", m.Address, "Disk", m.Disk, "NewDisk", disk)
+	}
+	r.replica.NoteDisk(now, m.Replica, disk)
+}
+
 // Probe answers another replica's probe: which disk this replica has and whether it belongs to a group.
 func (r *Replicated) Probe() manager.BootstrapAnswer {
 	r.mu.Lock()
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -27,6 +27,8 @@
 	slowSync = 200 * manager.Millisecond
 	// MaxEntryBytes limits the size of a command or entry; a larger one would delay the commands behind it.
 	MaxEntryBytes = 1 << 20
+	// leastVoters is the number of voters that keep their votes if there is no learner.
+	leastVoters = 3
 	// maxQueued limits the calls that wait for the driver.
 	maxQueued = 10_000
 	// DefaultSnapshotEvery is the default number of applied entries between two snapshots; a larger
@@ -209,6 +211,7 @@
 		return err
 	}
 	r.stepReplica(now, batch)
+	r.probeUnheard(now)
 	r.transferIfDiskFails(now)
 	for {
 		ready := r.replica.Ready(r.Clock.Now())
@@ -376,14 +379,14 @@
 	}
 }
 
-// AwaitHandOver waits until a learner has taken the vote of a replica that is stopping, so that the group doesn't count on a
-// replica that may never return. It returns early when there is no learner or ctx ends.
+// AwaitHandOver waits until a replica that is stopping has lost its vote, so that the group doesn't count on a replica that may
+// never return; the last few voters keep theirs unless a learner takes it. It returns early when there is no learner or ctx ends.
 func (r *Replicated) AwaitHandOver(ctx context.Context) {
 	const poll = 20 * time.Millisecond
 	for ctx.Err() == nil {
 		s := r.Status()
 		voters, learners := splitMembers(s.Members)
-		if !slices.Contains(voters, s.Replica) || len(learners) == 0 {
+		if !slices.Contains(voters, s.Replica) || len(learners) == 0 && len(voters) <= leastVoters {
 			return
 		}
 		time.Sleep(poll)
--- a/pkg/manager/consensus.go
+++ b/pkg/manager/consensus.go
@@ -46,6 +46,11 @@
 	List []ReplicaMember
 	// LastReplica is the highest replica ID ever used; a new replica needs a higher one.
 	LastReplica ReplicaID
+	// Founders are the addresses of the members of the group's first start. More members than founders mean that some
+	// are successors of others that are to leave.
+	Founders []Address `json:",omitempty"`
+	// Confirmed means that an earlier entry with the same List is committed.
+	Confirmed bool `json:",omitempty"`
 }
 
 // HardState is the state that a replica must persist before it answers a message.
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -58,6 +58,7 @@
 	LogRackWaitEnded                 = "Wait for a rack ended"
 	LogReplicaAdded                  = "Replica added"
 	LogReplicaLostDisk               = "Replica lost its disk"
+	LogVoterLostDisk                 = "Voter lost its disk"
 	LogReplicaMembersChanged         = "Replica members changed"
 	LogReplicaRoleChanged            = "Replica role changed"
 	LogReplicaStarted                = "Replica started"
@@ -145,6 +146,7 @@
 		{LogRackWaitEnded, "Leader", "A task stops waiting for capacity on the rack of its data or group after WaitedMs, and starts unless its job has ended. Reason is why; PaidOff means that it started there, after less time than a remote run would have lasted longer."},
 		{LogReplicaAdded, "Leader", "A disk was added to the group as a replica, without a vote at first."},
 		{LogReplicaLostDisk, "Leader", "Another disk is in use at a replica's address, so the old replica is removed."},
+		{LogVoterLostDisk, "Replica", "Another disk is in use at a voter's address while too few voters are heard, so an election may leave the voter out."},
 		{LogReplicaMembersChanged, "Replica", "The members that this replica knows have changed; a learner has no vote."},
 		{LogReplicaRoleChanged, "Replica", "The replica became the leader, follows another leader, or has lost its leader; Leader 0 means none."},
 		{LogReplicaStarted, "Replica", "The replica started with the state on its disk."},
--- a/pkg/manager/replicator/append.go
+++ b/pkg/manager/replicator/append.go
@@ -129,7 +129,7 @@
 		changed = changed || e.Members != nil
 	}
 	if changed {
-		r.members = r.log.members()
+		r.loadMembers()
 	}
 }
 
--- a/pkg/manager/replicator/election.go
+++ b/pkg/manager/replicator/election.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+import (
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
 
 // resetElectionTimer draws the time of the next election, in case no leader is heard until then.
 func (r *Replica) resetElectionTimer(now manager.Time) {
@@ -23,7 +27,7 @@
 	if t > r.hardState.Term {
 		r.setHardState(manager.HardState{Term: t})
 	}
-	r.role, r.leader, r.lead, r.votes = RoleFollower, leader, nil, nil
+	r.role, r.leader, r.lead, r.votes, r.excluded = RoleFollower, leader, nil, nil, 0
 	r.transfer = transferState{}
 	r.resetElectionTimer(now)
 }
@@ -47,7 +51,7 @@
 
 // preCampaign starts a pre-vote, which asks whether an election could be won before the term is raised.
 func (r *Replica) preCampaign(now manager.Time) {
-	r.role, r.leader = RolePreCandidate, 0
+	r.role, r.leader, r.excluded = RolePreCandidate, 0, r.lostVoter()
 	r.scheduleElectionRetry(now)
 	r.votes, r.refusals = map[manager.ReplicaID]bool{r.ID: true}, map[manager.ReplicaID]bool{}
 	r.restartedVoters = map[manager.ReplicaID]bool{r.ID: r.recentlyRestarted(now)}
@@ -66,19 +70,14 @@
 
 // unanimous reports whether every voter has granted its vote.
 func (r *Replica) unanimous() bool {
-	for _, m := range r.members.List {
-		if !m.Learner && !r.votes[m.Replica] {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(r.electors(), func(m manager.ReplicaMember) bool { return !r.votes[m.Replica] })
 }
 
 // campaign raises the term and requests votes.
 func (r *Replica) campaign(now manager.Time, transfer bool) {
 	unanimous := r.role == RolePreCandidate && r.unanimous()
 	r.setHardState(manager.HardState{Term: r.hardState.Term + 1, Vote: r.ID})
-	r.role, r.leader = RoleCandidate, 0
+	r.role, r.leader, r.excluded = RoleCandidate, 0, r.lostVoter()
 	r.scheduleElectionRetry(now)
 	r.attempts++
 	r.votes, r.refusals = map[manager.ReplicaID]bool{r.ID: true}, map[manager.ReplicaID]bool{}
@@ -92,8 +91,8 @@
 // requestVotes sends a vote request to every other voter.
 func (r *Replica) requestVotes(request manager.ReplicaMessage) {
 	request.Index, request.LogTerm = r.log.last(), r.log.lastTerm()
-	for _, m := range r.members.List {
-		if m.Replica != r.ID && !m.Learner {
+	for _, m := range r.electors() {
+		if m.Replica != r.ID {
 			request.To = m.Replica
 			r.send(request)
 		}
@@ -165,21 +164,6 @@
 	return r.hasQuorum(func(id manager.ReplicaID) bool { return r.votes[id] })
 }
 
-// hasQuorum reports whether more than half of the voters pass.
-func (r *Replica) hasQuorum(pass func(manager.ReplicaID) bool) bool {
-	voters, passed := 0, 0
-	for _, m := range r.members.List {
-		if m.Learner {
-			continue
-		}
-		voters++
-		if pass(m.Replica) {
-			passed++
-		}
-	}
-	return passed > voters/2
-}
-
 func (r *Replica) becomeLeader(now manager.Time) {
 	r.role, r.leader, r.votes = RoleLeader, r.ID, nil
 	r.transfer = transferState{}
--- a/pkg/manager/replicator/faults_test.go
+++ b/pkg/manager/replicator/faults_test.go
@@ -64,7 +64,7 @@
 
 func (f *faults) restart() {
 	for _, id := range f.order {
-		if n := f.nodes[id]; !n.up {
+		if n := f.nodes[id]; !n.up && !n.gone {
 			f.start(n)
 		}
 	}
--- a/pkg/manager/replicator/former.go
+++ b/pkg/manager/replicator/former.go
@@ -59,6 +59,9 @@
 		members.List = append(members.List, m)
 		members.LastReplica = max(members.LastReplica, m.Replica)
 	}
+	for _, m := range members.List {
+		members.Founders = append(members.Founders, m.Address)
+	}
 	slices.SortFunc(members.List, func(a, b manager.ReplicaMember) int { return int(a.Replica) - int(b.Replica) })
 	return members, true
 }
--- a/pkg/manager/replicator/leadership.go
+++ b/pkg/manager/replicator/leadership.go
@@ -1,10 +1,6 @@
 package replicator
 
-import (
-	"slices"
-
-	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
-)
+import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
 
 // progressState is how a leader sends its log to one follower.
 type progressState int
@@ -74,6 +70,12 @@
 }
 
 func (r *Replica) tickLeader(now manager.Time) {
+	if r.mustExclude(now) {
+		r.becomeFollower(now, r.hardState.Term, 0)
+		// The voters may grant this election at once, as it is their leader that starts it.
+		r.campaign(now, true)
+		return
+	}
 	if now >= r.lead.quorumCheckAt {
 		r.lead.quorumCheckAt = now.Add(r.Options.ElectionTimeout / 2)
 		if !r.quorumActive(now) {
@@ -87,7 +89,7 @@
 		r.lead.confirmedAt = 0
 		r.startRound(now)
 	}
-	if r.stopping {
+	if m, ok := r.member(r.ID); r.stopping || ok && m.Learner && r.latestCommitted() {
 		r.TransferLeadership(now)
 	}
 	if now.Sub(r.lead.roundAt) >= r.Options.HeartbeatPeriod {
@@ -158,17 +160,7 @@
 
 // advanceCommit commits the entries that a quorum holds, if the last of them is of the current term.
 func (r *Replica) advanceCommit(now manager.Time) {
-	matches := make([]manager.Index, 0, len(r.members.List))
-	for _, m := range r.members.List {
-		if !m.Learner {
-			matches = append(matches, r.lead.progressOf(m.Replica).match)
-		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	i := matches[(len(matches)-1)/2]
+	i := r.quorumMatch()
 	if t, ok := r.log.term(i); !ok || t != r.hardState.Term || i <= r.commit {
 		return
 	}
--- a/pkg/manager/replicator/log.go
+++ b/pkg/manager/replicator/log.go
@@ -105,14 +105,15 @@
 	}
 }
 
-// members returns the latest members in the log, whether their entry is committed or not.
-func (l *raftLog) members() manager.Members {
+// members returns the latest members in the log, whether their entry is committed or not, and the index of that entry or
+// of the snapshot.
+func (l *raftLog) members() (manager.Members, manager.Index) {
 	for i := len(l.entries) - 1; i >= 0; i-- {
-		if m := l.entries[i].Members; m != nil {
-			return *m
+		if e := l.entries[i]; e.Members != nil {
+			return *e.Members, e.Index
 		}
 	}
-	return l.snapshot.Members
+	return l.snapshot.Members, l.snapshot.Index
 }
 
 // membersAt returns the members as of entry i.
--- a/pkg/manager/replicator/members.go
+++ b/pkg/manager/replicator/members.go
@@ -27,13 +27,29 @@
 	return manager.ReplicaMember{}, false
 }
 
+// loadMembers takes the members from the log.
+func (r *Replica) loadMembers() {
+	r.groups = nil
+	r.members, r.membersIndex = r.log.members()
+	r.priorMembers = r.log.membersAt(r.membersIndex - 1)
+}
+
 func (r *Replica) isVoter(id manager.ReplicaID) bool {
 	m, ok := r.member(id)
 	return ok && !m.Learner
 }
 
+// AddFounder adds a replica of the group's first start that is none of its initial members.
+func (r *Replica) AddFounder(now manager.Time, m manager.ReplicaMember) error {
+	return r.addMember(now, m, true)
+}
+
 // AddMember adds a replica as a learner; it is promoted to a voter once it has caught up.
 func (r *Replica) AddMember(now manager.Time, m manager.ReplicaMember) error {
+	return r.addMember(now, m, false)
+}
+
+func (r *Replica) addMember(now manager.Time, m manager.ReplicaMember, founder bool) error {
 	if err := r.checkMemberChange(); err != nil {
 		return err
 	}
@@ -50,8 +66,12 @@
 		return manager.ErrConflict{Kind: "replica", Name: name, Reason: fmt.Sprintf("the group has %d replicas already", len(r.members.List))}
 	}
 	m.Learner = true
-	list := append(slices.Clone(r.members.List), m)
-	r.changeMembers(now, manager.Members{List: list, LastReplica: m.Replica})
+	next := r.members
+	next.List, next.LastReplica = append(slices.Clone(next.List), m), m.Replica
+	if founder && len(next.Founders) > 0 && !slices.Contains(next.Founders, m.Address) {
+		next.Founders = append(slices.Clone(next.Founders), m.Address)
+	}
+	r.changeMembers(now, next)
 	return nil
 }
 
@@ -69,19 +89,11 @@
 		return manager.ErrConflict{Kind: "replica", Name: name, Reason: "is the last voter"}
 	}
 	list := slices.DeleteFunc(slices.Clone(r.members.List), func(m manager.ReplicaMember) bool { return m.Replica == id })
-	r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
+	r.changeMemberList(now, list)
 	return nil
 }
 
-func (r *Replica) voterCount() int {
-	n := 0
-	for _, m := range r.members.List {
-		if !m.Learner {
-			n++
-		}
-	}
-	return n
-}
+func (r *Replica) voterCount() int { return len(votersOf(r.members)) }
 
 // checkMemberChange allows one membership change at a time, and none before an entry of the leader's own
 // term is committed: otherwise the changes of two leaders could have quorums that do not overlap.
@@ -104,9 +116,21 @@
 	return false
 }
 
+// changeMemberList proposes another list of members.
+func (r *Replica) changeMemberList(now manager.Time, list []manager.ReplicaMember) {
+	next := r.members
+	next.List = list
+	r.changeMembers(now, next)
+}
+
 func (r *Replica) changeMembers(now manager.Time, m manager.Members) {
+	m.Confirmed = false
+	r.appendMembers(now, m)
+}
+
+func (r *Replica) appendMembers(now manager.Time, m manager.Members) {
 	r.appendEntry(manager.Entry{Kind: manager.EntryMembers, Members: &m})
-	r.members = m
+	r.loadMembers()
 	r.updateProgress(now)
 }
 
--- a/pkg/manager/replicator/replica.go
+++ b/pkg/manager/replicator/replica.go
@@ -95,10 +95,16 @@
 	role             Role
 	leader           manager.ReplicaID
 	log              raftLog
-	members          manager.Members
-	commit           manager.Index
-	delivered        manager.Index
-	electionAt       manager.Time
+	// members are the latest members in the log, at entry membersIndex; priorMembers are those before that entry.
+	members      manager.Members
+	membersIndex manager.Index
+	priorMembers manager.Members
+	// groups are the quorum groups at groupsKey, nil after a change of the members.
+	groups     []quorumGroup
+	groupsKey  groupsKey
+	commit     manager.Index
+	delivered  manager.Index
+	electionAt manager.Time
 	// heardAt is when the latest message of a leader, heardLeader, came.
 	heardAt     manager.Time
 	heardLeader manager.ReplicaID
@@ -115,6 +121,10 @@
 	// attempts counts the elections since a leader was last heard.
 	attempts int
 	transfer transferState
+	// lostDisks are the members at whose address another disk has answered.
+	lostDisks map[manager.ReplicaID]bool
+	// excluded is the voter with a lost disk that doesn't count in this candidate's or leader's term, or 0.
+	excluded manager.ReplicaID
 	// stopping means that the process is about to stop.
 	stopping bool
 	lead     *leaderState
@@ -166,7 +176,7 @@
 	r.hardState = s.HardState
 	r.role = RoleFollower
 	r.log = newLog(s.Snapshot, s.Entries)
-	r.members = r.log.members()
+	r.loadMembers()
 	r.commit, r.delivered = s.Snapshot.Index, s.Snapshot.Index
 	if r.hardState.Term > 0 {
 		r.priorLeaseUntil = now.Add(r.Options.ElectionTimeout)
@@ -187,7 +197,7 @@
 	if now < r.electionAt {
 		return
 	}
-	if r.isVoter(r.ID) {
+	if r.isElector(r.ID) {
 		r.preCampaign(now)
 		return
 	}
--- a/pkg/manager/replicator/sim_test.go
+++ b/pkg/manager/replicator/sim_test.go
@@ -47,6 +47,10 @@
 	register  register
 	up        bool
 	diskHangs bool
+	// home is the address of the node's machine; a machine that has lost its disk runs another node at the same one.
+	home manager.Address
+	// gone means that the machine was removed or its disk was lost, so that the node never starts again.
+	gone bool
 	// stopping means that the process is about to stop.
 	stopping bool
 	// pending is written to disk until syncedAt.
@@ -106,6 +110,11 @@
 func newSim(seed uint64, n int) *sim { return newTunedSim(seed, n, nil) }
 
 func newTunedSim(seed uint64, n int, tune func(*replicator.Options)) *sim {
+	return buildSim(seed, n, tune, false)
+}
+
+// buildSim returns a sim of n replicas; with founders, the group knows how many it has at its first start.
+func buildSim(seed uint64, n int, tune func(*replicator.Options), founders bool) *sim {
 	s := &sim{
 		tune: tune,
 		rng:  rand.New(rand.NewPCG(seed, 7)), nodes: map[manager.ReplicaID]*simNode{}, blocked: map[[2]manager.ReplicaID]bool{},
@@ -118,6 +127,11 @@
 		members.List = append(members.List, manager.ReplicaMember{Replica: node.id, Address: manager.Address(fmt.Sprint(i)), Disk: node.disk.id})
 	}
 	members.LastReplica = manager.ReplicaID(n)
+	for _, m := range members.List {
+		if founders {
+			members.Founders = append(members.Founders, m.Address)
+		}
+	}
 	bootstrap := replicator.BootstrapState(members)
 	s.nodes[1].disk.hard, s.nodes[1].disk.entries = bootstrap.HardState, bootstrap.Entries
 	for _, id := range s.order {
@@ -128,7 +142,7 @@
 
 func (s *sim) addNode(id manager.ReplicaID) *simNode {
 	s.nextDisk++
-	n := &simNode{id: id, disk: disk{id: manager.DiskID(fmt.Sprint("disk-", s.nextDisk))}, rate: 1}
+	n := &simNode{id: id, home: manager.Address(fmt.Sprint(id)), disk: disk{id: manager.DiskID(fmt.Sprint("disk-", s.nextDisk))}, rate: 1}
 	s.nodes[id] = n
 	s.order = append(s.order, id)
 	return n
@@ -224,6 +238,7 @@
 	for _, m := range inbox {
 		n.replica.Step(s.clock(n), m)
 	}
+	s.probeUnheard(n)
 	r := n.replica.Ready(s.clock(n))
 	s.checkLeader(n)
 	s.send(n, r.BeforeSync)
@@ -383,8 +398,21 @@
 	for _, id := range s.order {
 		n := s.nodes[id]
 		n.diskHangs = false
-		if !n.up {
+		if !n.up && !n.gone {
 			s.start(n)
 		}
 	}
 }
+
+// probeUnheard tells a replica now and then which disks are in use at the homes of voters that it doesn't hear.
+func (s *sim) probeUnheard(n *simNode) {
+	for _, m := range n.replica.UnheardVoters(s.clock(n)) {
+		for _, id := range s.order {
+			other := s.nodes[id]
+			cut := s.blocked[[2]manager.ReplicaID{n.id, id}] || s.blocked[[2]manager.ReplicaID{id, n.id}]
+			if other.up && other.home == s.nodes[m.Replica].home && !cut && s.rng.IntN(20) == 0 {
+				n.replica.NoteDisk(s.clock(n), m.Replica, other.disk.id)
+			}
+		}
+	}
+}
--- a/pkg/manager/replicator/snapshot.go
+++ b/pkg/manager/replicator/snapshot.go
@@ -104,7 +104,7 @@
 	r.installed = &Snapshot{Meta: meta, Data: r.incoming.data}
 	r.incoming = incomingSnapshot{}
 	r.log.reset(meta)
-	r.members = meta.Members
+	r.loadMembers()
 	r.commit, r.delivered = meta.Index, meta.Index
 }
 
--- a/pkg/manager/replicator/voters.go
+++ b/pkg/manager/replicator/voters.go
@@ -9,6 +9,8 @@
 const (
 	// missedHeartbeats is the number of heartbeats that others have answered meanwhile after which a voter counts as gone.
 	missedHeartbeats = 3
+	// demotionTimeouts is the number of election timeouts of silence after which one of an even number of voters loses its vote.
+	demotionTimeouts = 2
 	// leastVoters is the number of voters down to which those that are gone lose their vote.
 	leastVoters = 3
 )
@@ -16,7 +18,7 @@
 // adjustVoters gives a vote to a learner or takes that of a voter that is gone, one at a time. A replica whose process stops
 // or has ended may never return, so its vote passes to a learner before another replica is lost.
 func (r *Replica) adjustVoters(now manager.Time) {
-	if r.checkMemberChange() != nil || r.promoteLearner(now) {
+	if r.checkMemberChange() != nil || r.confirmMembers(now) || r.promoteLearner(now) {
 		return
 	}
 	if r.Options.OddVoters && r.voterCount() > leastVoters {
@@ -30,22 +32,39 @@
 		return false
 	}
 	ready := r.readyLearners(now)
-	if len(ready) == 0 || len(ready) == 1 && r.Options.OddVoters && r.voterCount()%2 == 1 && !slices.ContainsFunc(r.members.List, r.isGoneVoter) {
+	if len(ready) == 0 || len(ready) == 1 && r.Options.OddVoters && r.voterCount()%2 == 1 && !r.hasSuccessor() &&
+		!slices.ContainsFunc(r.members.List, r.isGoneVoter) {
 		return false
 	}
 	return r.setLearner(now, ready[0], false)
 }
 
+// hasSuccessor reports whether the group has more members than at its first start, so that one may leave without notice and
+// another one lose its disk right after it. Only a vote of the additional member leaves enough votes then.
+func (r *Replica) hasSuccessor() bool {
+	founders := len(r.members.Founders)
+	return founders > 0 && len(r.members.List) > founders && r.voterCount() >= leastVoters
+}
+
 // demoteGoneVoter makes a voter that is gone a learner, which keeps its disk and may be promoted again.
 func (r *Replica) demoteGoneVoter(now manager.Time) {
 	for _, m := range r.members.List {
-		if r.isGoneVoter(m) && r.setLearner(now, m.Replica, true) {
+		if r.isGoneVoter(m) && r.isDemotable(m) && r.setLearner(now, m.Replica, true) {
 			return
 		}
 	}
 }
 
-// setLearner proposes the change of one member, unless the voters that are not gone would be no quorum after it.
+// isDemotable reports whether a voter that is gone should lose its vote now. Where the voters bear the loss of its vote and of a
+// disk, a silent one keeps its vote for so long that a leader in one half of a partition steps down before that: a
+// change that the partition holds up would leave the next election without enough voters.
+func (r *Replica) isDemotable(m manager.ReplicaMember) bool {
+	p := r.lead.progressOf(m.Replica)
+	return p.stopping || !allowsExclusion(r.members) || r.lastAnswer().Sub(p.heardAt) >= demotionTimeouts*r.Options.ElectionTimeout
+}
+
+// setLearner proposes the change of one member, unless the voters that are not gone are no quorum now or would be none after
+// it. A change that can't be committed would only be in the way of the next election.
 func (r *Replica) setLearner(now manager.Time, id manager.ReplicaID, learner bool) bool {
 	list := slices.Clone(r.members.List)
 	i := slices.IndexFunc(list, func(m manager.ReplicaMember) bool { return m.Replica == id })
@@ -59,10 +78,10 @@
 			gone++
 		}
 	}
-	if (voters-gone)*2 <= voters {
+	if (voters-gone)*2 <= voters || !r.hasQuorum(r.isHeard) {
 		return false
 	}
-	r.changeMembers(now, manager.Members{List: list, LastReplica: r.members.LastReplica})
+	r.changeMemberList(now, list)
 	return true
 }
 
@@ -73,6 +92,12 @@
 	return !m.Learner && m.Replica != r.ID && (p.stopping || r.lastAnswer().Sub(p.heardAt) >= missedHeartbeats*r.Options.HeartbeatPeriod)
 }
 
+// isHeard reports whether a voter is this leader or not gone.
+func (r *Replica) isHeard(id manager.ReplicaID) bool {
+	m, ok := r.member(id)
+	return ok && !r.isGoneVoter(m)
+}
+
 // lastAnswer returns when the latest answer of a follower came.
 func (r *Replica) lastAnswer() manager.Time {
 	var last manager.Time
@@ -98,7 +123,8 @@
 }
 
 // lastEntryFor returns the last entry that a follower may get now. A voter gets the change that takes its vote only once it
-// is committed: as a learner it would start no election, although a group without its leader may need it for one.
+// is committed, unless its vote still counts with the entry: as a learner it would start no election, although a group
+// without its leader may need it for one.
 func (r *Replica) lastEntryFor(id manager.ReplicaID) manager.Index {
 	last := r.log.last()
 	if r.isVoter(id) {
@@ -109,7 +135,7 @@
 			continue
 		}
 		before := r.log.membersAt(i - 1)
-		if slices.ContainsFunc(before.List, func(m manager.ReplicaMember) bool { return m.Replica == id && !m.Learner }) {
+		if !allowsExclusion(before) && slices.ContainsFunc(before.List, func(m manager.ReplicaMember) bool { return m.Replica == id && !m.Learner }) {
 			return i - 1
 		}
 	}
