platform: refuse bodies that are not exactly one JSON value

Cause: decodeWhole asked Decoder.More after the value, which is made for the inside of arrays and objects and reports false before a closing brace or bracket. Answers of other nodes, of the platform and of controllers were decoded without any look at the rest.

Change: pkg/manager/decoder decodes exactly one value and refuses bytes that are no Unicode text, which the standard decoder replaces.

--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -10,11 +10,15 @@
 
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 // timeout bounds one call; it exceeds the gateway's own search for a leader.
 const timeout = 15 * time.Second
 
+// maxAnswerBytes limits the size of an answer.
+const maxAnswerBytes = 64 << 20
+
 // Client calls the operators' API of one gateway.
 type Client struct {
 	// URL is the gateway's, such as http://127.0.0.1:8080.
@@ -77,7 +81,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("gateway refused: %w", translator.ReadError(response))
 	}
-	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+	if err := decoder.Read(response.Body, maxAnswerBytes, answer); err != nil {
 		return fmt.Errorf("decode answer: %w", err)
 	}
 	return nil
--- a/internal/configurer/read.go
+++ b/internal/configurer/read.go
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 // errTrailing reports text after the settings' closing brace.
@@ -42,7 +44,14 @@
 
 // Decode reads one JSON value and refuses unknown fields and trailing text.
 func Decode(r io.Reader, v any) error {
-	d := json.NewDecoder(r)
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	if err := decoder.CheckEncoding(data); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return fmt.Errorf("decode: %w", explain(err))
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -18,6 +17,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/meter"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/retrier"
 )
 
@@ -266,7 +266,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply, term, translator.ReadError(response)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
+	if err := decoder.Read(response.Body, maxReplyBytes, &reply); err != nil {
 		return reply, 0, fmt.Errorf("decode reply: %w", err)
 	}
 	return reply, term, nil
--- a/internal/finder/finder.go
+++ b/internal/finder/finder.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 // PathView is the endpoint that returns a node's view.
@@ -292,7 +291,7 @@
 		return View{}, eris.Errorf("%s answered with status %d", r.URL.Host, response.StatusCode)
 	}
 	var v View
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxViewBytes)).Decode(&v); err != nil {
+	if err := decoder.Read(response.Body, maxViewBytes, &v); err != nil {
 		return View{}, fmt.Errorf("decode view of %s: %w", r.URL.Host, err)
 	}
 	if v.Term > maxTerm {
--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 // DefaultTimeout bounds one call; a call that hangs longer holds up the orders for all other VMs.
@@ -110,7 +110,7 @@
 	if text, ok := answer.(*rawText); ok {
 		return text.read(response.Body)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer); err != nil {
+	if err := decoder.Read(response.Body, maxAnswerBytes, answer); err != nil {
 		return fmt.Errorf("decode platform's answer: %w", err)
 	}
 	return nil
--- a/internal/proposer/client.go
+++ b/internal/proposer/client.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryhaven/mulberryhaven/internal/tracer"
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// tryTimeout limits one attempt at one controller, so that an unresponsive or unreachable controller
 	// does not use up the time of the call; it must exceed the wait for a newer configuration.
 	tryTimeout = 2 * manager.Second
+	// maxAnswerBytes limits the size of an answer.
+	maxAnswerBytes = 64 << 20
 	// retryPause is the delay between two rounds of attempts over all controllers.
 	retryPause = 50 * time.Millisecond
 )
@@ -252,7 +255,7 @@
 		return fmt.Errorf("controller %s: %w", a, err)
 	}
 	c.setLeader(a)
-	if err := json.NewDecoder(response.Body).Decode(call.answer); err != nil {
+	if err := decoder.Read(response.Body, maxAnswerBytes, call.answer); err != nil {
 		return fmt.Errorf("controller %s: decode answer: %w", a, errors.Join(errLost, err))
 	}
 	return nil
--- a/internal/storer/peers.go
+++ b/internal/storer/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/internal/translator"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/replicator"
 )
 
@@ -211,7 +212,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("replica %s rejected the request: %w", a, translator.ReadError(response))
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxExchangeBytes)).Decode(answer); err != nil {
+	if err := decoder.Read(response.Body, maxExchangeBytes, answer); err != nil {
 		return fmt.Errorf("decode exchange: %w", err)
 	}
 	return nil
--- a/internal/translator/errors.go
+++ b/internal/translator/errors.go
@@ -1,15 +1,14 @@
 package translator
 
 import (
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/decoder"
 )
 
 // Code tells the kinds of errors apart in an answer.
@@ -154,7 +153,7 @@
 // ReadError returns the typed error of an answer that is not a success.
 func ReadError(r *http.Response) error {
 	var b ErrorBody
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxErrorBytes)).Decode(&b); err != nil {
+	if err := decoder.Read(r.Body, maxErrorBytes, &b); err != nil {
 		return eris.Wrapf(ErrUnexpected, "status %d without an error body", r.StatusCode)
 	}
 	return b.Err()
--- /dev/null
+++ b/pkg/manager/decoder/doc.go
@@ -0,0 +1,2 @@
+// Package decoder decodes texts that hold exactly one JSON value.
+package decoder
