dispatcher: give waiting tasks the VM they need although it is to leave

Cause: a VM that is to move or to be maintained gets no work until its last run has ended, and nothing ended that when tasks came that need it. The way out, findUnplaceable, counted the VM as room, which placement does not.

Change: while the pool isn't busy, a VM with free capacity for a task that has waited is neither chosen to move nor evacuated. taskCapacity counts the workers that placement uses.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -126,6 +126,8 @@
 	startBytes int
 	// fleetLimits caches the limits of the known VMs until one of them changes.
 	fleetLimits *fleetLimits
+	// waiting caches during a cycle the steps that wait, by pool.
+	waiting map[manager.PoolID][]waitingStep
 	// gangsThatFit caches during a cycle which gangs their pools can hold.
 	gangsThatFit map[gangShape]bool
 	// reservations holds the workers that are kept free for gangs, by pool.
@@ -199,7 +201,7 @@
 // are applied, and a dispatcher whose commit failed is discarded.
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
-	d.freeByPool, d.recorded, d.gangsThatFit = nil, nil, map[gangShape]bool{}
+	d.freeByPool, d.recorded, d.waiting, d.gangsThatFit = nil, nil, nil, map[gangShape]bool{}
 	d.customers, d.submitted = map[manager.CustomerID]customerUse{}, map[manager.GraphID]manager.CustomerID{}
 	var answers []Answer
 	for _, e := range events {
--- a/pkg/manager/dispatcher/lendable.go
+++ b/pkg/manager/dispatcher/lendable.go
@@ -58,7 +58,7 @@
 		case w != nil:
 			selected := w.movePending
 			w.movePending, w.moveOrdered = false, false
-			if ready && spare[w.latest.Pool] > 0 && d.movable(w) {
+			if ready && spare[w.latest.Pool] > 0 && d.movable(w) && !d.isWanted(now, w) {
 				spare[w.latest.Pool]--
 				on = append(on, lendableVM{vm: id, pool: w.latest.Pool, capacity: vm.Capacity, worker: w, selected: selected})
 			}
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -151,7 +151,7 @@
 			}
 			continue
 		}
-		if rate <= 0 && (d.lending.overloaded || !d.hasLowLoad(w.latest.Pool)) {
+		if rate <= 0 && (d.lending.overloaded || !d.hasLowLoad(w.latest.Pool)) || d.isWanted(now, w) {
 			continue
 		}
 		rate--
--- a/pkg/manager/dispatcher/unplaceable.go
+++ b/pkg/manager/dispatcher/unplaceable.go
@@ -66,15 +66,15 @@
 	}
 }
 
-// taskCapacity returns how many tasks of a step fit beside the long-running tasks of a pool, counted up to a limit. VMs
-// that are moving to the pool count.
+// taskCapacity returns how many tasks of a step fit beside the long-running tasks of a pool, counted up to a limit. Workers that
+// are kept from work don't count, and VMs that are moving to the pool do.
 func (d *Dispatcher) taskCapacity(now manager.Time, p manager.PoolID, step *manager.GraphStep, limit int) int {
 	n := 0
 	for _, w := range d.workers {
 		if n >= limit {
 			return n
 		}
-		if w.latest.Pool != p || w.latest.Draining || w.health.excluded(now) || now > w.leaseExpiresAt {
+		if w.latest.Pool != p || w.latest.Draining || w.keptFromWork() || w.health.excluded(now) || now > w.leaseExpiresAt {
 			continue
 		}
 		if step.Requires == "" || slices.Contains(w.latest.Labels, step.Requires) {
--- /dev/null
+++ b/pkg/manager/dispatcher/wanted.go
@@ -0,0 +1,131 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
+)
+
+const (
+	// wantedAge is how long a finite task waits until a worker with capacity for it is not kept from work any more.
+	wantedAge = 500 * manager.Millisecond
+	// wantedLongRunningAge is the same for a long-running task. It is longer than the time in which a VM that the task was
+	// evicted from gets its maintenance order, so that the task does not come back before that.
+	wantedLongRunningAge = 3 * manager.Second
+)
+
+// waitingStep is a step with a task that has waited for its age.
+type waitingStep struct {
+	job  *recorder.Job
+	step int
+	// capacity is how many tasks of a gang fit on the workers that are not kept from work.
+	capacity int
+}
+
+// waitingShape is what decides whether a worker can run a waiting step. Only some steps count by themselves.
+type waitingShape struct {
+	pool        manager.PoolID
+	label       manager.Label
+	task        manager.Resources
+	longRunning bool
+	only        StepID
+}
+
+// isWanted reports whether a waiting task could run on a worker, so that the worker must not be kept from work for a move or for
+// maintenance: a run on it may last, and no other worker may be able to run the task. Finite tasks count only while their
+// pool is not busy, as they have their turn on other workers otherwise.
+func (d *Dispatcher) isWanted(now manager.Time, w *worker) bool {
+	if d.waiting == nil {
+		d.waiting = d.waitingSteps(now)
+	}
+	list := d.waiting[w.latest.Pool]
+	if len(list) == 0 {
+		return false
+	}
+	idle := d.usedShare(w.latest.Pool) < busyShare
+	return slices.ContainsFunc(list, func(s waitingStep) bool {
+		return (idle || s.job.Steps[s.step].LongRunning) && d.couldRun(now, w, s)
+	})
+}
+
+// couldRun reports whether a worker has capacity for a waiting step or, with a gang, whether the gang needs it.
+func (d *Dispatcher) couldRun(now manager.Time, w *worker, s waitingStep) bool {
+	step := &s.job.Steps[s.step]
+	if step.Requires != "" && !slices.Contains(w.latest.Labels, step.Requires) {
+		return false
+	}
+	if d.needsPermits(s.job) {
+		known := d.stepAdvice(now, StepID{Graph: s.job.Graph.Graph, Step: s.step})
+		if known.denied[w.instance.Worker] {
+			return false
+		}
+	}
+	if step.Gang {
+		own := maxTasks(w.latest.Capacity.Sub(d.usageOf(w).longRunning), step)
+		others := s.capacity
+		if !w.keptFromWork() {
+			others -= own
+		}
+		return own > 0 && others < step.Count
+	}
+	if !d.usageOf(w).free.Fits(step.Reserved()) {
+		return false
+	}
+	if step.MaxPerWorker == 0 {
+		return true
+	}
+	open := 0
+	for i := range s.job.Tasks[s.step] {
+		if r := s.job.Tasks[s.step][i].Open; r != nil && r.Instance == w.instance {
+			open++
+		}
+	}
+	return open < step.MaxPerWorker
+}
+
+// waitingSteps returns the steps with tasks that have waited for their age, one of each shape, by pool. Tasks that wait for the cap
+// of their customer or for a rack don't count.
+func (d *Dispatcher) waitingSteps(now manager.Time) map[manager.PoolID][]waitingStep {
+	steps, known := map[manager.PoolID][]waitingStep{}, map[waitingShape]bool{}
+	for p, jobs := range d.jobsByPool {
+		for _, j := range jobs {
+			for s := range j.Steps {
+				step := &j.Steps[s]
+				shape := waitingShape{pool: p, label: step.Requires, task: step.Reserved(), longRunning: step.LongRunning}
+				if step.Gang || step.MaxPerWorker > 0 || d.needsPermits(j) {
+					shape.only = StepID{Graph: j.Graph.Graph, Step: s}
+				}
+				if known[shape] || !d.stepWaits(j, s) || !d.fitsCap(j, s, 1) || !d.hasAgedTask(now, j, s) {
+					continue
+				}
+				known[shape] = true
+				waiting := waitingStep{job: j, step: s}
+				if step.Gang {
+					waiting.capacity = d.taskCapacity(now, p, step, math.MaxInt)
+				}
+				steps[p] = append(steps[p], waiting)
+			}
+		}
+	}
+	return steps
+}
+
+func (d *Dispatcher) hasAgedTask(now manager.Time, j *recorder.Job, s int) bool {
+	age := wantedAge
+	if j.Steps[s].LongRunning {
+		age = wantedLongRunningAge
+	}
+	for i := range j.Tasks[s] {
+		t := &j.Tasks[s][i]
+		wait := d.locality.waits[manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}]
+		if t.Open == nil && !t.Done && wait == nil && now.Sub(max(t.EndedAt, j.ReleaseTime())) > age {
+			return true
+		}
+	}
+	return false
+}
+
+// keptFromWork reports whether a worker gets no finite tasks, as its VM is to move or to be maintained.
+func (w *worker) keptFromWork() bool { return w.movePending || w.moveOrdered || w.evacuating }
