replicator: form the group without a seed that is lost at the first start

Cause: only the seed with the lowest address formed the group, and only once each seed had answered with a fresh disk. A machine that comes later joins an existing group only.

Change: after 2 s more than half of the seeds suffice, and later another seed may take over. A fresh disk consents to one former at a time. At most one group gets a quorum, as each has more than half of the seeds as members and a disk belongs to one group.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -120,8 +120,9 @@
 	state := recorder.New()
 	f.store = &storer.Replicated{
 		Clock: f.Clock, Folder: s.DataFolder, HTTP: client, Seed: f.Seed, Machine: coordinator.Machine{State: state},
-		MinFreeBytes:  uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
-		SnapshotEvery: snapshotEvery, SnapshotBytes: snapshotBytes(s.DiskMegaBytes),
+		MinFreeBytes:     uint64(s.DiskMegaBytes) << 20 / minFreeDiskShare,
+		PartialBootstrap: true,
+		SnapshotEvery:    snapshotEvery, SnapshotBytes: snapshotBytes(s.DiskMegaBytes),
 		Options: replicator.Options{HeartbeatPeriod: heartbeatPeriod, ElectionTimeout: electionTimeout, OddVoters: true},
 	}
 	if s.Found {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -38,7 +38,15 @@
 	}
 	e.POST(PathJoin, n.handleJoin)
 	e.POST(storer.PathReplicate, n.handleExchange)
-	e.POST(storer.PathProbe, func(c echo.Context) error { return n.packer.answer(c, n.Leader.Store.Probe()) })
+	e.POST(storer.PathProbe, n.handleProbe)
+}
+
+func (n *Node) handleProbe(c echo.Context) error {
+	var q manager.BootstrapProbe
+	if err := listener.Decode(c, maxPeerBytes, &q); err != nil {
+		return err
+	}
+	return n.packer.answer(c, n.Leader.Store.AnswerProbe(c.Request().Context(), q))
 }
 
 // handleView takes over the view of another node and answers with this node's.
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -198,7 +198,7 @@
 }
 
 func (r *Replicated) addReplica(ctx context.Context, m manager.ReplicaMember, add func(manager.Time, manager.ReplicaMember) error) error {
-	a, err := r.peers.probe(ctx, m.Address)
+	a, err := r.peers.probe(ctx, m.Address, manager.BootstrapProbe{From: r.Replica})
 	if err != nil {
 		return fmt.Errorf("probe new replica: %w", err)
 	}
--- a/internal/storer/forming.go
+++ b/internal/storer/forming.go
@@ -84,7 +84,7 @@
 	if len(r.Initial) == 0 {
 		return nil
 	}
-	members, ok := r.bootstrapper.InitialMembers()
+	members, ok := r.bootstrapper.InitialMembers(now)
 	if !ok {
 		r.probeOthers(now)
 		return nil
@@ -122,6 +122,7 @@
 		return
 	}
 	r.probeAt = now.Add(probePeriod)
+	probe := manager.BootstrapProbe{From: r.Replica, Forming: r.bootstrapper.Forming(now)}
 	for _, m := range r.Initial {
 		if m.Replica == r.Replica {
 			continue
@@ -129,12 +130,12 @@
 		r.peers.work.Go(func() {
 			ctx, cancel := context.WithTimeout(r.peers.ctx, probePeriod.Std())
 			defer cancel()
-			a, err := r.peers.probe(ctx, m.Address)
+			a, err := r.peers.probe(ctx, m.Address, probe)
 			if err != nil || a.Replica != m.Replica {
 				klog.V(2).InfoS("Replica not reached", "Replica", m.Replica, "Error", errors.Join(err))
 				return
 			}
-			r.inbox.control(func(manager.Time) { r.bootstrapper.AddAnswer(a) })
+			r.inbox.control(func(now manager.Time) { r.bootstrapper.AddAnswer(now, a) })
 		})
 	}
 }
@@ -153,7 +154,7 @@
 		r.peers.work.Go(func() {
 			ctx, cancel := context.WithTimeout(r.peers.ctx, probePeriod.Std())
 			defer cancel()
-			a, err := r.peers.probe(ctx, m.Address)
+			a, err := r.peers.probe(ctx, m.Address, manager.BootstrapProbe{From: r.Replica})
 			if err != nil {
 				klog.V(2).InfoS("Replica not reached", "Replica", m.Replica, "Error", err.Error())
 				return
@@ -170,6 +171,23 @@
 	r.replica.NoteDisk(now, m.Replica, disk)
 }
 
+// AnswerProbe is Probe with the consent that the other replica may ask for.
+func (r *Replicated) AnswerProbe(ctx context.Context, q manager.BootstrapProbe) manager.BootstrapAnswer {
+	if !q.Forming {
+		return r.Probe()
+	}
+	consent := make(chan bool, 1)
+	r.inbox.control(func(now manager.Time) { consent <- r.replica == nil && r.bootstrapper.Consent(now, q.From) })
+	select {
+	case ok := <-consent:
+		a := r.Probe()
+		a.Consent = ok && !a.Bootstrapped
+		return a
+	case <-ctx.Done():
+		return r.Probe()
+	}
+}
+
 // Probe answers another replica's probe: which disk this replica has and whether it belongs to a group.
 func (r *Replicated) Probe() manager.BootstrapAnswer {
 	r.mu.Lock()
--- a/internal/storer/peers.go
+++ b/internal/storer/peers.go
@@ -183,9 +183,9 @@
 	return true
 }
 
-func (s *peerSet) probe(ctx context.Context, a manager.Address) (manager.BootstrapAnswer, error) {
+func (s *peerSet) probe(ctx context.Context, a manager.Address, q manager.BootstrapProbe) (manager.BootstrapAnswer, error) {
 	var answer manager.BootstrapAnswer
-	err := s.post(ctx, a, PathProbe, manager.BootstrapProbe{From: s.store.Replica}, &answer)
+	err := s.post(ctx, a, PathProbe, q, &answer)
 	return answer, err
 }
 
--- a/internal/storer/replicated.go
+++ b/internal/storer/replicated.go
@@ -42,12 +42,14 @@
 	Replica manager.ReplicaID
 	// Initial holds the members with which the group is bootstrapped.
 	Initial []manager.ReplicaMember
-	Folder  string
-	Disk    journaler.Disk
-	Token   string
-	Scheme  string
-	HTTP    *http.Client
-	Seed    uint64
+	// PartialBootstrap lets the group be bootstrapped without some of the initial members, which join later.
+	PartialBootstrap bool
+	Folder           string
+	Disk             journaler.Disk
+	Token            string
+	Scheme           string
+	HTTP             *http.Client
+	Seed             uint64
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery int
 	// SnapshotBytes is the size of the applied entries after which a snapshot is taken although there are fewer than
@@ -148,7 +150,9 @@
 	if r.identity.Group != "" {
 		r.startReplica(stored)
 	}
-	r.bootstrapper = &replicator.Bootstrapper{ID: r.Replica, Disk: r.identity.Disk, Initial: r.Initial}
+	r.bootstrapper = &replicator.Bootstrapper{
+		ID: r.Replica, Disk: r.identity.Disk, Initial: r.Initial, Partial: r.PartialBootstrap, StartedAt: r.Clock.Now(),
+	}
 	go r.run()
 	return nil
 }
--- a/pkg/manager/consensus.go
+++ b/pkg/manager/consensus.go
@@ -139,6 +139,8 @@
 // BootstrapProbe asks a replica whether it belongs to a group already.
 type BootstrapProbe struct {
 	From ReplicaID
+	// Forming asks for the consent to bootstrap the group.
+	Forming bool `json:",omitempty"`
 }
 
 // BootstrapAnswer is the reply to a BootstrapProbe: the disk of a replica and whether it belongs to a group.
@@ -146,6 +148,8 @@
 	Replica      ReplicaID
 	Disk         DiskID
 	Bootstrapped bool `json:"Formed"`
+	// Consent means that the replica has a fresh disk and consents to no other one for a while.
+	Consent bool `json:",omitempty"`
 	// Members is the membership known to the answering replica.
 	Members Members `json:",omitzero"`
 }
--- a/pkg/manager/dispatcher/wanted.go
+++ b/pkg/manager/dispatcher/wanted.go
@@ -10,7 +10,7 @@
 
 const (
 	// wantedAge is how long a finite task waits until a worker with capacity for it is not kept from work any more.
-	wantedAge = 500 * manager.Millisecond
+	wantedAge = 1 * manager.Second
 	// wantedLongRunningAge is the same for a long-running task. It is longer than the time in which a VM that the task was
 	// evicted from gets its maintenance order, so that the task does not come back before that.
 	wantedLongRunningAge = 3 * manager.Second
@@ -117,15 +117,27 @@
 	if j.Steps[s].LongRunning {
 		age = wantedLongRunningAge
 	}
+	ready := readyTime(j, s)
 	for i := range j.Tasks[s] {
 		t := &j.Tasks[s][i]
 		wait := d.locality.waits[manager.TaskID{Graph: j.Graph.Graph, Step: s, Task: i}]
-		if t.Open == nil && !t.Done && wait == nil && now.Sub(max(t.EndedAt, j.ReleaseTime())) > age {
+		if t.Open == nil && !t.Done && wait == nil && now.Sub(max(t.EndedAt, ready)) > age {
 			return true
 		}
 	}
 	return false
 }
 
+// readyTime returns when a step became ready: when its job was released, or the last task that it depends on ended.
+func readyTime(j *recorder.Job, s int) manager.Time {
+	ready := j.ReleaseTime()
+	for _, n := range j.Steps[s].DependsOn {
+		for i := range j.Tasks[n] {
+			ready = max(ready, j.Tasks[n][i].EndedAt)
+		}
+	}
+	return ready
+}
+
 // keptFromWork reports whether a worker gets no finite tasks, as its VM is to move or to be maintained.
 func (w *worker) keptFromWork() bool { return w.movePending || w.moveOrdered || w.evacuating }
