--- a/pkg/manager/dispatcher/wanted.go
+++ b/pkg/manager/dispatcher/wanted.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// wantedAge is how long a finite task waits until a worker with capacity for it is not kept from work any more.
-	wantedAge = 1 * manager.Second
+	// wantedAge is how long a finite task waits until a worker with capacity for it is not kept from work any more, if no other
+	// worker can hold the task; otherwise it is wantedLateAge.
+	wantedAge     = 1 * manager.Second
+	wantedLateAge = 1750 * manager.Millisecond
 	// wantedLongRunningAge is the same for a long-running task. It is longer than the time in which a VM that the task was
 	// evicted from gets its maintenance order, so that the task does not come back before that.
 	wantedLongRunningAge = 3 * manager.Second
@@ -20,7 +22,9 @@
 type waitingStep struct {
 	job  *recorder.Job
 	step int
-	// capacity is how many tasks of a gang fit on the workers that are not kept from work.
+	// late means that a task has waited for wantedLateAge.
+	late bool
+	// capacity is how many tasks fit on the workers that are not kept from work, counted up to 1 unless the step is a gang.
 	capacity int
 }
 
@@ -70,7 +74,7 @@
 		}
 		return own > 0 && others < step.Count
 	}
-	if !d.usageOf(w).free.Fits(step.Reserved()) {
+	if !d.usageOf(w).free.Fits(step.Reserved()) || !step.LongRunning && s.capacity > 0 && !s.late {
 		return false
 	}
 	if step.MaxPerWorker == 0 {
@@ -85,38 +89,52 @@
 	return open < step.MaxPerWorker
 }
 
-// waitingSteps returns the steps with tasks that have waited for their age, one of each shape, by pool. Tasks that wait for the cap
-// of their customer or for a rack don't count.
+// waitingSteps returns the steps with tasks that have waited for their age, one of each shape, by pool.
 func (d *Dispatcher) waitingSteps(now manager.Time) map[manager.PoolID][]waitingStep {
-	steps, known := map[manager.PoolID][]waitingStep{}, map[waitingShape]bool{}
+	steps, known := map[manager.PoolID][]waitingStep{}, map[waitingShape]int{}
 	for p, jobs := range d.jobsByPool {
 		for _, j := range jobs {
 			for s := range j.Steps {
-				step := &j.Steps[s]
-				shape := waitingShape{pool: p, label: step.Requires, task: step.Reserved(), longRunning: step.LongRunning}
-				if step.Gang || step.MaxPerWorker > 0 || d.needsPermits(j) {
-					shape.only = StepID{Graph: j.Graph.Graph, Step: s}
+				if !d.waitsForWorker(now, j, s) {
+					continue
 				}
-				if known[shape] || !d.stepWaits(j, s) || !d.fitsCap(j, s, 1) || !d.hasAgedTask(now, j, s) {
+				shape, late := d.waitingShape(p, j, s), d.hasAgedTask(now, j, s, wantedLateAge)
+				if i, ok := known[shape]; ok {
+					steps[p][i].late = steps[p][i].late || late
 					continue
 				}
-				known[shape] = true
-				waiting := waitingStep{job: j, step: s}
-				if step.Gang {
-					waiting.capacity = d.taskCapacity(now, p, step, math.MaxInt)
+				known[shape] = len(steps[p])
+				most := 1
+				if j.Steps[s].Gang {
+					most = math.MaxInt
 				}
-				steps[p] = append(steps[p], waiting)
+				steps[p] = append(steps[p], waitingStep{job: j, step: s, late: late, capacity: d.taskCapacity(now, p, &j.Steps[s], most)})
 			}
 		}
 	}
 	return steps
 }
 
-func (d *Dispatcher) hasAgedTask(now manager.Time, j *recorder.Job, s int) bool {
+func (d *Dispatcher) waitingShape(p manager.PoolID, j *recorder.Job, s int) waitingShape {
+	step := &j.Steps[s]
+	shape := waitingShape{pool: p, label: step.Requires, task: step.Reserved(), longRunning: step.LongRunning}
+	if step.Gang || step.MaxPerWorker > 0 || d.needsPermits(j) {
+		shape.only = StepID{Graph: j.Graph.Graph, Step: s}
+	}
+	return shape
+}
+
+// waitsForWorker reports whether a task of a step has waited for its age. Tasks that wait for the cap of their customer or for a
+// rack don't count.
+func (d *Dispatcher) waitsForWorker(now manager.Time, j *recorder.Job, s int) bool {
 	age := wantedAge
 	if j.Steps[s].LongRunning {
 		age = wantedLongRunningAge
 	}
+	return d.stepWaits(j, s) && d.fitsCap(j, s, 1) && d.hasAgedTask(now, j, s, age)
+}
+
+func (d *Dispatcher) hasAgedTask(now manager.Time, j *recorder.Job, s int, age manager.Duration) bool {
 	ready := readyTime(j, s)
 	for i := range j.Tasks[s] {
 		t := &j.Tasks[s][i]
