replicator: keep a silent vote longer only beside a successor

Cause: since a silent voter beside three others keeps its vote for two election timeouts, a group of its founders needed all three others for that time after one was lost and the learner had got a vote. In a run of the soak beside load such a leader lost its quorum.

Change: without a successor the silent voter loses its vote at once again.

--- a/pkg/manager/replicator/voters.go
+++ b/pkg/manager/replicator/voters.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// isDemotable reports whether a voter that is gone should lose its vote now. Where the voters bear the loss of its vote and of a
-// disk, a silent one keeps its vote for so long that a leader in one half of a partition steps down before that: a
-// change that the partition holds up would leave the next election without enough voters.
+// isDemotable reports whether a voter that is gone should lose its vote now. Beside a successor, the voters bear its loss and that
+// of a disk. A silent one then keeps its vote for so long that a leader in one half of a partition steps down before that:
+// a change that the partition holds up would leave the next election without enough voters.
 func (r *Replica) isDemotable(m manager.ReplicaMember) bool {
 	p := r.lead.progressOf(m.Replica)
-	return p.stopping || !allowsExclusion(r.members) || r.lastAnswer().Sub(p.heardAt) >= demotionTimeouts*r.Options.ElectionTimeout
+	return p.stopping || !allowsExclusion(r.members) || !r.hasSuccessor() || r.lastAnswer().Sub(p.heardAt) >= demotionTimeouts*r.Options.ElectionTimeout
 }
 
 // setLearner proposes the change of one member, unless the voters that are not gone are no quorum now or would be none after
