dispatcher: refuse a job by a new configuration only once that is committed

Cause: a job that came in the same cycle as a configuration was refused by it at once, before it was committed. Calls until the commit were judged by the configuration before.

Change: the refusal waits for the commit, as an acceptance does.

Evidence: TestRefusalByANewConfigurationWaitsForItsCommit fails on the code before and passes.

--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -52,7 +52,12 @@
 		return refuse(err)
 	}
 	if err := d.checkCustomer(g, c); err != nil {
-		return refuse(err)
+		if c.Configure == nil {
+			return refuse(err)
+		}
+		// The configuration that refuses the job may still be lost.
+		d.awaitingCommit = append(d.awaitingCommit, waitingCaller{call: call, err: err})
+		return nil
 	}
 	g.Surplus = d.isSurplus(now, g, c)
 	if wait := d.overloadDelay(now, g, q, c); wait > 0 {
--- a/pkg/manager/dispatcher/customer_test.go
+++ b/pkg/manager/dispatcher/customer_test.go
@@ -322,3 +322,23 @@
 	require.LessOrEqual(m.t, after, limit+limit/10+need, "task %s of %s at %d", s.Task, j.Customer, m.now)
 	return true
 }
+
+// Guards against a refusal by a configuration that is not in force yet: a later call with the same key was accepted.
+func TestRefusalByANewConfigurationWaitsForItsCommit(t *testing.T) {
+	f := newFleet(t)
+	f.configureCustomers(manager.CustomerSettings{Customer: large, Weight: 100})
+	f.worker("w1", pool, 8000)
+	f.run(200)
+	f.configureCustomers(manager.CustomerSettings{Customer: small, Weight: 100})
+	call := f.submitFor(large, "a", task(1000, 1))
+	c, answers := f.d.RunCycle(f.now, f.events)
+	f.events = nil
+	require.NotNil(t, c.Configure)
+	for _, a := range answers {
+		require.NotEqual(t, call, a.Call, "answered before the commit: %v", a.Err)
+	}
+	f.state.Apply(c)
+	f.recordAnswers(f.d.Committed(f.now))
+	require.Error(t, f.answers[call].Err)
+	require.NotContains(t, f.state.Jobs, manager.GraphID("a"))
+}
