--- a/pkg/manager/replicator/voters.go
+++ b/pkg/manager/replicator/voters.go
@@ -9,7 +9,8 @@
 const (
 	// missedHeartbeats is the number of heartbeats that others have answered meanwhile after which a voter counts as gone.
 	missedHeartbeats = 3
-	// demotionTimeouts is the number of election timeouts of silence after which one of an even number of voters loses its vote.
+	// demotionTimeouts is the number of election timeouts of silence after which one of an even number of voters loses its vote
+	// beside a successor.
 	demotionTimeouts = 2
 	// leastVoters is the number of voters down to which those that are gone lose their vote.
 	leastVoters = 3
