--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/stand3" ] || { echo "review/build-3.sh has not been run"; exit 2; }
-exec "$root/target/stand3" many "$root" "$here"
+exec "$root/target/stand3" schedules "$root" "$here"
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,7 +22,7 @@
 		fmt.Println("usage: stand3 CASE ROOT FOLDER")
 		return 2
 	}
-	cases := map[string]func(*bench) (bool, error){"escaped": escapedCheckpoints, "many": manyCheckpoints, "wave": wave}
+	cases := map[string]func(*bench) (bool, error){"escaped": escapedCheckpoints, "many": manyCheckpoints, "wave": wave, "schedules": schedules}
 	f := cases[os.Args[1]]
 	if f == nil {
 		fmt.Println("no such case: " + os.Args[1])
--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -23,27 +23,36 @@
 
 type need struct{ cpu, mem int }
 
-// job is a job of one step, all of whose tasks save their progress.
+// job is a job of one step.
 type job struct {
 	id, spec  string
 	count     int
 	perMinion int // antiAffinity, 0 for none
 	task      need
 	work      time.Duration
-	// every is the work between two checkpoints, and saved returns the checkpoint of a task after some work.
+	// every is the work between two checkpoints, 0 for none, and saved returns the checkpoint of a task after some work.
 	every time.Duration
 	saved func(task string, worked time.Duration) string
+	// times is how often a timed job runs, first and interval when.
+	times    int
+	first    time.Time
+	interval time.Duration
 }
 
 // body is the job as PROTOCOL.md writes it.
 func (j *job) body() map[string]any {
-	s := map[string]any{
-		"count": j.count, "cpu": j.task.cpu, "memMb": j.task.mem, "estimatedMs": j.work.Milliseconds(), "savesProgress": true,
+	s := map[string]any{"count": j.count, "cpu": j.task.cpu, "memMb": j.task.mem, "estimatedMs": j.work.Milliseconds()}
+	if j.every > 0 {
+		s["savesProgress"] = true
 	}
 	if j.perMinion > 0 {
 		s["antiAffinity"] = j.perMinion
 	}
-	return map[string]any{"spec": j.spec, "steps": []map[string]any{s}}
+	b := map[string]any{"spec": j.spec, "steps": []map[string]any{s}}
+	if j.times > 0 {
+		b["repetitions"], b["firstMs"], b["intervalMs"] = j.times, j.first.UnixMilli(), j.interval.Milliseconds()
+	}
+	return b
 }
 
 // minion is one machine's minion that runs tasks as PROTOCOL.md says.
@@ -347,12 +356,15 @@
 
 func (m *minion) advance(now time.Time, task string, r *run) {
 	worked := r.worked()
-	if k := worked / r.job.every; k > 0 {
-		r.save = m.w.save(task, r.job, k*r.job.every)
+	if r.job.every > 0 && worked >= r.job.every {
+		r.save = m.w.save(task, r.job, worked.Truncate(r.job.every))
 	}
 	switch {
 	case !r.stopAt.IsZero() && now.After(r.stopAt):
-		m.end(task, r.number, "stopped", m.w.save(task, r.job, worked))
+		if r.job.every > 0 {
+			r.save = m.w.save(task, r.job, worked)
+		}
+		m.end(task, r.number, "stopped", r.save)
 	case worked >= r.job.work:
 		m.end(task, r.number, "done", "")
 	}
--- a/review/stand3/nodes.go
+++ b/review/stand3/nodes.go
@@ -1,17 +1,28 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
+const (
+	// memoryMb is what a node may use.
+	memoryMb = 284
+	// restartDelay is how long a process that was killed is away.
+	restartDelay = 500 * time.Millisecond
+)
+
 // cluster is the nodes of the system, each the program of the deploy file as a process of its own.
 type cluster struct {
 	rec    *record
@@ -101,7 +112,7 @@
 		s := map[string]any{
 			"Node": n.name, "AvailabilityZone": fmt.Sprintf("zone-%d", i%3), "Address": a, "PeerPort": ports[3], "MetricsPort": ports[4],
 			"Front": n.front, "Ready": n.ready, "Control": n.ctl, "Seeds": seeds, "DataFolder": n.dataFolder, "Found": true,
-			"DiskMegaBytes": diskMb, "MemoryMegaBytes": 284, "MaxDescriptors": 4100, "PlatformAddress": cloud, "AdvisorAddress": advisor,
+			"DiskMegaBytes": diskMb, "MemoryMegaBytes": memoryMb, "MaxDescriptors": 4100, "PlatformAddress": cloud, "AdvisorAddress": advisor,
 			"Stop": map[string]any{"GraceMs": 6000},
 			"Work": map[string]any{"MaxLeaseMs": 10000, "StopMs": 900, "DutyGapMs": 3000, "RemoteFactor": 1.5},
 		}
@@ -190,31 +201,36 @@
 	}
 }
 
-// returnPower starts them again; the settings say that it isn't the first start any more.
+// returnPower starts them again.
 func (c *cluster) returnPower(root string) error {
-	command, err := deployCommand(root)
-	if err != nil {
-		return err
-	}
 	for _, n := range c.nodes {
 		if n.dataFolder == "" {
 			continue
 		}
-		data, err := os.ReadFile(n.settings)
-		if err != nil {
-			return err
-		}
-		data = []byte(strings.Replace(string(data), `"Found": true`, `"Found": false`, 1))
-		if err := os.WriteFile(n.settings, data, 0o600); err != nil {
-			return err
-		}
-		if err := c.start(root, n, command); err != nil {
+		if err := c.startAgain(root, n); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// startAgain starts a node with settings that say that it isn't the first start any more.
+func (c *cluster) startAgain(root string, n *node) error {
+	command, err := deployCommand(root)
+	if err != nil {
+		return err
+	}
+	data, err := os.ReadFile(n.settings)
+	if err != nil {
+		return err
+	}
+	data = []byte(strings.Replace(string(data), `"Found": true`, `"Found": false`, 1))
+	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
+		return err
+	}
+	return c.start(root, n, command)
+}
+
 // countLog returns how many lines of the nodes' logs hold a text, and the first of them.
 func (c *cluster) countLog(text string) (int, string) {
 	count, first := 0, ""
@@ -233,3 +249,52 @@
 	}
 	return count, first
 }
+
+// keepMemory is what the platform does with a process that uses more than memoryMb: it is killed, and started again after a
+// short delay. It counts the memory that is the process's own (RssAnon). It returns how often each node was killed.
+func (c *cluster) keepMemory(ctx context.Context, root string) func() map[string]int {
+	var mu sync.Mutex
+	kills := map[string]int{}
+	for _, n := range c.nodes {
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(20 * time.Millisecond)
+				used := ownMemory(n.cmd.Process.Pid)
+				if used <= memoryMb<<10 {
+					continue
+				}
+				mu.Lock()
+				kills[n.name]++
+				c.rec.say("node %s uses %d MB of %d: it is killed, for the %d. time", n.name, used>>10, memoryMb, kills[n.name])
+				mu.Unlock()
+				_ = n.cmd.Process.Kill()
+				_ = n.cmd.Wait()
+				n.log.Close()
+				time.Sleep(restartDelay)
+				if ctx.Err() == nil && c.startAgain(root, n) != nil {
+					return
+				}
+			}
+		}()
+	}
+	return func() map[string]int {
+		mu.Lock()
+		defer mu.Unlock()
+		return maps.Clone(kills)
+	}
+}
+
+// ownMemory returns the memory of a process in KB that no file backs.
+func ownMemory(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb
+		}
+	}
+	return 0
+}
