--- a/review/stand3/schedules.go
+++ b/review/stand3/schedules.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -22,13 +23,19 @@
 	}
 	w, fronts := b.w, b.c.fronts()
 	kills := b.c.keepMemory(b.ctx, b.root)
+	var mu sync.Mutex
 	var accepted []string
+	var calls sync.WaitGroup
 	began := time.Now()
 	for i := range sound {
 		j := &job{id: fmt.Sprintf("%016x", i+1), spec: "float", count: 2, task: need{4600, 1000}, work: 640 * time.Millisecond}
-		if w.submit(fronts[i%len(fronts):], prefix, j, 3*time.Second)/100 == 2 {
-			accepted = append(accepted, j.id)
-		}
+		calls.Go(func() {
+			if w.submit(fronts[i%len(fronts):], prefix, j, 3*time.Second)/100 == 2 {
+				mu.Lock()
+				defer mu.Unlock()
+				accepted = append(accepted, j.id)
+			}
+		})
 		if i < timed {
 			t := &job{
 				id: fmt.Sprintf("%016x", 0x1000+i), spec: strings.Repeat("0123456789abcdef", 250), count: 1, task: need{4600, 1000}, work: 640 * time.Millisecond,
@@ -39,10 +46,11 @@
 			} else {
 				t.times = 1
 			}
-			w.submit(fronts, prefix, t, 3*time.Second)
+			calls.Go(func() { w.submit(fronts, prefix, t, 3*time.Second) })
 		}
 		b.sleep(time.Until(began.Add(time.Duration(i+1) * 200 * time.Millisecond)))
 	}
+	calls.Wait()
 	w.rec.say("the traffic has ended; %d of %d sound jobs were accepted", len(accepted), sound)
 	b.sleep(finish)
 	lost := 0
