recorder: let occurrences share the spec of their job, and count the size of the state

Cause: startOccurrence made each occurrence a job of its own with payload and steps.

A checkpoint goes with the end of its task. Nothing limits the size yet.

--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -59,6 +59,7 @@
 	for _, w := range c.Wave {
 		if st.Waves[w.Wave] == nil {
 			st.Waves[w.Wave] = &Wave{MaintenanceRequest: w, Accepted: st.At, State: map[manager.VMID]MaintenanceState{}, InstanceStart: map[manager.VMID]manager.Time{}}
+			st.bytes += measureWave(st.Waves[w.Wave])
 		}
 	}
 	st.recordOrders(c)
@@ -102,6 +103,7 @@
 	if c != nil && (st.Configuration == nil || c.Version > st.Configuration.Version) {
 		c.Index()
 		st.depart(c)
+		st.bytes += measureConfiguration(c) - measureConfiguration(st.Configuration)
 		st.Configuration = c
 	}
 }
@@ -110,18 +112,22 @@
 	if st.Jobs[g.Graph] != nil {
 		return
 	}
-	st.addJob(g)
+	st.addJob(g, nil)
 	st.pending[g.Queue]++
 }
 
-// addJob adds a job with all its tasks.
-func (st *State) addJob(g manager.Graph) {
-	j := &Job{Graph: g, Accepted: st.At, State: manager.GraphQueued, remaining: make([]int, len(g.Steps)), openByStep: make([]int, len(g.Steps))}
+// addJob adds a job with all its tasks. origin is the repeating job of a later occurrence, and nil for other jobs.
+func (st *State) addJob(g manager.Graph, origin *Job) {
+	j := &Job{
+		Graph: g, Accepted: st.At, State: manager.GraphQueued, origin: origin,
+		remaining: make([]int, len(g.Steps)), openByStep: make([]int, len(g.Steps)),
+	}
 	for s, step := range g.Steps {
 		j.Tasks = append(j.Tasks, make([]Task, step.Count))
 		j.remaining[s] = step.Count
 	}
 	st.Jobs[g.Graph], st.active[g.Graph] = j, j
+	st.resize(j, j.measure())
 }
 
 func (st *State) startRun(s Start) {
@@ -137,6 +143,7 @@
 	st.dropOldExpired(s.Task, j, t)
 	t.LastRun = s.Run
 	t.Open = &Run{Number: s.Run, Instance: s.Instance, VM: s.VM, At: st.At, Permit: s.Permit}
+	st.resize(j, openBytes(t.Open))
 	j.openRuns++
 	j.openByStep[s.Task.Step]++
 	st.addRun(s.Task, t.Open)
@@ -163,11 +170,12 @@
 		delete(st.runs, instance)
 	}
 	st.removeUse(j, e.Task.Step)
+	st.resize(j, -openBytes(t.Open))
 	t.Open, t.EndedAt = nil, st.At
 	j.openRuns--
 	j.openByStep[e.Task.Step]--
 	if e.Saved != "" {
-		t.Saved = e.Saved
+		st.save(j, t, e.Saved)
 	}
 	switch {
 	case j.State.Ended():
@@ -175,6 +183,7 @@
 		t = st.endGangRun(j, e, instance, began)
 	case e.How == manager.RunDone && !j.Steps[e.Task.Step].LongRunning:
 		t.Done = true
+		st.save(j, t, "")
 		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, e.localTime(st.At.Sub(began)))
 		j.remaining[e.Task.Step]--
 	case e.How == manager.RunFailed:
@@ -233,6 +242,7 @@
 		}
 	}
 	j.Tasks, j.Payload = nil, ""
+	st.resize(j, j.measure()-j.bytes)
 }
 
 // dropExpired removes ended jobs after the retention period, unless a run of theirs is still open.
@@ -243,6 +253,10 @@
 			return
 		}
 		delete(st.Jobs, st.Ended[0])
+		if j != nil {
+			st.bytes -= j.bytes
+			st.unlinkOccurrences(j)
+		}
 		st.Ended = st.Ended[1:]
 	}
 }
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 )
@@ -33,6 +34,8 @@
 	expired map[manager.WorkerInstance]map[manager.TaskID]ExpiredRun
 	pending map[manager.QueueID]int
 	inUse   map[manager.CustomerID]manager.Resources
+	// bytes is the size of the state.
+	bytes int64
 }
 
 // Job is a job and its progress.
@@ -59,6 +62,9 @@
 	openRuns   int
 	// suspects counts the tasks that may have crashed a worker.
 	suspects int
+	// origin is the repeating job of a later occurrence, whose payload and steps it shares.
+	origin *Job
+	bytes  int64
 }
 
 // Task is one task of a step.
@@ -121,9 +127,19 @@
 	return st
 }
 
-// Snapshot encodes the state.
+// Snapshot encodes the state. Occurrences are encoded without what they share with their repeating job.
 func (st *State) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(st)
+	encoded := *st
+	encoded.Jobs = make(map[manager.GraphID]*Job, len(st.Jobs))
+	for id, j := range st.Jobs {
+		encoded.Jobs[id] = j
+		if j.origin != nil && st.Jobs[j.origin.Graph.Graph] == j.origin {
+			own := *j
+			own.Payload, own.Steps = "", nil
+			encoded.Jobs[id] = &own
+		}
+	}
+	data, err := json.Marshal(&encoded)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
@@ -151,6 +167,11 @@
 	if st.Configuration != nil {
 		st.Configuration.Index()
 	}
+	st.bytes = measureConfiguration(st.Configuration)
+	for _, w := range st.Waves {
+		st.bytes += measureWave(w)
+	}
+	st.linkOccurrences()
 	for id, j := range st.Jobs {
 		j.remaining, j.openByStep = make([]int, len(j.Steps)), make([]int, len(j.Steps))
 		j.openRuns, j.suspects = 0, 0
@@ -159,6 +180,8 @@
 				st.indexTask(manager.TaskID{Graph: id, Step: s, Task: i}, j, &j.Tasks[s][i])
 			}
 		}
+		j.bytes = j.measure()
+		st.bytes += j.bytes
 		if j.State.Ended() {
 			continue
 		}
@@ -262,3 +285,11 @@
 
 // HasSuspects reports whether a task of the job may have crashed a worker.
 func (j *Job) HasSuspects() bool { return j.suspects > 0 }
+
+// HasRemaining reports whether a task of the job is not done.
+func (j *Job) HasRemaining() bool {
+	return slices.ContainsFunc(j.remaining, func(n int) bool { return n > 0 })
+}
+
+// Origin returns the repeating job of a later occurrence, and nil for other jobs.
+func (j *Job) Origin() *Job { return j.origin }
--- a/pkg/manager/recorder/gang.go
+++ b/pkg/manager/recorder/gang.go
@@ -13,13 +13,14 @@
 	if e.Saved != "" {
 		// The checkpoint of any task is valid for the whole gang, and all tasks must start from the same one.
 		for i := range tasks {
-			tasks[i].Saved = e.Saved
+			st.save(j, &tasks[i], e.Saved)
 		}
 	}
 	switch e.How {
 	case manager.RunDone:
 		for i := range tasks {
 			tasks[i].Done = true
+			st.save(j, &tasks[i], "")
 		}
 		j.remaining[e.Task.Step] = 0
 		st.recordRunTime(j.Queue, j.Steps[e.Task.Step].EstimateMs, e.localTime(st.At.Sub(began)))
--- a/pkg/manager/recorder/occurrence.go
+++ b/pkg/manager/recorder/occurrence.go
@@ -9,6 +9,9 @@
 	return k > 0 && j.Repeat.Count == 0
 }
 
+// Repeats reports whether the job is a repeating one or an occurrence of one.
+func (j *Job) Repeats() bool { return j.Repeat.Count > 0 || j.origin != nil }
+
 // ReleaseTime returns when the job's tasks became eligible to run.
 func (j *Job) ReleaseTime() manager.Time { return max(j.Accepted, j.DueSince) }
 
@@ -29,7 +32,24 @@
 	j.Unfinished++
 	g := j.Graph
 	g.Graph, g.Repeat = j.Graph.Graph.Occurrence(o.Number), manager.Repeat{}
-	st.addJob(g)
+	st.addJob(g, j)
+}
+
+// linkOccurrences lets the occurrences of a decoded state share the payload and the steps of their repeating jobs.
+// Snapshots of earlier versions hold them in each occurrence.
+func (st *State) linkOccurrences() {
+	for _, j := range st.Jobs {
+		if !j.isOccurrence() {
+			continue
+		}
+		id, _ := j.Graph.Graph.Split()
+		origin := st.Jobs[id]
+		if origin == nil || origin.Repeat.Count == 0 || len(origin.Steps) == 0 {
+			continue
+		}
+		j.origin = origin
+		j.Queue, j.Customer, j.Payload, j.Steps = origin.Queue, origin.Customer, origin.Payload, origin.Steps
+	}
 }
 
 // completeIfDone completes a job whose own tasks are done once all its occurrences have started and ended.
@@ -68,3 +88,14 @@
 	}
 	st.completeIfDone(parent)
 }
+
+// unlinkOccurrences separates the occurrences of a job that leaves the state before them, as one of their runs is open. They
+// have ended, so that no worker gets their payload any more.
+func (st *State) unlinkOccurrences(origin *Job) {
+	for k := 1; k < origin.Occurred; k++ {
+		if o := st.Jobs[origin.Graph.Graph.Occurrence(k)]; o != nil && o.origin == origin {
+			o.origin, o.Payload = nil, ""
+			st.resize(o, o.measure()-o.bytes)
+		}
+	}
+}
