dispatcher: limit the replicated state, and start due occurrences only while few are idle

Cause: 32 occurrences started in each cycle, whether or not any of them could begin, up to 16,384 tasks a job; nothing bounded jobs, their payloads or all of them together.

Change: occurrences start while fewer than 64 of their job are idle, those of all jobs in turn. The state has a limit that follows the memory and disk of the VM. Jobs that can't start at present get half of it, and the jobs of one queue and customer no more than is left beside them; others are refused at once with a reason and a Retry-After. Occurrences and checkpoints of accepted jobs get a quarter beyond the limit. Long overdue occurrences rank as late and hold up no admission. An ended job keeps neither names nor dependencies of its steps.

Why this works: what has not begun needs no record, and everything that is recorded is counted.

--- a/internal/assembler/fleet.go
+++ b/internal/assembler/fleet.go
@@ -38,6 +38,10 @@
 	// snapshotDiskShare is the share of the disk that the log may take between two snapshots. With the entries kept before a
 	// snapshot (half as much) and a segment of 8 MiB, a disk of 128 MB has free space for two snapshots of 40 MB.
 	snapshotDiskShare = 8
+	// stateMemoryShare and stateDiskShare are the shares of the VM's memory and disk that the replicated state may take. While a
+	// snapshot is read or written, its text and two states are in memory, and two snapshots and the log on disk.
+	stateMemoryShare = 8
+	stateDiskShare   = 4
 	// heartbeatPeriod and electionTimeout are shorter than the replicator's own, as all replicas are in one
 	// region; the time-out still holds several syncs of a slow disk.
 	heartbeatPeriod = 150 * manager.Millisecond
@@ -136,6 +140,7 @@
 		Options: dispatcher.Options{
 			LeaseMs: workLease(s), StopMs: s.Work.StopMs, OrderGapMs: s.Work.DutyGapMs, Address: s.Control,
 			MaxDirect: s.MaxDescriptors * directSharePercent / 100, RemoteFactor: s.Work.RemoteFactor,
+			StateBytes: stateBytes(s.MemoryMegaBytes, s.DiskMegaBytes),
 		},
 		Wall:     func() manager.Time { return manager.Time(time.Now().UnixMilli()) },
 		Platform: platform.Cloud{Address: s.PlatformAddress, Advisor: s.AdvisorAddress, Holder: s.Node, HTTP: client},
@@ -165,6 +170,18 @@
 	return min(diskMegaBytes<<20/snapshotDiskShare, storer.DefaultSnapshotBytes)
 }
 
+// stateBytes returns the limit of the replicated state on a VM of the given size. A size of 0 is not known.
+func stateBytes(memoryMegaBytes, diskMegaBytes int64) int64 {
+	limit := int64(dispatcher.DefaultStateBytes)
+	if memoryMegaBytes > 0 {
+		limit = min(limit, memoryMegaBytes<<20/stateMemoryShare)
+	}
+	if diskMegaBytes > 0 {
+		limit = min(limit, diskMegaBytes<<20/stateDiskShare)
+	}
+	return limit
+}
+
 // fail reports the end of a part; the first report is enough.
 func (f *FleetNode) fail(err error) {
 	select {
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -133,6 +133,7 @@
 	l.Store.Inspect(func() {
 		l.current.SetWall(l.Clock.Now(), l.Wall())
 		changes, answers = l.current.RunCycle(l.Clock.Now(), events)
+		meter.StateBytes().Set(uint64(l.State.Bytes()))
 	})
 	if changes.Empty() {
 		l.deliver(answers)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -45,6 +45,11 @@
 	return metrics.GetOrCreateCounter(`mulberryhaven_replica_running`)
 }
 
+// StateBytes is the size of the replicated state at the leader.
+func StateBytes() *metrics.Counter {
+	return metrics.GetOrCreateCounter(`mulberryhaven_state_bytes`)
+}
+
 // DiskWritesFailed counts the writes of a replica that its disk did not take; they are repeated.
 func DiskWritesFailed() *metrics.Counter {
 	return metrics.GetOrCreateCounter(`mulberryhaven_disk_writes_failed_total`)
--- a/internal/translator/errors.go
+++ b/internal/translator/errors.go
@@ -74,7 +74,7 @@
 		return http.StatusServiceUnavailable, b
 	}
 	if e, ok := errors.AsType[manager.ErrOverloaded](err); ok {
-		b.Code, b.RetryAfterMs = CodeOverloaded, e.RetryAfterMs
+		b.Code, b.Reason, b.RetryAfterMs = CodeOverloaded, e.Reason, e.RetryAfterMs
 		return http.StatusTooManyRequests, b
 	}
 	if errors.Is(err, ErrUnauthorized) {
@@ -131,7 +131,7 @@
 	case CodeUnavailable:
 		return manager.ErrUnavailable{Component: b.Kind, Reason: b.Reason, RetryAfterMs: b.RetryAfterMs}
 	case CodeOverloaded:
-		return manager.ErrOverloaded{RetryAfterMs: b.RetryAfterMs}
+		return manager.ErrOverloaded{RetryAfterMs: b.RetryAfterMs, Reason: b.Reason}
 	case CodeUnauthorized:
 		return ErrUnauthorized
 	case CodeNoCustomer:
--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -21,6 +21,8 @@
 type refusal struct {
 	until   manager.Time
 	surplus bool
+	// reason is set if the replicated state had no room for the job.
+	reason string
 }
 
 // handleSubmit accepts a job, or refuses it at once if it can't be served in time.
@@ -39,7 +41,7 @@
 		return d.awaitCommit(call)
 	}
 	if r, ok := d.refused[g.Graph]; ok && now < r.until {
-		return refuse(manager.ErrOverloaded{RetryAfterMs: r.until.Sub(now)})
+		return refuse(manager.ErrOverloaded{RetryAfterMs: r.until.Sub(now), Reason: r.reason})
 	}
 	if d.State.Configuration == nil {
 		return refuse(manager.ErrUnavailable{Component: "configuration", Reason: "no configuration received yet"})
@@ -66,6 +68,13 @@
 			"Load", d.lending.loads[q.Pool], "LoadAgeMs", now.Sub(d.lending.balancedAt), "ConfigurationVersion", d.State.Configuration.Version)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait})
 	}
+	if reason := d.takeJobRoom(now, &g, q.Pool); reason != "" {
+		wait := retrier.Spread(maxRetryAfter/2, maxRetryAfter, string(g.Graph))
+		d.refused[g.Graph] = refusal{until: now.Add(wait), surplus: g.Surplus, reason: reason}
+		d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run", "Reason", reason,
+			"StateBytes", d.State.Bytes(), "LimitBytes", d.Options.StateBytes, "HeldBytes", d.room.held.total, "MovableBytes", d.room.movable.total)
+		return refuse(manager.ErrOverloaded{RetryAfterMs: wait, Reason: reason})
+	}
 	c.Submit = append(c.Submit, g)
 	d.submitted[g.Graph] = g.Customer
 	if g.Repeat.Count == 0 && !g.Surplus {
@@ -98,7 +107,7 @@
 	}
 	var backlog work
 	for _, j := range d.State.Active() {
-		if !j.Unreleased() && d.poolOf(j) == q.Pool && (g.Surplus || !j.Surplus) {
+		if !j.Unreleased() && d.poolOf(j) == q.Pool && (g.Surplus || !j.Surplus && !d.catchesUp(now, j)) {
 			backlog.plus(d.runnableWork(j, max(slack, 0)))
 		}
 	}
--- a/pkg/manager/dispatcher/decisionlog.go
+++ b/pkg/manager/dispatcher/decisionlog.go
@@ -38,36 +38,58 @@
 	}
 }
 
-// logEndedJobs logs the jobs that the latest commit has ended.
-func (d *Dispatcher) logEndedJobs() {
+// endingJobs returns the jobs that the changes may end, each once.
+func (d *Dispatcher) endingJobs(c *recorder.Changes) []manager.GraphID {
 	seen := map[manager.GraphID]bool{}
-	logJob := func(id manager.GraphID) {
-		j := d.State.Jobs[id]
-		if seen[id] || j == nil || !j.State.Ended() || j.EndedAt != d.State.At {
-			return
+	var list []manager.GraphID
+	add := func(id manager.GraphID) {
+		if !seen[id] {
+			seen[id] = true
+			list = append(list, id)
 		}
-		seen[id] = true
-		d.markJobRuns(j)
-		took, objective := j.EndedAt.Sub(j.ReleaseTime()), d.objective(j).Sub(j.ReleaseTime())
-		d.logJob(j.Customer, manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
-			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
-		d.logLines[len(d.logLines)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
 	}
-	for _, e := range d.inFlight.End {
+	for _, e := range c.End {
 		parent, _ := e.Task.Graph.Split()
-		logJob(e.Task.Graph)
-		logJob(parent)
+		add(e.Task.Graph)
+		add(parent)
 	}
-	for _, id := range slices.Concat(d.inFlight.Cancel, d.inFlight.GiveUp) {
+	for _, id := range slices.Concat(c.Cancel, c.GiveUp) {
 		parent, _ := id.Split()
-		logJob(id)
-		logJob(parent)
+		add(id)
+		add(parent)
 		for k := 1; d.State.Jobs[id] != nil && k < d.State.Jobs[id].Occurred; k++ {
-			logJob(id.Occurrence(k))
+			add(id.Occurrence(k))
+		}
+	}
+	return list
+}
+
+// recordEnding keeps the objectives of the jobs that the changes may end: an ended job does not hold its steps.
+func (d *Dispatcher) recordEnding(c *recorder.Changes) {
+	d.ending = map[manager.GraphID]manager.Duration{}
+	for _, id := range d.endingJobs(c) {
+		if j := d.State.Active()[id]; j != nil {
+			d.ending[id] = d.objective(j).Sub(j.ReleaseTime())
 		}
 	}
 }
 
+// logEndedJobs logs the jobs that the latest commit has ended.
+func (d *Dispatcher) logEndedJobs() {
+	for _, id := range d.endingJobs(&d.inFlight) {
+		j := d.State.Jobs[id]
+		objective, ok := d.ending[id]
+		if !ok || j == nil || !j.State.Ended() || j.EndedAt != d.State.At {
+			continue
+		}
+		d.markJobRuns(j)
+		took := j.EndedAt.Sub(j.ReleaseTime())
+		d.logJob(j.Customer, manager.LogJobEnded, "RequestID", id, "Queue", j.Queue, "State", j.State, "TookMs", took, "ObjectiveMs", objective,
+			"InTime", took <= objective, "WaitedMs", j.WaitedMs)
+		d.logLines[len(d.logLines)-1].Ended = &EndedJob{Queue: j.Queue, State: j.State, TookMs: took, InTime: took <= objective}
+	}
+}
+
 // logJob logs what became of a job, with its customer if it has one.
 func (d *Dispatcher) logJob(c manager.CustomerID, message string, fields ...any) {
 	if c != "" {
--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -63,6 +63,8 @@
 	RemoteFactor float64
 	// Locality decides which tasks wait for a rack.
 	Locality manager.LocalityPolicy
+	// StateBytes limits the size of the replicated state, above which no job is accepted.
+	StateBytes int64
 }
 
 // Defaults of Options.
@@ -138,6 +140,10 @@
 	// workersByID caches the workers sorted by ID; jobsByPool caches the active jobs of each pool during a cycle.
 	workersByID []*worker
 	jobsByPool  map[manager.PoolID][]*recorder.Job
+	// ending holds the objectives of the jobs that the changes in flight may end.
+	ending map[manager.GraphID]manager.Duration
+	// room is the use of the replicated state during a cycle.
+	room stateRoom
 }
 
 // waitingCaller is a call that is answered once the changes in flight are committed.
@@ -176,6 +182,9 @@
 	setDefault(&o.NextMs, DefaultNext)
 	setDefault(&o.StopMs, DefaultStop)
 	setDefault(&o.OrderGapMs, DefaultOrderGap)
+	if o.StateBytes == 0 {
+		o.StateBytes = DefaultStateBytes
+	}
 	if o.Shares == nil {
 		o.Shares = sharer.NewBuckets()
 	}
@@ -202,13 +211,14 @@
 func (d *Dispatcher) RunCycle(now manager.Time, events []Event) (recorder.Changes, []Answer) {
 	c := recorder.Changes{At: now}
 	d.freeByPool, d.recorded, d.waiting, d.gangsThatFit = nil, nil, nil, map[gangShape]bool{}
+	d.room = stateRoom{}
 	d.customers, d.submitted = map[manager.CustomerID]customerUse{}, map[manager.GraphID]manager.CustomerID{}
 	var answers []Answer
 	for _, e := range events {
 		answers = append(answers, d.handleEvent(now, e, &c)...)
 	}
 	d.freeByPool = nil
-	d.startDueOccurrences(&c)
+	d.startDueOccurrences(now, &c)
 	d.groupJobsByPool()
 	d.expireLeases(now, &c)
 	d.updateMaintenance(now, &c)
@@ -216,6 +226,7 @@
 	d.place(now, &c)
 	d.logHeldCustomers(now)
 	d.invalidateUsage(&c)
+	d.recordEnding(&c)
 	d.inFlight = c
 	if c.Empty() {
 		answers = append(answers, d.answerReports(now)...)
--- a/pkg/manager/dispatcher/order.go
+++ b/pkg/manager/dispatcher/order.go
@@ -64,7 +64,12 @@
 
 func compareRanks(a, b jobRank) int {
 	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.job.Graph.Graph, b.job.Graph.Graph))
+		cmp.Compare(a.latestStart, b.latestStart), compareIDs(a.job.Graph.Graph, b.job.Graph.Graph))
+}
+
+// compareIDs orders the occurrences of a job by their numbers.
+func compareIDs(a, b manager.GraphID) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
 }
 
 // appendRanks appends the ranks of a job's long-running and finite steps.
@@ -86,9 +91,12 @@
 	switch {
 	case j.Surplus:
 		t.class = classSurplus
+	case d.catchesUp(now, j):
+		t.class = classLate
 	case now <= t.latestStart:
 		t.class = classOnTime
-	case now.Sub(j.ReleaseTime()) < overdueFactor*objective.Sub(j.ReleaseTime()):
+	case j.Repeats() || now.Sub(j.ReleaseTime()) < overdueFactor*objective.Sub(j.ReleaseTime()):
+		// Occurrences run in order: one that became overdue would fall behind the next.
 		t.class = classLate
 	default:
 		t.class = classOverdue
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -268,7 +268,7 @@
 			continue
 		}
 		w.endsPending = true
-		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved, Slowdown: d.recordedSlowdown(w, e)})
+		c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: d.limitCheckpoint(e.Task, e.Saved), Slowdown: d.recordedSlowdown(w, e)})
 		w.health.recordEnd(now, e.How)
 		if e.How == manager.RunRefused {
 			d.dropPermit(e.Task, w.instance)
--- a/pkg/manager/errors.go
+++ b/pkg/manager/errors.go
@@ -105,9 +105,14 @@
 // never will.
 type ErrOverloaded struct {
 	RetryAfterMs Duration
+	// Reason is what lacks room; empty stands for the capacity of the pool.
+	Reason string
 }
 
 func (e ErrOverloaded) Error() string {
+	if e.Reason != "" {
+		return fmt.Sprintf("overloaded: %s: retry after %d ms", e.Reason, e.RetryAfterMs)
+	}
 	return fmt.Sprintf("overloaded: retry after %d ms", e.RetryAfterMs)
 }
 
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -19,6 +19,7 @@
 	LogChangesNotCommitted           = "Changes not committed"
 	LogStaleConfigurationIgnored     = "Configuration overtaken"
 	LogConfigurationAccepted         = "Configuration taken"
+	LogCheckpointNotKept             = "Checkpoint not kept"
 	LogCustomerAtCap                 = "Customer at cap"
 	LogDataFolderCleared             = "Data folder cleared because the group removed this replica"
 	LogDispatcherEnded               = "Dispatcher ended"
@@ -108,6 +109,7 @@
 		{LogChangesNotCommitted, "Leader", "A commit failed. Its callers get no definite answer, and the dispatcher restarts."},
 		{LogStaleConfigurationIgnored, "Leader", "A configuration that is not newer than the current one was acknowledged without effect."},
 		{LogConfigurationAccepted, "Leader", "A newer configuration is being committed."},
+		{LogCheckpointNotKept, "Leader", "The replicated state has no room for the checkpoint of a run that ended; the task starts from the one before."},
 		{LogCustomerAtCap, "Leader", "The cap of a customer keeps jobs from starting, FirstWaiting first; once a second for each customer while that lasts. InUse is what its open runs use."},
 		{LogDataFolderCleared, "Replica", "The disk joins the group again as a new one."},
 		{LogDispatcherEnded, "Leader", "This node stops dispatching."},
--- a/pkg/manager/recorder/apply.go
+++ b/pkg/manager/recorder/apply.go
@@ -241,7 +241,7 @@
 			}
 		}
 	}
-	j.Tasks, j.Payload = nil, ""
+	st.dropSpec(j)
 	st.resize(j, j.measure()-j.bytes)
 }
 
--- a/pkg/manager/recorder/book.go
+++ b/pkg/manager/recorder/book.go
@@ -171,6 +171,11 @@
 	for _, w := range st.Waves {
 		st.bytes += measureWave(w)
 	}
+	for _, j := range st.Jobs {
+		if j.State.Ended() && j.Tasks == nil {
+			st.dropSpec(j)
+		}
+	}
 	st.linkOccurrences()
 	for id, j := range st.Jobs {
 		j.remaining, j.openByStep = make([]int, len(j.Steps)), make([]int, len(j.Steps))
--- a/pkg/manager/recorder/occurrence.go
+++ b/pkg/manager/recorder/occurrence.go
@@ -1,6 +1,10 @@
 package recorder
 
-import "github.com/mulberryhaven/mulberryhaven/pkg/manager"
+import (
+	"slices"
+
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
+)
 
 // isOccurrence reports whether the job is a later occurrence of a repeating job; the ID that the caller chose belongs to
 // that job.
@@ -48,7 +52,10 @@
 			continue
 		}
 		j.origin = origin
-		j.Queue, j.Customer, j.Payload, j.Steps = origin.Queue, origin.Customer, origin.Payload, origin.Steps
+		j.Queue, j.Customer, j.Steps = origin.Queue, origin.Customer, origin.Steps
+		if j.Tasks != nil {
+			j.Payload = origin.Payload
+		}
 	}
 }
 
@@ -89,6 +96,25 @@
 	st.completeIfDone(parent)
 }
 
+// dropSpec frees what is needed of an ended job only while it runs. What its tasks reserve stays known, as a worker may still
+// report one of them.
+func (st *State) dropSpec(j *Job) {
+	j.Tasks, j.Payload = nil, ""
+	if j.origin != nil {
+		return
+	}
+	j.Steps = slices.Clone(j.Steps)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		s.DependsOn, s.Requires, s.DataRack, s.Image = nil, "", "", ""
+	}
+	for k := 1; k < j.Occurred; k++ {
+		if o := st.Jobs[j.Graph.Graph.Occurrence(k)]; o != nil && o.origin == j {
+			o.Steps = j.Steps
+		}
+	}
+}
+
 // unlinkOccurrences separates the occurrences of a job that leaves the state before them, as one of their runs is open. They
 // have ended, so that no worker gets their payload any more.
 func (st *State) unlinkOccurrences(origin *Job) {
--- a/pkg/manager/recorder/size.go
+++ b/pkg/manager/recorder/size.go
@@ -4,7 +4,7 @@
 
 // Sizes of records in memory, in bytes, with their entries in indexes. In a snapshot each takes less.
 const (
-	jobBytes  = 700
+	jobBytes  = 540
 	stepBytes = 240
 	taskBytes = 160
 	runBytes  = 320
