dispatcher: a list of VMs proves a VM gone only if it is newer than the wave

Cause: handleListing ended the maintenance of each VM that the list lacks and no worker reports from, whenever the list was requested. While a wave is under way a list is requested every 2 s, so that a slow one is nearly always on its way.

Change: the list must have been requested after the wave was accepted, after the start of the dispatcher and after the latest sign of the VM; one of several pages needs a second. Lists that are older than the known one or than the dispatcher are not used. On the same paths: a move's outcome of an earlier term, a VM that arrived after the request, and a refused move of a VM that is added again.

Why this works: the VMs of a wave exist when it is accepted, and a list shows what there is when it is requested. A VM that is gone still ends its maintenance with the next list: one is requested every 2 s while a wave misses a VM.

--- a/pkg/manager/dispatcher/dispatcher.go
+++ b/pkg/manager/dispatcher/dispatcher.go
@@ -247,7 +247,7 @@
 	case e.Configure != nil:
 		return d.handleConfigure(e.Call, e.Configure, c)
 	case e.Wave != nil:
-		return d.handleWave(e.Call, *e.Wave, c)
+		return d.handleWave(now, e.Call, *e.Wave, c)
 	case e.Platform != nil:
 		d.handlePlatformResult(now, *e.Platform, c)
 	case e.Listing != nil:
@@ -331,11 +331,12 @@
 	return d.awaitCommit(call)
 }
 
-func (d *Dispatcher) handleWave(call CallID, w manager.MaintenanceRequest, c *recorder.Changes) []Answer {
+func (d *Dispatcher) handleWave(now manager.Time, call CallID, w manager.MaintenanceRequest, c *recorder.Changes) []Answer {
 	if d.State.Waves[w.Wave] != nil {
 		return []Answer{{Call: call}}
 	}
 	c.Wave = append(c.Wave, w)
+	d.maintenance.presence.accept(w.Wave, now)
 	d.log(manager.LogWaveAccepted, "Wave", w.Wave, "VMs", len(w.VMs), "Cap", w.Cap, "DurationMs", w.DurationMs)
 	return d.awaitCommit(call)
 }
--- a/pkg/manager/dispatcher/lending.go
+++ b/pkg/manager/dispatcher/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -53,6 +54,8 @@
 	demand map[manager.PoolID]*demand
 	// rejected holds the VMs that the platform refused to move.
 	rejected map[manager.VMID]bool
+	// arrivals holds the VMs that arrived in a pool after the latest list was requested.
+	arrivals map[manager.VMID]arrival
 	// noted holds the unusable entries of the list that were logged.
 	noted map[string]bool
 }
@@ -61,7 +64,30 @@
 	return l.vms == nil || now.Sub(l.listedAt) > maxListingAge
 }
 
-func (l *lending) update(list Listing) { l.vms, l.listedAt = list.VMs, list.AskedAt }
+// arrival is the end of a VM's move.
+type arrival struct {
+	pool manager.PoolID
+	at   manager.Time
+}
+
+// update replaces the list, but for the moves that have ended since it was requested.
+func (l *lending) update(list Listing) {
+	l.vms, l.listedAt = list.VMs, list.AskedAt
+	for vm, a := range l.arrivals {
+		known, ok := l.vms[vm]
+		if a.at < list.AskedAt || !ok {
+			delete(l.arrivals, vm)
+			continue
+		}
+		known.Pool, known.Up, known.Moving = a.pool, true, false
+		l.vms[vm] = known
+	}
+	// A VM that is added again under the same name may be moved.
+	maps.DeleteFunc(l.rejected, func(vm manager.VMID, _ bool) bool {
+		_, ok := l.vms[vm]
+		return !ok && !list.mayHold(vm)
+	})
+}
 
 // isLent reports whether a worker's VM has another home pool.
 func (d *Dispatcher) isLent(w *worker) bool {
@@ -194,7 +220,7 @@
 		to := d.State.Moves[vm]
 		if w := d.byVM[vm]; w != nil && w.latest.Pool == to {
 			c.Move = append(c.Move, recorder.Move{VM: vm})
-			d.lending.recordArrival(vm, to)
+			d.lending.recordArrival(now, vm, to)
 			delete(d.maintenance.retryAt, vm)
 			continue
 		}
@@ -207,7 +233,11 @@
 	}
 }
 
-func (l *lending) recordArrival(vm manager.VMID, to manager.PoolID) {
+func (l *lending) recordArrival(now manager.Time, vm manager.VMID, to manager.PoolID) {
+	if l.arrivals == nil {
+		l.arrivals = map[manager.VMID]arrival{}
+	}
+	l.arrivals[vm] = arrival{pool: to, at: now}
 	if known, ok := l.vms[vm]; ok {
 		known.Pool, known.Up = to, true
 		l.vms[vm] = known
@@ -239,7 +269,7 @@
 			// No worker reports from a VM that is switched off.
 			d.maintenance.retryAt[vm] = now.Add(moveTime)
 			c.Move = append(c.Move, recorder.Move{VM: vm})
-			d.lending.recordArrival(vm, r.Order.Pool)
+			d.lending.recordArrival(now, vm, r.Order.Pool)
 		}
 	case OutcomeInvalid, OutcomeBusy:
 		if r.Outcome == OutcomeInvalid {
--- a/pkg/manager/dispatcher/maintenance.go
+++ b/pkg/manager/dispatcher/maintenance.go
@@ -59,9 +59,12 @@
 
 // Listing is the platform's list of VMs.
 type Listing struct {
-	// AskedAt is when the list was requested; its content is not older.
+	// AskedAt is when the first page of the list was requested; its content is not older.
 	AskedAt manager.Time
-	VMs     map[manager.VMID]ListedVM
+	// Pages is the number of pages that were read. Entries may move between the pages meanwhile, so that a list of several ones
+	// may lack a VM that exists.
+	Pages int
+	VMs   map[manager.VMID]ListedVM
 	// Unread holds, for each VM whose entry could not be used, the reason. Such a VM exists.
 	Unread map[manager.VMID]string
 	// Unnamed counts the entries that name no VM, and UnnamedReason is what is wrong with the first of them. Each may
@@ -98,6 +101,7 @@
 	// listedAt is when the list of VMs was last requested; listingNeeded requests it, as a wave misses a VM.
 	listedAt      manager.Time
 	listingNeeded bool
+	presence      presence
 }
 
 func (u *maintenanceState) init() {
@@ -114,6 +118,7 @@
 	d.maintenance.listingNeeded = false
 	clear(d.maintenance.orderedNow)
 	d.dropStartTimes()
+	d.dropCompletedWaves()
 	for _, w := range d.workers {
 		w.evacuating = false
 	}
@@ -317,8 +322,15 @@
 
 func (d *Dispatcher) handlePlatformResult(now manager.Time, r PlatformResult, c *recorder.Changes) {
 	d.maintenance.init()
-	delete(d.maintenance.inFlight, r.Order.VM)
 	d.log(manager.LogPlatformAnswered, "VM", r.Order.VM, "Wave", r.Order.Wave, "Pool", r.Order.Pool, "Outcome", r.Outcome, "Token", r.Order.Token)
+	own := r.Order.Token == d.Token
+	if own {
+		delete(d.maintenance.inFlight, r.Order.VM)
+	}
+	if r.Order.Pool != "" && !own {
+		// The move of an earlier dispatcher on this node; the VM may have been ordered to another pool since.
+		return
+	}
 	if r.Order.Pool != "" {
 		d.handleMoveResult(now, r, c)
 		return
@@ -326,6 +338,7 @@
 	change := recorder.MaintenanceChange{Wave: r.Order.Wave, VM: r.Order.VM}
 	switch r.Outcome {
 	case OutcomeAccepted:
+		d.maintenance.presence.note(r.Order.VM, now)
 		change.State = recorder.MaintenanceStarted
 		c.Maintenance = append(c.Maintenance, change)
 		// The state shows this only after the commit; until then the order must not be repeated.
@@ -349,9 +362,15 @@
 	return true
 }
 
-// handleListing ends the maintenance of VMs that no longer exist, and of VMs that are up again without a worker.
+// handleListing ends the maintenance of VMs that no longer exist, and of VMs that are up again without a worker. A list that was
+// requested by an earlier dispatcher, or before one that is known already, is not used.
 func (d *Dispatcher) handleListing(l Listing, c *recorder.Changes) {
+	if l.AskedAt < max(d.StartedAt, d.lending.listedAt) {
+		d.logMinor(manager.LogListNotUsed, "AskedAt", l.AskedAt, "StartedAt", d.StartedAt, "KnownAskedAt", d.lending.listedAt)
+		return
+	}
 	d.lending.update(l)
+	d.maintenance.presence.update(&l)
 	d.fleetLimits = nil
 	d.logUnread(&l)
 	for _, id := range d.waves() {
@@ -363,7 +382,7 @@
 			listed, ok := l.VMs[vm]
 			begun := d.maintenance.startedAt[waveVM{id, vm}]
 			back := wave.State[vm] == recorder.MaintenanceStarted && listed.Up && begun != 0 && l.AskedAt > begun
-			if ok && !back || !ok && l.mayHold(vm) {
+			if ok && !back || !ok && !d.provesGone(&l, id, vm) {
 				continue
 			}
 			c.Maintenance = append(c.Maintenance, recorder.MaintenanceChange{Wave: id, VM: vm, State: recorder.MaintenanceDone})
--- a/pkg/manager/dispatcher/worker.go
+++ b/pkg/manager/dispatcher/worker.go
@@ -305,6 +305,7 @@
 		d.workersByID = nil
 	}
 	if d.byVM[w.latest.VM] == w {
+		d.maintenance.presence.note(w.latest.VM, w.heardAt)
 		delete(d.byVM, w.latest.VM)
 	}
 	if d.byAddress[w.latest.Address] == w {
--- a/pkg/manager/logmessages.go
+++ b/pkg/manager/logmessages.go
@@ -36,6 +36,7 @@
 	LogCallRefused                   = "Call refused"
 	LogLeaderFound                   = "Leader found"
 	LogLeaderNotFound                = "Leader not found"
+	LogListNotUsed                   = "List not used"
 	LogListEntryNotUsed              = "List entry not used"
 	LogListenerFailed                = "Listener failed"
 	LogNodeDidNotStopCleanly         = "Node did not stop cleanly"
@@ -126,6 +127,7 @@
 		{LogCallRefused, "Any", "A caller got an answer other than success; Status is its status code, Reason why. No line names an API key."},
 		{LogLeaderFound, "Any", "Calls are sent to another leader from now on."},
 		{LogLeaderNotFound, "Any", "No node has named a leader for ForMs; the search goes on. Unreached nodes did not answer, Unaware ones know no leader."},
+		{LogListNotUsed, "Leader", "The list of VMs was requested by an earlier dispatcher, or before one that was answered sooner."},
 		{LogListEntryNotUsed, "Leader", "An entry of the platform's list of VMs is unusable for Reason. Its VM keeps its place in waves and is not lent; without a VM, no VM counts as gone. The first entries with each reason are logged."},
 		{LogListenerFailed, "Any", "A listener stopped unexpectedly."},
 		{LogNodeDidNotStopCleanly, "Any", "Work was still running when the grace period ended."},
