coordinator: count the ends of a report as they are encoded

Cause: entryBytes counted checkpoints before JSON escapes them, so that a report passed the check whose entry the log refuses; the dispatcher was made anew and got the same report. Evidence: 'Changes not committed ... has 1200288 bytes'.

Change: texts are counted as they are encoded.

--- a/internal/coordinator/events_test.go
+++ b/internal/coordinator/events_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
+	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
 )
 
 func newEventBox() *eventBox {
@@ -50,3 +51,30 @@
 	require.Len(t, b.takeCycle(), 1)
 	require.Len(t, b.takeCycle(), 1)
 }
+
+func reportOf(n int, saved string) *manager.WorkerReport {
+	r := &manager.WorkerReport{Instance: manager.WorkerInstance{Worker: "w1", StartedAt: 1}}
+	for i := range n {
+		r.Ended = append(r.Ended, manager.EndedRun{
+			Number: uint64(n - i), Task: manager.TaskID{Graph: "0123456789abcdef", Task: i}, Run: 1, How: manager.RunLeaseExpired, Saved: manager.Checkpoint(saved),
+		})
+	}
+	return r
+}
+
+// Guards against ends that are counted before their characters are escaped: their entry is then refused by the log, and nothing is
+// committed any more.
+func TestEndsAreCountedAsTheyAreEncoded(t *testing.T) {
+	for _, saved := range []string{"0123456789abcdef", "<a b=\"c\">&</a>\n", "\x01\xff", ""} {
+		e := dispatcher.Event{Report: reportOf(100, strings.Repeat(saved, manager.MaxCheckpointBytes/16))}
+		size, err := entryBytes(e)
+		require.NoError(t, err)
+		c := recorder.Changes{}
+		for _, e := range e.Report.Ended {
+			c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved, Slowdown: 1.25, Unreported: true})
+		}
+		data, err := recorder.Encode(c)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), size+100, "%q", saved)
+	}
+}
--- a/internal/coordinator/eventsize.go
+++ b/internal/coordinator/eventsize.go
@@ -25,8 +25,8 @@
 	switch {
 	case e.Report != nil:
 		size := 0
-		for _, end := range e.Report.Ended {
-			size += endBytes + len(end.Saved) + len(end.Task.Graph) + len(end.How)
+		for i := range e.Report.Ended {
+			size += endEntryBytes(&e.Report.Ended[i])
 		}
 		return size, nil
 	case e.Submit != nil:
@@ -45,6 +45,11 @@
 	return len(data), nil
 }
 
+// endEntryBytes is what the end of a run adds to a log entry, with its texts as they are encoded.
+func endEntryBytes(e *manager.EndedRun) int {
+	return endBytes + manager.EncodedLen(string(e.Saved)) + manager.EncodedLen(string(e.Task.Graph)) + manager.EncodedLen(string(e.How))
+}
+
 // checkSize returns what an event adds to a log entry, or an ErrInvalid if that is more than an entry holds.
 func checkSize(e dispatcher.Event) (int, error) {
 	size, err := entryBytes(e)
