coordinator: take a report as far as its ends fit into a log entry

Cause: a report whose ends exceed one log entry was refused whole, and workers list the same ends until they are acknowledged. Evidence: 'takes 1003680 bytes in the log: at most 983040 are allowed'.

Change: the ends are taken in the order of their numbers, as many as fit into a quarter of an entry, and acknowledged as far as they were taken; the worker lists the others again. The events of a cycle take a quarter of an entry instead of half, as its starts and lost runs may take 640 KiB.

--- a/internal/coordinator/events.go
+++ b/internal/coordinator/events.go
@@ -31,6 +31,9 @@
 
 // add queues an event. It fails if this replica does not lead, or too many events wait.
 func (b *eventBox) add(e dispatcher.Event, done chan outcome) error {
+	if e.Report != nil {
+		e.Report = limitEnds(e.Report)
+	}
 	size, err := checkSize(e)
 	if err != nil {
 		return err
--- a/internal/coordinator/events_test.go
+++ b/internal/coordinator/events_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/dispatcher"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager/recorder"
@@ -78,3 +79,38 @@
 		require.LessOrEqual(t, len(data), size+100, "%q", saved)
 	}
 }
+
+// Guards against a report that is refused for good, as its ends don't fit into one log entry, and against a size that is counted
+// before characters are escaped, so that nothing is committed any more.
+func TestReportIsTakenAsFarAsItFits(t *testing.T) {
+	for name, saved := range map[string]string{"plain": "0123456789abcdef", "markup": "<a b=\"c\">&</a>\n", "control": "\x01\xff", "none": ""} {
+		saved = strings.Repeat(saved, manager.MaxCheckpointBytes/16)
+		reported := reportOf(500, saved)
+		left := reported
+		for round := 0; len(left.Ended) > 0; round++ {
+			require.Less(t, round, 100, name)
+			b := newEventBox()
+			require.NoError(t, b.add(dispatcher.Event{Report: left}, nil), name)
+			taken := b.takeCycle()[0].event.Report.Ended
+			require.NotEmpty(t, taken, name)
+			c := recorder.Changes{}
+			highest := uint64(0)
+			for _, e := range taken {
+				c.End = append(c.End, recorder.End{Task: e.Task, Run: e.Run, How: e.How, Saved: e.Saved, Slowdown: 1.25, Unreported: true})
+				highest = max(highest, e.Number)
+			}
+			data, err := recorder.Encode(c)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(data), storer.MaxEntryBytes/4+1024, name)
+			next := &manager.WorkerReport{Instance: left.Instance}
+			for _, e := range left.Ended {
+				if e.Number > highest {
+					next.Ended = append(next.Ended, e)
+				}
+			}
+			require.Len(t, next.Ended, len(left.Ended)-len(taken), "no end is acknowledged that was not taken")
+			left = next
+		}
+		require.Len(t, reported.Ended, 500, "the report itself is unchanged")
+	}
+}
--- a/internal/coordinator/eventsize.go
+++ b/internal/coordinator/eventsize.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/mulberryhaven/mulberryhaven/internal/storer"
 	"github.com/mulberryhaven/mulberryhaven/pkg/manager"
@@ -13,8 +15,9 @@
 	// maxEventBytes limits what one event adds to a log entry. A part of the entry is kept for the starts and ends that
 	// the cycle decides itself.
 	maxEventBytes = storer.MaxEntryBytes - storer.MaxEntryBytes/16
-	// maxCycleBytes limits what the events of one cycle add together, unless it has only one.
-	maxCycleBytes = storer.MaxEntryBytes / 2
+	// maxCycleBytes limits what the events of one cycle add together, unless it has only one. The starts and ends that the cycle
+	// decides take up to 640 KiB.
+	maxCycleBytes = storer.MaxEntryBytes / 4
 	// endBytes is what the end of a run adds besides its checkpoint and the ID of its job.
 	endBytes = 160
 )
@@ -50,6 +53,22 @@
 	return endBytes + manager.EncodedLen(string(e.Saved)) + manager.EncodedLen(string(e.Task.Graph)) + manager.EncodedLen(string(e.How))
 }
 
+// limitEnds returns the report with as many of its ends as fit into the log entry of a cycle, the first ones. The worker reports
+// the others again, as they are not acknowledged.
+func limitEnds(r *manager.WorkerReport) *manager.WorkerReport {
+	ends := slices.Clone(r.Ended)
+	slices.SortStableFunc(ends, func(a, b manager.EndedRun) int { return cmp.Compare(a.Number, b.Number) })
+	size := 0
+	for i := range ends {
+		if size += endEntryBytes(&ends[i]); size > maxCycleBytes {
+			limited := *r
+			limited.Ended = ends[:i]
+			return &limited
+		}
+	}
+	return r
+}
+
 // checkSize returns what an event adds to a log entry, or an ErrInvalid if that is more than an entry holds.
 func checkSize(e dispatcher.Event) (int, error) {
 	size, err := entryBytes(e)
