--- a/pkg/manager/dispatcher/admission.go
+++ b/pkg/manager/dispatcher/admission.go
@@ -72,7 +72,7 @@
 		wait := retrier.Spread(maxRetryAfter/2, maxRetryAfter, string(g.Graph))
 		d.refused[g.Graph] = refusal{until: now.Add(wait), surplus: g.Surplus, reason: reason}
 		d.logJob(g.Customer, manager.LogJobRefused, "RequestID", g.Graph, "Queue", g.Queue, "RetryAfterMs", wait, "Outcome", "not-run", "Reason", reason,
-			"StateBytes", d.State.Bytes(), "LimitBytes", d.Options.StateBytes, "HeldBytes", d.room.held.total, "MovableBytes", d.room.movable.total)
+			"StateBytes", d.State.Bytes(), "LimitBytes", d.Options.StateBytes, "HeldBytes", d.room.held.total, "ReadyBytes", d.room.ready.total)
 		return refuse(manager.ErrOverloaded{RetryAfterMs: wait, Reason: reason})
 	}
 	c.Submit = append(c.Submit, g)
--- a/pkg/manager/dispatcher/stateroom.go
+++ b/pkg/manager/dispatcher/stateroom.go
@@ -23,10 +23,10 @@
 const (
 	reasonStateFull = "the replicated state is full"
 	reasonHeldFull  = "the job can't start at present, and too many such jobs wait"
-	reasonQueueFull = "the queue's jobs take too much of the replicated state"
+	reasonQueueFull = "the jobs of the queue and customer take too much of the replicated state"
 )
 
-// roomOwner is a customer's jobs in a queue, which share the room that is left with those of others.
+// roomOwner names the jobs of a customer in a queue, which share the room that is left with those of others.
 type roomOwner struct {
 	queue    manager.QueueID
 	customer manager.CustomerID
@@ -49,9 +49,9 @@
 type stateRoom struct {
 	// added is what this cycle adds.
 	added int64
-	// held is the use by jobs that can't start at present, and movable that by the others. They are worked out when they are
+	// held is the use by jobs that can't start at present, and ready that by the others. They are worked out when they are
 	// needed.
-	held, movable roomUse
+	held, ready roomUse
 }
 
 // stateBytes returns the size of the state after this cycle.
@@ -60,20 +60,20 @@
 // roomOf returns the use by jobs of one kind.
 func (d *Dispatcher) roomOf(now manager.Time, held bool) *roomUse {
 	r := &d.room
-	if r.movable.byOwner == nil {
-		r.held, r.movable = roomUse{byOwner: map[roomOwner]int64{}}, roomUse{byOwner: map[roomOwner]int64{}}
+	if r.ready.byOwner == nil {
+		r.held, r.ready = roomUse{byOwner: map[roomOwner]int64{}}, roomUse{byOwner: map[roomOwner]int64{}}
 		for _, j := range d.State.Active() {
 			if d.isHeld(now, j) {
 				r.held.add(&j.Graph, j.Bytes())
 				continue
 			}
-			r.movable.add(&j.Graph, j.Bytes())
+			r.ready.add(&j.Graph, j.Bytes())
 		}
 	}
 	if held {
 		return &r.held
 	}
-	return &r.movable
+	return &r.ready
 }
 
 // isHeld reports whether a job can't go on at present: it waits for its time, or has a step that no VM can run.
