--- a/pkg/manager/dispatcher/decisionlog.go
+++ b/pkg/manager/dispatcher/decisionlog.go
@@ -64,7 +64,7 @@
 	return list
 }
 
-// recordEnding keeps the objectives of the jobs that the changes may end: an ended job does not hold its steps.
+// recordEnding keeps the objectives of the jobs that the changes may end: an ended job keeps no dependencies of its steps.
 func (d *Dispatcher) recordEnding(c *recorder.Changes) {
 	d.ending = map[manager.GraphID]manager.Duration{}
 	for _, id := range d.endingJobs(c) {
--- a/pkg/manager/dispatcher/oldlist_test.go
+++ b/pkg/manager/dispatcher/oldlist_test.go
@@ -168,3 +168,24 @@
 	f.run(3 * manager.Second)
 	require.Equal(t, pool, f.state.Moves["vm-off"], "the VM is switched off and can be lent")
 }
+
+// Guards against a VM that is never lent again, as one of the same name was refused before.
+func TestRefusedMoveIsForgottenOnceTheVMIsGone(t *testing.T) {
+	f := newListFleet(t)
+	f.answerList(f.now, 1, "vm-w1", "vm-w2")
+	f.send(dispatcher.Event{Platform: &dispatcher.PlatformResult{
+		Order: dispatcher.PlatformOrder{VM: "vm-off", Pool: pool, Token: 1}, Outcome: dispatcher.OutcomeInvalid,
+	}})
+	f.run(100)
+	f.answerList(f.now, 1, "vm-w1", "vm-w2")
+	f.run(1 * manager.Second)
+	f.send(dispatcher.Event{Listing: &dispatcher.Listing{AskedAt: f.now, VMs: map[manager.VMID]dispatcher.ListedVM{
+		"vm-off": {Pool: spare, Up: true, Capacity: cores(4000), Labels: []manager.Label{"ssd"}},
+	}}})
+	f.run(100)
+	step := task(1000, 1)
+	step.Requires = "ssd"
+	f.submit("s", step)
+	f.run(3 * manager.Second)
+	require.Equal(t, pool, f.state.Moves["vm-off"])
+}
